--- /dev/null
+++ b/cmake/Packaging.cmake
@@ -0,0 +1,7 @@
+include(GNUInstallDirs)
+set(CPACK_GENERATOR DEB)
+set(CPACK_PACKAGE_NAME cuminrelay)
+set(CPACK_PACKAGE_CONTACT "cuminrelay maintainers <maintainers@cuminrelay.example>")
+set(CPACK_PACKAGE_DESCRIPTION_SUMMARY "Layer-4 load balancer driven by labels and selectors")
+set(CPACK_DEBIAN_PACKAGE_SHLIBDEPS ON)
+include(CPack)
--- /dev/null
+++ b/src/backends/Backends.capnp
@@ -0,0 +1,15 @@
+@0xb8f6c2d1907a4e33;
+
+using Cxx = import "/capnp/c++.capnp";
+using Configuration = import "/configuration/Configuration.capnp";
+$Cxx.namespace("cuminrelay::wire");
+
+struct BackendReport {
+  backend @0 :Configuration.PackedEndpoint;
+  health @1 :UInt8;
+  shedding @2 :Bool;
+  connections @3 :UInt32;
+  busySlots @4 :UInt16;
+  queued @5 :UInt16;
+  ageMicroseconds @6 :UInt32; # since it was measured; instants do not travel between clocks
+}
--- /dev/null
+++ b/src/base/Endpoint.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/Error.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cuminrelay {
+
+/// An IPv4 address and a port, both in host byte order. Entry VMs and backend servers are identified by the endpoint
+/// that their packets go to, which is the same on every VM and in every configuration version.
+struct Endpoint {
+    std::uint32_t m_address = 0;
+    std::uint16_t m_port = 0;
+
+    /// Address and port in the low 48 bits; the key of maps and hashes.
+    constexpr std::uint64_t packed() const { return (std::uint64_t { m_address } << 16) | m_port; }
+
+    static constexpr Endpoint fromPacked(std::uint64_t packed)
+    {
+        return { static_cast<std::uint32_t>(packed >> 16), static_cast<std::uint16_t>(packed) };
+    }
+
+    friend constexpr auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+/// Parses "a.b.c.d:port". Fails with InvalidInput, quoting the text.
+Outcome<Endpoint> parseEndpoint(std::string_view text);
+
+/// Parses "a.b.c.d" to host byte order. Fails with InvalidInput, quoting the text.
+Outcome<std::uint32_t> parseAddress(std::string_view text);
+
+std::string formatEndpoint(Endpoint endpoint);
+std::string formatAddress(std::uint32_t address);
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/Entry.capnp
@@ -0,0 +1,32 @@
+@0xf7128ce5a94d3b60;
+
+using Cxx = import "/capnp/c++.capnp";
+using Configuration = import "/configuration/Configuration.capnp";
+using Backends = import "/backends/Backends.capnp";
+using Members = import "/members/Members.capnp";
+$Cxx.namespace("cuminrelay::wire");
+
+struct EntryStatus {
+  configVersion @0 :UInt64;
+  flows @1 :UInt64;
+  exceptions @2 :UInt64;
+  drained @3 :Bool;
+  incarnation @4 :UInt64;
+  uptimeMicroseconds @5 :UInt64;
+  counters @6 :List(Counter);
+  leaving @7 :Bool; # it was told to stop and hands over
+
+  struct Counter {
+    name @0 :Text;
+    reason @1 :Text;
+    value @2 :UInt64;
+  }
+}
+
+# Spoken by the control process to the entry process of the same VM.
+interface EntryControl {
+  installConfiguration @0 (update :Configuration.ConfigurationUpdate) -> (version :UInt64);
+  installMembers @1 (members :List(Members.Member)) -> ();
+  applyReports @2 (reports :List(Backends.BackendReport)) -> ();
+  status @3 () -> (status :EntryStatus);
+}
--- /dev/null
+++ b/src/flows/Packet.cpp
@@ -0,0 +1,62 @@
+#include "flows/Packet.h"
+
+#include "base/Hash.h"
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::uint64_t c_callerShift = 16;
+
+} // namespace
+
+FlowHash hashFlow(const FlowKey& key)
+{
+    const std::uint64_t caller = key.m_caller.packed();
+    const std::uint64_t service
+        = (key.m_service.packed() << c_callerShift) | static_cast<std::uint64_t>(key.m_protocol);
+    return FlowHash { hashPair(caller, service) };
+}
+
+std::string_view reasonName(Reason reason)
+{
+    switch (reason) {
+    case Reason::None:
+        return "none";
+    case Reason::UnknownService:
+        return "unknown_service";
+    case Reason::NoBackendServer:
+        return "no_backend_server";
+    case Reason::HopLimit:
+        return "hop_limit";
+    case Reason::OwnerBeyondCut:
+        return "owner_beyond_cut";
+    case Reason::BackendBeyondCut:
+        return "backend_beyond_cut";
+    case Reason::UnknownFlowDuringCut:
+        return "unknown_flow_during_cut";
+    case Reason::AdmissionQueueFull:
+        return "admission_queue_full";
+    case Reason::AdmissionShare:
+        return "admission_share";
+    case Reason::FlowTableFull:
+        return "flow_table_full";
+    case Reason::SilentConnection:
+        return "silent_connection";
+    case Reason::NotMember:
+        return "not_member";
+    case Reason::Malformed:
+        return "malformed";
+    case Reason::Fragment:
+        return "fragment";
+    case Reason::Truncated:
+        return "truncated";
+    case Reason::UnsupportedProtocol:
+        return "unsupported_protocol";
+    case Reason::Count:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/observe/Log.cpp
@@ -0,0 +1,143 @@
+#include "observe/Log.h"
+
+#include <cstdio>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr Duration c_window = std::chrono::seconds { 1 };
+
+    std::string_view levelName(LogLevel level)
+    {
+        switch (level) {
+        case LogLevel::Debug:
+            return "debug";
+        case LogLevel::Info:
+            return "info";
+        case LogLevel::Warning:
+            return "warning";
+        case LogLevel::Error:
+            return "error";
+        }
+        return "unknown";
+    }
+
+    void appendField(std::string& line, const LogField& field)
+    {
+        line += ',';
+        appendJsonString(line, field.m_name);
+        line += ':';
+        if (const std::int64_t* const number = std::get_if<std::int64_t>(&field.m_value))
+            line += fmt::format("{}", *number);
+        else if (const double* const real = std::get_if<double>(&field.m_value))
+            line += fmt::format("{}", *real);
+        else
+            appendJsonString(line, std::get<std::string_view>(field.m_value));
+    }
+
+} // namespace
+
+LogField::LogField(std::string_view name, std::string_view value)
+    : m_name(name)
+    , m_value(value)
+{
+}
+
+LogField::LogField(std::string_view name, const char* value)
+    : LogField(name, std::string_view { value })
+{
+}
+
+LogField::LogField(std::string_view name, const std::string& value)
+    : LogField(name, std::string_view { value })
+{
+}
+
+LogField::LogField(std::string_view name, double value)
+    : m_name(name)
+    , m_value(value)
+{
+}
+
+void appendJsonString(std::string& out, std::string_view text)
+{
+    out += '"';
+    for (const char c : text) {
+        if (c == '"' || c == '\\') {
+            out += '\\';
+            out += c;
+        } else if (static_cast<unsigned char>(c) < 0x20) {
+            out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
+        } else {
+            out += c;
+        }
+    }
+    out += '"';
+}
+
+Log::Log(LogLevel minimum)
+    : m_minimum(minimum)
+{
+}
+
+void Log::write(LogLevel level, std::string_view slice, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (level < m_minimum)
+        return;
+    const std::lock_guard<std::mutex> lock { m_mutex };
+    const Instant now = m_clock.now();
+    auto found = m_budgets.find(event);
+    if (found == m_budgets.end())
+        found = m_budgets.emplace(std::string { event }, Budget {}).first;
+    Budget& budget = found->second;
+    std::uint64_t suppressed = 0;
+    if (now >= budget.m_windowEnds) {
+        suppressed = budget.m_suppressed;
+        budget = Budget { now + c_window, 0, 0 };
+    }
+    if (budget.m_written >= s_linesPerWindow) {
+        ++budget.m_suppressed;
+        return;
+    }
+    ++budget.m_written;
+
+    const std::chrono::sys_time<std::chrono::milliseconds> wall
+        = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    const std::int64_t millis = wall.time_since_epoch().count() % 1000;
+    std::string line = fmt::format("{{\"time\":\"{:%Y-%m-%dT%H:%M:%S}.{:03}Z\",\"level\":\"{}\",\"slice\":",
+        fmt::gmtime(std::chrono::system_clock::to_time_t(wall)), millis, levelName(level));
+    appendJsonString(line, slice);
+    line += ",\"event\":";
+    appendJsonString(line, event);
+    for (const LogField& field : fields)
+        appendField(line, field);
+    if (suppressed > 0)
+        appendField(line, LogField { "suppressed", suppressed });
+    line += "}\n";
+    std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+void Log::debug(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields)
+{
+    write(LogLevel::Debug, slice, event, fields);
+}
+
+void Log::info(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields)
+{
+    write(LogLevel::Info, slice, event, fields);
+}
+
+void Log::warning(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields)
+{
+    write(LogLevel::Warning, slice, event, fields);
+}
+
+void Log::error(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields)
+{
+    write(LogLevel::Error, slice, event, fields);
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/observe/Log.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace cuminrelay {
+
+enum class LogLevel : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// One named value of a log line.
+struct LogField {
+    std::string_view m_name;
+    std::variant<std::int64_t, double, std::string_view> m_value;
+
+    LogField(std::string_view name, std::string_view value);
+    LogField(std::string_view name, const char* value);
+    LogField(std::string_view name, const std::string& value);
+    LogField(std::string_view name, double value);
+
+    template <std::integral T>
+    LogField(std::string_view name, T value)
+        : m_name(name)
+        , m_value(static_cast<std::int64_t>(value))
+    {
+    }
+};
+
+/// Writes one JSON object a line to standard error: time, level, slice, event, fields. Each event may write a bounded
+/// number of lines a second, so that a fault cannot flood; the first line after a pause says how many were left out.
+/// Safe to use from several threads.
+class Log {
+public:
+    explicit Log(LogLevel minimum = LogLevel::Info);
+
+    void write(
+        LogLevel level, std::string_view slice, std::string_view event, std::initializer_list<LogField> fields = {});
+
+    void debug(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields = {});
+    void info(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields = {});
+    void warning(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields = {});
+    void error(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields = {});
+
+private:
+    static constexpr unsigned s_linesPerWindow = 20;
+
+    struct Budget {
+        Deadline m_windowEnds {};
+        unsigned m_written = 0;
+        std::uint64_t m_suppressed = 0;
+    };
+
+    std::mutex m_mutex;
+    LogLevel m_minimum;
+    SystemClock m_clock;
+    std::map<std::string, Budget, std::less<>> m_budgets;
+};
+
+/// Appends text as a JSON string, quotes included.
+void appendJsonString(std::string& out, std::string_view text);
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/observe/Metrics.cpp
@@ -0,0 +1,75 @@
+#include "observe/Metrics.h"
+
+#include <fmt/format.h>
+
+namespace cuminrelay {
+
+namespace {
+
+    namespace histogram = boost::histogram;
+
+    constexpr unsigned c_bins = 40;
+    constexpr double c_shortestSeconds = 1e-6;
+    constexpr double c_longestSeconds = 100;
+
+} // namespace
+
+Counter& Metrics::counter(std::string_view name, std::string_view reason)
+{
+    const std::lock_guard<std::mutex> lock { m_mutex };
+    return m_counters[CounterKey { std::string { name }, std::string { reason } }];
+}
+
+void Metrics::observeSeconds(std::string_view name, double seconds)
+{
+    const std::lock_guard<std::mutex> lock { m_mutex };
+    auto found = m_histograms.find(name);
+    if (found == m_histograms.end()) {
+        using LogAxis = histogram::axis::regular<double, histogram::axis::transform::log>;
+        found = m_histograms
+                    .emplace(std::string { name },
+                        histogram::make_histogram(LogAxis { c_bins, c_shortestSeconds, c_longestSeconds }))
+                    .first;
+    }
+    found->second(seconds);
+}
+
+std::uint64_t Metrics::total(std::string_view name) const
+{
+    const std::lock_guard<std::mutex> lock { m_mutex };
+    std::uint64_t sum = 0;
+    for (const auto& [key, counter] : m_counters) {
+        if (key.m_name == name)
+            sum += counter.value();
+    }
+    return sum;
+}
+
+std::string Metrics::prometheusText() const
+{
+    const std::lock_guard<std::mutex> lock { m_mutex };
+    std::string text;
+    std::string_view previous;
+    for (const auto& [key, counter] : m_counters) {
+        if (key.m_name != previous)
+            text += fmt::format("# TYPE {} counter\n", key.m_name);
+        previous = key.m_name;
+        if (key.m_reason.empty())
+            text += fmt::format("{} {}\n", key.m_name, counter.value());
+        else
+            text += fmt::format("{}{{reason=\"{}\"}} {}\n", key.m_name, key.m_reason, counter.value());
+    }
+    for (const auto& [name, bins] : m_histograms) {
+        text += fmt::format("# TYPE {} histogram\n", name);
+        double cumulative = bins.at(-1);
+        for (const auto& bin : histogram::indexed(bins)) {
+            cumulative += *bin;
+            text += fmt::format("{}_bucket{{le=\"{:.3g}\"}} {}\n", name, bin.bin().upper(), cumulative);
+        }
+        cumulative += bins.at(static_cast<int>(c_bins));
+        text += fmt::format("{}_bucket{{le=\"+Inf\"}} {}\n{}_count {}\n", name, cumulative, name, cumulative);
+    }
+    return text;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/observe/Metrics.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace cuminrelay {
+
+/// A count that only grows. Cheap enough for the packet path: one relaxed addition.
+class Counter {
+public:
+    void add(std::uint64_t amount = 1) { m_value.fetch_add(amount, std::memory_order_relaxed); }
+    std::uint64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> m_value { 0 };
+};
+
+/// The counters and histograms of one process, served as Prometheus text. References that it hands out stay valid as
+/// long as it lives. Names are snake_case; a reason is a label value, so that each refusal, retry and drop reason has a
+/// counter of its own: cuminrelay_drops_total{reason="hop_limit"}.
+class Metrics {
+public:
+    Counter& counter(std::string_view name, std::string_view reason = {});
+
+    /// Adds a sample to a histogram with logarithmic bins from 1 microsecond to 100 seconds.
+    void observeSeconds(std::string_view name, double seconds);
+
+    /// The sum of a counter over its reasons; 0 for an unknown name.
+    std::uint64_t total(std::string_view name) const;
+
+    std::string prometheusText() const;
+
+private:
+    using SecondsHistogram = decltype(boost::histogram::make_histogram(
+        boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(1, 1e-6, 1.0)));
+
+    struct CounterKey {
+        std::string m_name;
+        std::string m_reason;
+        friend auto operator<=>(const CounterKey&, const CounterKey&) = default;
+    };
+
+    mutable std::mutex m_mutex;
+    std::map<CounterKey, Counter> m_counters;
+    std::map<std::string, SecondsHistogram, std::less<>> m_histograms;
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/settings/Program.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "settings/SettingsReader.h"
+
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace cuminrelay {
+
+/// The exit statuses that all programs share.
+enum class ExitStatus : int {
+    Success = 0,
+    Failure = 1, ///< what was asked for did not succeed
+    BadInput = 2, ///< command line or settings are wrong; nothing was done
+};
+
+/// What every daemon's main function does the same way: parses --config FILE, --check, --version and --help with
+/// Boost.Program_options, loads the settings, reads them with `read`, prints problems one a line to standard error
+/// (status 2), prints the effective settings for --check, and otherwise runs `run`.
+///
+/// read: calls the getters for all keys of the program. run: the program itself; returns its exit status.
+int runProgram(std::span<char* const> arguments, std::string_view name, std::string_view description,
+    const std::function<void(SettingsReader&)>& read, const std::function<ExitStatus()>& run);
+
+} // namespace cuminrelay
