backends: what an entry VM believes of each backend server

Cause: placement and admission need an estimate of load between reports that are a second late. Change: BackendBoard with windows of recent openings, so that a late report keeps what happened after its measurement; estimatedConnections scales own changes to all owners; cold start begins on declaration, return to health and end of draining; unanswered openings are counted. noteOpened and noteClosed take now; setOwnerCount and noteProven are new.

--- a/src/backends/BackendBoard.h
+++ b/src/backends/BackendBoard.h
@@ -3,7 +3,9 @@
 #include "base/Endpoint.h"
 #include "base/Time.h"
 
+#include <array>
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <span>
 
@@ -29,6 +31,7 @@
 /// What one entry VM believes of one backend server right now.
 struct BackendStatus {
     BackendReport m_report;
+    Deadline m_staleAt {}; ///< when m_report is too old to count; epoch while there is none
     std::uint32_t m_openedSinceReport = 0; ///< flows that this VM placed there after the report was measured
     std::uint32_t m_closedSinceReport = 0;
     std::uint32_t m_ownFlows = 0; ///< open flows that this VM placed there
@@ -36,34 +39,92 @@
     std::uint32_t m_connectionLimit = 0;
     std::uint16_t m_slots = 0;
     bool m_draining = false;
-    Instant m_firstSeen {}; ///< when it was declared; the start of its cold-start ramp
+    Instant m_rampBegan {}; ///< when it was declared or came back to service
+    Deadline m_rampEnds {}; ///< when its cold start is over
     Instant m_unprovenSince {}; ///< when the oldest opening that it has not answered was sent; epoch when none
+    std::uint32_t m_unprovenOpenings = 0; ///< openings since then
+
+    bool hasFreshReport(Instant now) const { return now < m_staleAt; }
+};
+
+/// Openings and closings of the last few seconds in fixed windows, so that a report that arrives late still has what
+/// happened after its measurement counted on top. Memory: 768 bytes.
+class RecentActivity {
+public:
+    struct Totals {
+        std::uint32_t m_opened = 0;
+        std::uint32_t m_closed = 0;
+    };
+
+    void noteOpened(Instant now) { ++window(now).m_totals.m_opened; }
+    void noteClosed(Instant now) { ++window(now).m_totals.m_closed; }
+
+    /// What happened after an instant; reaches back four seconds at most.
+    Totals since(Instant start) const;
+
+private:
+    static constexpr Duration s_windowLength { 64'000 };
+    static constexpr std::size_t s_windowCount = 64;
+
+    struct Window {
+        std::int32_t m_number = 0; ///< since the clock's epoch
+        Totals m_totals;
+    };
+
+    static std::int32_t numberOf(Instant now);
+    Window& window(Instant now);
+
+    std::array<Window, s_windowCount> m_windows {};
 };
 
 /// What the entry VM believes of all declared backend servers. Fed by configuration, by reports and by what the packet
 /// path shows; read by placement and admission. Cost: a hash look-up for each new flow, none for established packets.
 class BackendBoard {
 public:
-    /// Declares a backend server or updates its declared values; keeps what is known of it.
+    /// Declares a backend server or updates its declared values; keeps what is known of it. A new one, and one that
+    /// drains no longer, begins its cold start.
     void declare(Endpoint backend, std::uint16_t slots, std::uint32_t connectionLimit, bool draining, Instant now);
 
     /// Forgets backend servers that are not in the list.
     void retainOnly(std::span<const Endpoint> declared);
 
-    /// Takes a report unless a newer one is held; flows placed since it was measured stay counted on top.
+    /// Takes a report unless a newer one is held; flows placed since it was measured stay counted on top. One that
+    /// says that the backend server is healthy again begins its cold start.
     void apply(const BackendReport& report);
 
-    void noteOpened(Endpoint backend);
-    void noteClosed(Endpoint backend, bool straggler);
+    /// How many entry VMs place flows at the same time, this one included: each sees an even part of the arrivals.
+    void setOwnerCount(std::size_t ownerCount) { m_ownerCount = ownerCount > 0 ? ownerCount : 1; }
+    std::size_t ownerCount() const { return m_ownerCount; }
+
+    /// This VM has placed a flow there.
+    void noteOpened(Endpoint backend, Instant now);
+
+    /// A flow that this VM holds there has ended. straggler: noteStraggler was called for it.
+    void noteClosed(Endpoint backend, bool straggler, Instant now);
+
+    /// A flow that this VM holds there has carried far more than short work does.
     void noteStraggler(Endpoint backend);
 
+    /// A caller's packet shows that the backend server has answered an opening.
+    void noteProven(Endpoint backend);
+
     /// The status, or nullptr for an undeclared backend server.
     const BackendStatus* find(Endpoint backend) const;
 
-    std::size_t size() const { return m_statuses.size(); }
+    /// Open connections as estimated now: the fresh report plus what this VM placed since, scaled to all owners;
+    /// without a fresh report, this VM's own flows scaled to all owners.
+    double estimatedConnections(const BackendStatus& status, Instant now) const;
+
+    std::size_t size() const { return m_entries.size(); }
 
 private:
-    boost::unordered_flat_map<std::uint64_t, BackendStatus> m_statuses;
+    struct Entry {
+        BackendStatus m_status;
+        RecentActivity m_recent;
+    };
+
+    boost::unordered_flat_map<std::uint64_t, Entry> m_entries;
+    std::size_t m_ownerCount = 1;
 };
 
 } // namespace cuminrelay
