placement: keep the default unless there is a reason, then two choices

Cause: new flows need an eligible backend server with even load, without a state for each flow. Change: DefaultOnlyPlacement and LeastConnectionsPlacement as baselines; BoundedLoadPlacement leaves the default when it is ineligible, clearly above the mean, busy with stragglers, cold or silent. Eligibility lies in backends, since admission needs it too. Measured: placement_test, 12 tests pass; not yet measured under load.

--- a/src/backends/BackendBoard.h
+++ b/src/backends/BackendBoard.h
@@ -19,7 +19,7 @@
 
 /// What a prober learnt of one backend server, as control hands it to the entry process.
 struct BackendReport {
-    Endpoint m_backend;
+    Endpoint m_backend {};
     BackendHealth m_health = BackendHealth::Healthy;
     bool m_shedding = false;
     std::uint32_t m_connections = 0; ///< open connections, as the backend server said
--- /dev/null
+++ b/src/backends/Eligibility.cpp
@@ -0,0 +1,22 @@
+#include "backends/Eligibility.h"
+
+namespace cuminrelay {
+
+Eligibility eligibilityOf(const BackendStatus* status, const BackendBoard& board, Instant now)
+{
+    if (!status)
+        return Eligibility::Undeclared;
+    if (status->m_draining)
+        return Eligibility::Draining;
+    if (status->m_report.m_health == BackendHealth::Unhealthy)
+        return Eligibility::Unhealthy;
+    if (status->m_report.m_health == BackendHealth::BeyondCut)
+        return Eligibility::BeyondCut;
+    if (status->hasFreshReport(now) && status->m_report.m_shedding)
+        return Eligibility::Shedding;
+    if (status->m_connectionLimit > 0 && board.estimatedConnections(*status, now) >= status->m_connectionLimit)
+        return Eligibility::ConnectionLimit;
+    return Eligibility::Eligible;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/placement/LeastConnectionsPlacement.cpp
@@ -0,0 +1,25 @@
+#include "placement/LeastConnectionsPlacement.h"
+
+#include "backends/Eligibility.h"
+
+namespace cuminrelay {
+
+std::optional<Endpoint> LeastConnectionsPlacement::choose(
+    const PlacementRequest& request, const BackendBoard& board, Instant now)
+{
+    std::optional<Endpoint> best;
+    double fewest = 0;
+    for (const Endpoint candidate : request.m_candidates) {
+        const BackendStatus* const status = board.find(candidate);
+        if (eligibilityOf(status, board, now) != Eligibility::Eligible)
+            continue;
+        const double connections = board.estimatedConnections(*status, now);
+        if (best && connections >= fewest)
+            continue;
+        best = candidate;
+        fewest = connections;
+    }
+    return best;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/placement/PlacementPolicyTest.cpp
@@ -0,0 +1,220 @@
+#include "backends/Eligibility.h"
+#include "base/Hash.h"
+#include "placement/BoundedLoadPlacement.h"
+#include "placement/DefaultOnlyPlacement.h"
+#include "placement/LeastConnectionsPlacement.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+#include <vector>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr Instant c_start { std::chrono::seconds { 1000 } };
+    constexpr Instant c_warm = c_start + std::chrono::minutes { 10 };
+    constexpr std::uint32_t c_connectionLimit = 2000;
+    constexpr std::uint64_t c_flowCount = 3000;
+
+    Endpoint backendAt(std::size_t index)
+    {
+        return { 0x0a000001 + static_cast<std::uint32_t>(index), 4000 };
+    }
+
+    /// Some backend servers that are past their cold start and have fresh reports of equal load.
+    class Service {
+    public:
+        explicit Service(std::size_t count)
+        {
+            for (std::size_t i = 0; i < count; ++i) {
+                m_backends.push_back(backendAt(i));
+                m_board.declare(backendAt(i), 2, c_connectionLimit, false, c_start);
+                report(i, { .m_connections = 100 });
+            }
+        }
+
+        void report(std::size_t index, BackendReport report)
+        {
+            report.m_backend = backendAt(index);
+            report.m_measuredAt = m_nextMeasurement;
+            m_nextMeasurement += Duration { 1 };
+            m_board.apply(report);
+        }
+
+        PlacementRequest requestFor(std::uint64_t flow) const
+        {
+            const std::uint64_t hash = hashPair(flow, 7);
+            return { m_backends, m_backends[hash % m_backends.size()], hash };
+        }
+
+        /// How many of many flows each backend server gets while nothing changes on the board.
+        std::map<Endpoint, std::size_t> distribute(PlacementPolicy& policy, Instant now) const
+        {
+            std::map<Endpoint, std::size_t> counts;
+            for (std::uint64_t flow = 0; flow < c_flowCount; ++flow) {
+                const std::optional<Endpoint> chosen = policy.choose(requestFor(flow), m_board, now);
+                if (chosen)
+                    ++counts[*chosen];
+            }
+            return counts;
+        }
+
+        std::vector<Endpoint> m_backends;
+        BackendBoard m_board;
+        Instant m_nextMeasurement = c_warm;
+    };
+
+    TEST(DefaultOnlyPlacement, takesTheDefaultWhateverItsState)
+    {
+        Service service(3);
+        service.report(0, { .m_health = BackendHealth::Unhealthy });
+        DefaultOnlyPlacement policy;
+        const PlacementRequest request { service.m_backends, backendAt(0), 5 };
+        EXPECT_EQ(policy.choose(request, service.m_board, c_warm), backendAt(0));
+        EXPECT_EQ(policy.choose({ {}, backendAt(0), 5 }, service.m_board, c_warm), std::nullopt);
+    }
+
+    TEST(LeastConnectionsPlacement, takesTheFewestConnections)
+    {
+        Service service(3);
+        service.report(1, { .m_connections = 50 });
+        service.report(2, { .m_health = BackendHealth::Unhealthy, .m_connections = 0 });
+        LeastConnectionsPlacement policy;
+        EXPECT_EQ(policy.choose(service.requestFor(1), service.m_board, c_warm), backendAt(1));
+    }
+
+    TEST(BoundedLoadPlacement, evenLoadMakesNoExceptions)
+    {
+        const Service service(15);
+        BoundedLoadPlacement policy;
+        for (std::uint64_t flow = 0; flow < c_flowCount; ++flow) {
+            const PlacementRequest request = service.requestFor(flow);
+            ASSERT_EQ(policy.choose(request, service.m_board, c_warm), request.m_default);
+        }
+    }
+
+    TEST(BoundedLoadPlacement, ineligibleBackendServersGetNothingAndTheRestShareEvenly)
+    {
+        Service service(15);
+        service.report(0, { .m_health = BackendHealth::Unhealthy });
+        service.report(1, { .m_health = BackendHealth::BeyondCut });
+        service.report(2, { .m_shedding = true });
+        service.report(3, { .m_connections = c_connectionLimit });
+        service.m_board.declare(backendAt(4), 2, c_connectionLimit, true, c_warm);
+        BoundedLoadPlacement policy;
+        const std::map<Endpoint, std::size_t> counts = service.distribute(policy, c_warm);
+        EXPECT_EQ(counts.size(), 10);
+        for (std::size_t i = 0; i < 5; ++i)
+            EXPECT_FALSE(counts.contains(backendAt(i))) << i;
+    }
+
+    TEST(BoundedLoadPlacement, nobodyEligibleIsNoChoice)
+    {
+        Service service(2);
+        service.report(0, { .m_health = BackendHealth::Unhealthy });
+        service.report(1, { .m_health = BackendHealth::Unhealthy });
+        BoundedLoadPlacement policy;
+        EXPECT_EQ(policy.choose(service.requestFor(1), service.m_board, c_warm), std::nullopt);
+    }
+
+    TEST(BoundedLoadPlacement, clearlyAboveTheMeanGetsNothingNew)
+    {
+        Service service(15);
+        service.report(0, { .m_connections = 150 });
+        BoundedLoadPlacement policy;
+        EXPECT_FALSE(service.distribute(policy, c_warm).contains(backendAt(0)));
+    }
+
+    TEST(BoundedLoadPlacement, ownOpeningsCountBeforeTheNextReport)
+    {
+        Service service(15);
+        service.m_board.setOwnerCount(8);
+        for (int i = 0; i < 10; ++i)
+            service.m_board.noteOpened(backendAt(0), c_warm + std::chrono::milliseconds { 100 });
+        service.m_board.noteProven(backendAt(0));
+        BoundedLoadPlacement policy;
+        const Instant now = c_warm + std::chrono::milliseconds { 200 };
+        EXPECT_FALSE(service.distribute(policy, now).contains(backendAt(0)));
+    }
+
+    TEST(BoundedLoadPlacement, ownStragglersKeepNewWorkAway)
+    {
+        Service service(4);
+        service.m_board.noteStraggler(backendAt(2));
+        BoundedLoadPlacement policy;
+        EXPECT_FALSE(service.distribute(policy, c_warm).contains(backendAt(2)));
+        service.m_board.noteClosed(backendAt(2), true, c_warm);
+        EXPECT_TRUE(service.distribute(policy, c_warm).contains(backendAt(2)));
+    }
+
+    TEST(BoundedLoadPlacement, stragglersEverywhereStillPlaceEveryFlow)
+    {
+        Service service(4);
+        for (std::size_t i = 0; i < 4; ++i)
+            service.m_board.noteStraggler(backendAt(i));
+        BoundedLoadPlacement policy;
+        EXPECT_EQ(service.distribute(policy, c_warm).size(), 4);
+    }
+
+    TEST(BoundedLoadPlacement, aColdBackendServerGetsAGrowingShare)
+    {
+        Service service(15);
+        service.m_board.declare(backendAt(15), 2, c_connectionLimit, false, c_warm);
+        service.m_backends.push_back(backendAt(15));
+        const Deadline rampEnds = service.m_board.find(backendAt(15))->m_rampEnds;
+        const std::size_t evenShare = c_flowCount / 16;
+        BoundedLoadPlacement policy;
+        std::map<Endpoint, std::size_t> early = service.distribute(policy, c_warm);
+        service.report(15, {});
+        std::map<Endpoint, std::size_t> middle = service.distribute(policy, c_warm + (rampEnds - c_warm) / 2);
+        EXPECT_LT(early[backendAt(15)], evenShare / 3);
+        EXPECT_GT(early[backendAt(15)], 0);
+        EXPECT_GT(middle[backendAt(15)], early[backendAt(15)]);
+        EXPECT_LT(middle[backendAt(15)], evenShare);
+    }
+
+    TEST(BoundedLoadPlacement, unansweredOpeningsLeaveATrickleUnlessMostAreSilent)
+    {
+        Service service(15);
+        for (int i = 0; i < 3; ++i)
+            service.m_board.noteOpened(backendAt(0), c_warm);
+        const Instant later = c_warm + std::chrono::seconds { 4 };
+        BoundedLoadPlacement policy;
+        std::map<Endpoint, std::size_t> counts = service.distribute(policy, later);
+        EXPECT_GT(counts[backendAt(0)], 0);
+        EXPECT_LT(counts[backendAt(0)], c_flowCount / 15 / 4);
+        for (std::size_t backend = 0; backend < 15; ++backend)
+            for (int i = 0; i < 3; ++i)
+                service.m_board.noteOpened(backendAt(backend), c_warm);
+        EXPECT_GT(service.distribute(policy, later)[backendAt(0)], c_flowCount / 15 / 2);
+    }
+
+    RC_GTEST_PROP(BoundedLoadPlacement, choosesAnEligibleOneWheneverThereIsOne,
+        (const std::vector<std::uint8_t>& states, std::uint64_t flow))
+    {
+        RC_PRE(!states.empty());
+        Service service(states.size());
+        for (std::size_t i = 0; i < states.size(); ++i) {
+            service.report(i,
+                { .m_health = static_cast<BackendHealth>(states[i] % 3),
+                    .m_shedding = (states[i] & 4U) != 0,
+                    .m_connections = states[i] * 10U,
+                    .m_busySlots = 2,
+                    .m_queued = states[i] });
+            if ((states[i] & 8U) != 0)
+                service.m_board.noteStraggler(backendAt(i));
+        }
+        bool anyEligible = false;
+        for (const Endpoint backend : service.m_backends)
+            anyEligible = anyEligible
+                || eligibilityOf(service.m_board.find(backend), service.m_board, c_warm) == Eligibility::Eligible;
+        BoundedLoadPlacement policy;
+        const std::optional<Endpoint> chosen = policy.choose(service.requestFor(flow), service.m_board, c_warm);
+        RC_ASSERT(chosen.has_value() == anyEligible);
+        if (chosen)
+            RC_ASSERT(eligibilityOf(service.m_board.find(*chosen), service.m_board, c_warm) == Eligibility::Eligible);
+    }
+
+} // namespace
+} // namespace cuminrelay
