admission: refuse what would miss deadlines, by even shares

Cause: at a crest the excess must be refused early and evenly, between reports that are a second late. Change: the board learns each backend server's slot time by Little's law and keeps a backlog that openings raise and slots work off, never below zero; ShareAdmission refuses when the service's backlog means more than the maximum wait or when its connections are used up, taking what this VM admits for the even part of all. UnlimitedAdmission is the baseline.

--- /dev/null
+++ b/src/admission/AdmissionPolicyTest.cpp
@@ -0,0 +1,165 @@
+#include "admission/ShareAdmission.h"
+#include "admission/UnlimitedAdmission.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <vector>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr Instant c_start { std::chrono::seconds { 1000 } };
+    constexpr std::size_t c_ownerCount = 8;
+    constexpr int c_flowsPerSecond = 40; // of one backend server with both slots busy
+
+    Instant after(int milliseconds)
+    {
+        return c_start + std::chrono::milliseconds { milliseconds };
+    }
+
+    /// Four backend servers that are known to take 40 flows a second each, with no backlog ten seconds after the start.
+    class Service {
+    public:
+        explicit Service(std::uint32_t connectionLimit = 2000)
+        {
+            m_board.setOwnerCount(c_ownerCount);
+            for (std::uint32_t i = 0; i < 4; ++i) {
+                m_backends.push_back({ 0x0a000001 + i, 4000 });
+                m_board.declare(m_backends.back(), 2, connectionLimit, false, c_start);
+            }
+            for (int half = 0; half < 20; ++half)
+                workForHalfASecond(half);
+        }
+
+        void reportAll(int milliseconds, BackendReport report)
+        {
+            report.m_measuredAt = after(milliseconds);
+            for (const Endpoint backend : m_backends) {
+                report.m_backend = backend;
+                m_board.apply(report);
+            }
+        }
+
+        /// Offers flows at one instant, places the admitted ones evenly and returns how many these were.
+        int offer(AdmissionPolicy& policy, int count, int milliseconds)
+        {
+            int admitted = 0;
+            for (int i = 0; i < count; ++i) {
+                if (policy.admit(m_backends, m_board, c_ownerCount, after(milliseconds)) != Admission::Admitted)
+                    continue;
+                m_board.noteOpened(m_backends[m_placed++ % m_backends.size()], after(milliseconds));
+                ++admitted;
+            }
+            return admitted;
+        }
+
+        std::vector<Endpoint> m_backends;
+        BackendBoard m_board;
+
+    private:
+        std::size_t m_placed = 0;
+
+        /// Each second's report arrives half a second late.
+        void workForHalfASecond(int half)
+        {
+            const int own = c_flowsPerSecond / static_cast<int>(c_ownerCount);
+            for (const Endpoint backend : m_backends)
+                for (int i = half % 2; i < own; i += 2) {
+                    m_board.noteOpened(backend, after(500 * half + 500 * i / own + 5));
+                    m_board.noteClosed(backend, false, after(500 * half + 500 * i / own + 50));
+                }
+            if (half % 2 == 1)
+                reportAll(500 * (half - 1), { .m_busySlots = 2 });
+        }
+    };
+
+    TEST(UnlimitedAdmission, letsEverythingIn)
+    {
+        Service service;
+        UnlimitedAdmission policy;
+        EXPECT_EQ(service.offer(policy, 10'000, 11'000), 10'000);
+    }
+
+    TEST(ShareAdmission, aBurstGetsTheEvenShareOfTheQueueRoomAndTheRestIsRefusedAtOnce)
+    {
+        Service service;
+        ShareAdmission policy({ .m_maximumWait = std::chrono::milliseconds { 400 } });
+        constexpr int room = 4 * c_flowsPerSecond * 400 / 1000;
+        constexpr int share = room / static_cast<int>(c_ownerCount);
+        EXPECT_NEAR(service.offer(policy, 1000, 12'000), share, 2);
+        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(12'000)), Admission::ShareUsed);
+    }
+
+    TEST(ShareAdmission, betweenReportsEachVmAdmitsItsShareOfWhatTheSlotsWorkOff)
+    {
+        Service service;
+        ShareAdmission policy;
+        service.offer(policy, 1000, 12'000);
+        int admitted = 0;
+        for (int milliseconds = 12'010; milliseconds <= 13'000; milliseconds += 10)
+            admitted += service.offer(policy, 100, milliseconds);
+        constexpr int share = 4 * c_flowsPerSecond / static_cast<int>(c_ownerCount);
+        EXPECT_NEAR(admitted, share, 3);
+    }
+
+    TEST(ShareAdmission, anUnusedShareLapses)
+    {
+        Service service;
+        ShareAdmission policy;
+        const int early = service.offer(policy, 1000, 12'000);
+        Service idle;
+        EXPECT_EQ(idle.offer(policy, 1000, 60'000), early);
+    }
+
+    TEST(ShareAdmission, aReportedBacklogBeyondTheMaximumWaitIsQueueFull)
+    {
+        Service service;
+        ShareAdmission policy;
+        service.reportAll(11'000, { .m_busySlots = 2, .m_queued = 100 });
+        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(11'100)), Admission::QueueFull);
+        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(15'000)), Admission::Admitted);
+    }
+
+    TEST(ShareAdmission, connectionsAreBoundedByTheEvenShare)
+    {
+        Service service(30);
+        ShareAdmission policy({ .m_maximumWait = std::chrono::hours { 1 } });
+        service.reportAll(11'000, { .m_connections = 10 });
+        const int share = 4 * 20 / static_cast<int>(c_ownerCount);
+        EXPECT_EQ(service.offer(policy, 1000, 11'100), share);
+        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(11'100)), Admission::ShareUsed);
+        service.reportAll(11'200, { .m_connections = 30 });
+        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(11'300)), Admission::QueueFull);
+    }
+
+    TEST(ShareAdmission, nobodyEligibleIsQueueFull)
+    {
+        Service service;
+        ShareAdmission policy;
+        service.reportAll(11'000, { .m_health = BackendHealth::Unhealthy });
+        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(11'100)), Admission::QueueFull);
+    }
+
+    TEST(ShareAdmission, unknownSlotTimesRefuseNothing)
+    {
+        const std::vector<Endpoint> backends { { 1, 1 }, { 2, 1 } };
+        BackendBoard board;
+        for (const Endpoint backend : backends)
+            board.declare(backend, 2, 2000, false, c_start);
+        ShareAdmission policy;
+        EXPECT_EQ(policy.admit(backends, board, c_ownerCount, after(0)), Admission::Admitted);
+    }
+
+    RC_GTEST_PROP(ShareAdmission, neverAdmitsBeyondTheConnectionLimit, (std::uint8_t connections))
+    {
+        constexpr std::uint32_t limit = 100;
+        Service service(limit);
+        ShareAdmission policy({ .m_maximumWait = std::chrono::hours { 1 } });
+        service.reportAll(11'000, { .m_connections = connections });
+        const int admitted = service.offer(policy, 1000, 11'100);
+        const int room = 4 * (static_cast<int>(limit) - connections);
+        RC_ASSERT(admitted * static_cast<int>(c_ownerCount) <= std::max(0, room));
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/backends/BackendBoard.h
+++ b/src/backends/BackendBoard.h
@@ -7,6 +7,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 
 namespace cuminrelay {
@@ -47,8 +48,40 @@
     bool hasFreshReport(Instant now) const { return now < m_staleAt; }
 };
 
+/// How much slot time a flow takes at one backend server, learnt from its reports by Little's law: mean busy slots
+/// over flows completed a second. Flows that hold no slot and stragglers that hold one for long are averaged in, so
+/// that slots over slot time is the rate of flows that the backend server can take. Old samples decay.
+class SlotTimeEstimate {
+public:
+    /// Adds the time between two reports.
+    void add(Duration interval, double meanBusySlots, double completedFlows);
+
+    /// Seconds of one slot for one flow; 0 while too little is known.
+    double seconds() const;
+
+private:
+    double m_busySeconds = 0;
+    double m_completedFlows = 0;
+};
+
+/// Flows at one backend server that hold a slot or wait for one, as estimated between reports: openings come on top,
+/// and the slots work it off. It never falls below zero, so that idle time is not saved up.
+class BacklogEstimate {
+public:
+    void add(double flows, double flowsPerSecond, Instant now);
+
+    /// Starts again from a report.
+    void reset(double flows, Instant measuredAt);
+
+    double at(double flowsPerSecond, Instant now) const;
+
+private:
+    double m_flows = 0;
+    Instant m_asOf {};
+};
+
 /// Openings and closings of the last few seconds in fixed windows, so that a report that arrives late still has what
-/// happened after its measurement counted on top. Memory: 768 bytes.
+/// happened after its measurement counted on top. Memory: 1.5 KB.
 class RecentActivity {
 public:
     struct Totals {
@@ -62,9 +95,12 @@
     /// What happened after an instant; reaches back four seconds at most.
     Totals since(Instant start) const;
 
+    /// Adds the openings after an instant to a backlog, window by window.
+    void replay(BacklogEstimate& backlog, double weight, double flowsPerSecond, Instant start) const;
+
 private:
-    static constexpr Duration s_windowLength { 64'000 };
-    static constexpr std::size_t s_windowCount = 64;
+    static constexpr Duration s_windowLength { 32'000 };
+    static constexpr std::size_t s_windowCount = 128;
 
     struct Window {
         std::int32_t m_number = 0; ///< since the clock's epoch
@@ -115,14 +151,27 @@
     /// without a fresh report, this VM's own flows scaled to all owners.
     double estimatedConnections(const BackendStatus& status, Instant now) const;
 
+    /// Flows that hold a slot there or wait for one, as estimated now over all owners.
+    double estimatedBacklog(Endpoint backend, Instant now) const;
+
+    /// The flows a second that its slots can take; nothing while too little is known.
+    std::optional<double> flowsPerSecond(Endpoint backend) const;
+
     std::size_t size() const { return m_entries.size(); }
 
 private:
     struct Entry {
         BackendStatus m_status;
         RecentActivity m_recent;
+        SlotTimeEstimate m_slotTime;
+        BacklogEstimate m_backlog;
+
+        /// Flows a second; infinite while too little is known, so that nothing is refused on a guess.
+        double rate() const;
     };
 
+    void learnSlotTime(Entry& entry, const BackendReport& newer) const;
+
     boost::unordered_flat_map<std::uint64_t, Entry> m_entries;
     std::size_t m_ownerCount = 1;
 };
--- a/src/backends/BackendBoardTest.cpp
+++ b/src/backends/BackendBoardTest.cpp
@@ -106,6 +106,56 @@
         EXPECT_EQ(board.find(c_backend)->m_unprovenSince, after(30));
     }
 
+    /// Ten seconds in which 40 flows a second, a part of them placed here, keep both slots busy; each second's report
+    /// arrives half a second late.
+    void reportSteadyWork(BackendBoard& board, int ownFlowsPerHalfSecond)
+    {
+        for (int half = 0; half < 22; ++half) {
+            for (int i = 0; i < ownFlowsPerHalfSecond; ++i)
+                board.noteOpened(c_backend, after(500 * half + 500 * i / ownFlowsPerHalfSecond + 5));
+            BackendReport report = reportAt(after(500 * half), 40);
+            report.m_busySlots = 2;
+            if (half % 2 == 0)
+                board.apply(report);
+        }
+    }
+
+    TEST(BackendBoard, learnsTheRateThatTheSlotsTake)
+    {
+        BackendBoard board = boardWithBackend();
+        board.setOwnerCount(4);
+        EXPECT_EQ(board.flowsPerSecond(c_backend), std::nullopt);
+        reportSteadyWork(board, 5);
+        ASSERT_TRUE(board.flowsPerSecond(c_backend).has_value());
+        EXPECT_NEAR(*board.flowsPerSecond(c_backend), 40, 2);
+    }
+
+    TEST(BackendBoard, theBacklogGrowsWithOpeningsAndIsWorkedOffNotBelowZero)
+    {
+        BackendBoard board = boardWithBackend();
+        board.setOwnerCount(8);
+        reportSteadyWork(board, 5);
+        const double rate = *board.flowsPerSecond(c_backend);
+        for (int i = 0; i < 10; ++i)
+            board.noteOpened(c_backend, after(20'000));
+        EXPECT_NEAR(board.estimatedBacklog(c_backend, after(20'000)), 80, 1e-6);
+        EXPECT_NEAR(board.estimatedBacklog(c_backend, after(21'000)), 80 - rate, 1e-6);
+        EXPECT_EQ(board.estimatedBacklog(c_backend, after(30'000)), 0);
+    }
+
+    TEST(BackendBoard, aLateReportKeepsTheOpeningsAfterItInTheBacklog)
+    {
+        BackendBoard board = boardWithBackend();
+        board.setOwnerCount(8);
+        reportSteadyWork(board, 5);
+        for (int i = 0; i < 20; ++i)
+            board.noteOpened(c_backend, after(21'000));
+        BackendReport report = reportAt(after(20'000), 40);
+        report.m_queued = 10;
+        board.apply(report);
+        EXPECT_NEAR(board.estimatedBacklog(c_backend, after(21'000)), 160, 3);
+    }
+
     RC_GTEST_PROP(BackendBoard, ownCountsFollowOpeningsAndClosings, (const std::vector<bool>& openings))
     {
         BackendBoard board = boardWithBackend();
