attempts: at most once, and the truth about what became of a request

Cause: a claim form or booking must run at most once, and refused as not run must mean that it did not run. Change: AttemptLedger holds the state of each attempt and names the next step; a retry needs proof that every earlier attempt did not run, a deadline that has not passed and a token of RetryBudget.

--- /dev/null
+++ b/src/attempts/AttemptLedger.cpp
@@ -0,0 +1,270 @@
+#include "attempts/AttemptLedger.h"
+
+#include "base/Assert.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+namespace {
+
+    bool isInFlight(AttemptState state)
+    {
+        return state == AttemptState::Handed || state == AttemptState::Accepted;
+    }
+
+    Deadline later(Deadline deadline, Duration by)
+    {
+        return deadline > Deadline::max() - by ? Deadline::max() : deadline + by;
+    }
+
+} // namespace
+
+AttemptLedger::AttemptLedger(const Parameters& parameters)
+    : m_parameters(parameters)
+    , m_budget(parameters.m_retryBudget)
+{
+    CR_ASSERT(parameters.m_maximumAttempts >= 1 && parameters.m_maximumAttempts <= s_attemptLimit,
+        "the number of attempts must be between 1 and s_attemptLimit");
+}
+
+bool AttemptLedger::Entry::mayHaveRun() const
+{
+    const auto end = m_attempts.begin() + m_attemptCount;
+    return std::any_of(m_attempts.begin(), end, [](const AttemptRecord& record) {
+        return isInFlight(record.m_state) || record.m_state == AttemptState::Unknown
+            || record.m_state == AttemptState::Answered;
+    });
+}
+
+AttemptDecision AttemptLedger::open(const Request& request, Instant now)
+{
+    const AttemptId first { request.m_id, 0 };
+    if (m_entries.contains(request.m_id.m_value))
+        return drop(first, AttemptReason::DuplicateRequest);
+    AttemptReason obstacle = AttemptReason::None;
+    if (m_entries.size() >= m_parameters.m_capacity)
+        obstacle = AttemptReason::LedgerFull;
+    else if (now >= request.m_deadline)
+        obstacle = AttemptReason::DeadlinePassed;
+    if (obstacle != AttemptReason::None) {
+        count(m_refusals, obstacle);
+        return { AttemptDirective::ReportNotRun, obstacle, first, {} };
+    }
+    m_budget.deposit();
+    Entry& entry = m_entries[request.m_id.m_value];
+    entry.m_request = request;
+    m_deadlines.push({ request.m_deadline, request.m_id });
+    m_forgetting.push({ later(request.m_deadline, m_parameters.m_memory), request.m_id });
+    return { AttemptDirective::Hand, AttemptReason::None, first, {} };
+}
+
+AttemptDecision AttemptLedger::hand(RequestId request, Endpoint backend, Instant now)
+{
+    Entry* const entry = find(request);
+    if (!entry)
+        return drop({ request, 0 }, AttemptReason::UnknownRequest);
+    AttemptRecord& record = entry->current();
+    if (entry->m_isOver || record.m_state != AttemptState::Queued)
+        return drop(entry->currentId(), AttemptReason::StaleEvent);
+    if (now >= entry->m_request.m_deadline)
+        return end(*entry, AttemptReason::DeadlinePassed);
+    record.m_state = AttemptState::Handed;
+    record.m_backend = backend;
+    return { AttemptDirective::Wait, AttemptReason::None, entry->currentId(), {} };
+}
+
+AttemptDecision AttemptLedger::noteAccepted(AttemptId attempt, Endpoint backend)
+{
+    AttemptDecision failure;
+    AttemptRecord* const record = findHanded(attempt, backend, failure);
+    if (!record)
+        return failure;
+    if (record->m_state != AttemptState::Handed)
+        return drop(attempt, AttemptReason::StaleEvent);
+    record->m_state = AttemptState::Accepted;
+    return { AttemptDirective::Wait, AttemptReason::None, attempt, {} };
+}
+
+AttemptDecision AttemptLedger::noteRefused(AttemptId attempt, Endpoint backend, Instant now)
+{
+    AttemptDecision failure;
+    AttemptRecord* const record = findHanded(attempt, backend, failure);
+    if (!record)
+        return failure;
+    // After acceptance there is no opening exchange left that could refuse: no proof.
+    if (record->m_state != AttemptState::Handed)
+        return drop(attempt, AttemptReason::StaleEvent);
+    return proveNotRun(attempt, *record, AttemptState::RefusedNotRun, AttemptReason::RefusedInOpening, now);
+}
+
+AttemptDecision AttemptLedger::noteShed(AttemptId attempt, Endpoint backend, Instant now)
+{
+    AttemptDecision failure;
+    AttemptRecord* const record = findHanded(attempt, backend, failure);
+    if (!record)
+        return failure;
+    if (!isInFlight(record->m_state))
+        return drop(attempt, AttemptReason::StaleEvent);
+    return proveNotRun(attempt, *record, AttemptState::ShedWithProof, AttemptReason::ShedWithProof, now);
+}
+
+AttemptDecision AttemptLedger::noteAnswered(AttemptId attempt, Endpoint backend)
+{
+    AttemptDecision failure;
+    AttemptRecord* const record = findHanded(attempt, backend, failure);
+    if (!record)
+        return failure;
+    Entry& entry = *find(attempt.m_request);
+    if (!isInFlight(record->m_state) && record->m_state != AttemptState::Unknown)
+        return drop(attempt, AttemptReason::ContradictoryAnswer);
+    record->m_state = AttemptState::Answered;
+    entry.m_isOver = true;
+    AttemptDecision decision { AttemptDirective::Deliver, AttemptReason::None, attempt, {} };
+    // A later attempt of an idempotent request may still run: it is wanted no more.
+    if (isInFlight(entry.current().m_state))
+        decision.m_cancelAt = entry.current().m_backend;
+    return decision;
+}
+
+AttemptDecision AttemptLedger::noteLost(AttemptId attempt, Endpoint backend, Instant now)
+{
+    AttemptDecision failure;
+    AttemptRecord* const record = findHanded(attempt, backend, failure);
+    if (!record)
+        return failure;
+    if (!isInFlight(record->m_state))
+        return drop(attempt, AttemptReason::StaleEvent);
+    record->m_state = AttemptState::Unknown;
+    Entry& entry = *find(attempt.m_request);
+    if (entry.m_request.m_isIdempotent && m_parameters.m_repeatsUnknownIdempotent)
+        return handAgainOrEnd(entry, AttemptReason::ConnectionLost, now);
+    return end(entry, AttemptReason::ConnectionLost);
+}
+
+AttemptDecision AttemptLedger::cancel(RequestId request)
+{
+    Entry* const entry = find(request);
+    if (!entry)
+        return drop({ request, 0 }, AttemptReason::UnknownRequest);
+    if (entry->m_isOver || entry->m_isCancelled)
+        return drop(entry->currentId(), AttemptReason::StaleEvent);
+    entry->m_isCancelled = true;
+    if (!isInFlight(entry->current().m_state))
+        return end(*entry, AttemptReason::Cancelled);
+    return { AttemptDirective::Wait, AttemptReason::Cancelled, entry->currentId(), entry->current().m_backend };
+}
+
+std::size_t AttemptLedger::expire(std::span<AttemptDecision> decisions, Instant now)
+{
+    CR_ASSERT(!decisions.empty(), "expire needs room for a decision");
+    std::size_t written = 0;
+    while (written < decisions.size() && !m_deadlines.empty() && m_deadlines.top().m_at <= now) {
+        Entry* const entry = find(m_deadlines.top().m_request);
+        m_deadlines.pop();
+        if (entry && !entry->m_isOver)
+            decisions[written++] = end(*entry, AttemptReason::DeadlinePassed);
+    }
+    // An identity is never forgotten before its end was reported.
+    while (written < decisions.size() && !m_forgetting.empty() && m_forgetting.top().m_at <= now) {
+        m_entries.erase(m_forgetting.top().m_request.m_value);
+        m_forgetting.pop();
+    }
+    return written;
+}
+
+std::optional<AttemptState> AttemptLedger::stateOf(AttemptId attempt) const
+{
+    const auto position = m_entries.find(attempt.m_request.m_value);
+    if (position == m_entries.end() || attempt.m_number >= position->second.m_attemptCount)
+        return std::nullopt;
+    return position->second.m_attempts[attempt.m_number].m_state;
+}
+
+AttemptLedger::Entry* AttemptLedger::find(RequestId request)
+{
+    const auto position = m_entries.find(request.m_value);
+    return position == m_entries.end() ? nullptr : &position->second;
+}
+
+AttemptLedger::AttemptRecord* AttemptLedger::findHanded(AttemptId attempt, Endpoint backend, AttemptDecision& failure)
+{
+    Entry* const entry = find(attempt.m_request);
+    if (!entry) {
+        failure = drop(attempt, AttemptReason::UnknownRequest);
+        return nullptr;
+    }
+    if (attempt.m_number >= entry->m_attemptCount
+        || entry->m_attempts[attempt.m_number].m_state == AttemptState::Queued) {
+        failure = drop(attempt, AttemptReason::ContradictoryAnswer);
+        return nullptr;
+    }
+    AttemptRecord& record = entry->m_attempts[attempt.m_number];
+    if (record.m_backend != backend) {
+        failure = drop(attempt, AttemptReason::CrossedAnswer);
+        return nullptr;
+    }
+    if (entry->m_isOver) {
+        failure = drop(attempt, AttemptReason::LateAnswer);
+        return nullptr;
+    }
+    return &record;
+}
+
+AttemptDecision AttemptLedger::proveNotRun(
+    AttemptId attempt, AttemptRecord& record, AttemptState proof, AttemptReason why, Instant now)
+{
+    record.m_state = proof;
+    return handAgainOrEnd(*find(attempt.m_request), why, now);
+}
+
+AttemptReason AttemptLedger::obstacleToRetry(const Entry& entry, Instant now)
+{
+    if (entry.m_isCancelled)
+        return AttemptReason::Cancelled;
+    if (now >= entry.m_request.m_deadline)
+        return AttemptReason::DeadlinePassed;
+    if (entry.m_attemptCount >= m_parameters.m_maximumAttempts)
+        return AttemptReason::AttemptsUsed;
+    if (!m_budget.withdraw())
+        return AttemptReason::RetryBudgetUsed;
+    return AttemptReason::None;
+}
+
+AttemptDecision AttemptLedger::handAgainOrEnd(Entry& entry, AttemptReason why, Instant now)
+{
+    const AttemptReason obstacle = obstacleToRetry(entry, now);
+    if (obstacle != AttemptReason::None)
+        return end(entry, obstacle);
+    count(m_retries, why);
+    ++entry.m_attemptCount;
+    return { AttemptDirective::Hand, why, entry.currentId(), {} };
+}
+
+AttemptDecision AttemptLedger::end(Entry& entry, AttemptReason why)
+{
+    AttemptDecision decision { AttemptDirective::ReportNotRun, why, entry.currentId(), {} };
+    if (entry.mayHaveRun())
+        decision.m_directive = AttemptDirective::ReportUnknown;
+    AttemptRecord& record = entry.current();
+    if (isInFlight(record.m_state)) {
+        record.m_state = AttemptState::Unknown;
+        decision.m_cancelAt = record.m_backend;
+    }
+    entry.m_isOver = true;
+    count(decision.m_directive == AttemptDirective::ReportNotRun ? m_refusals : m_unknowns, why);
+    return decision;
+}
+
+AttemptDecision AttemptLedger::drop(AttemptId attempt, AttemptReason why)
+{
+    count(m_drops, why);
+    return { AttemptDirective::Drop, why, attempt, {} };
+}
+
+void AttemptLedger::count(AttemptCounters& counters, AttemptReason reason)
+{
+    ++counters[static_cast<std::size_t>(reason)];
+}
+
+} // namespace cuminrelay
