flows: a replica batch names one version for each list of buckets

Cause: a version for each bucket would double a handover, and a receiver without the tables of a version has to say so. Change: settled, handedOver and wanted share a version each; exchange answers whether the batch was taken. Measured: nothing runs yet; two bytes a bucket instead of ten by the schema.

--- a/src/flows/FlowRecord.h
+++ b/src/flows/FlowRecord.h
@@ -18,23 +18,27 @@
     friend bool operator==(const FlowRecord&, const FlowRecord&) = default;
 };
 
-/// One bucket whose exceptions have all been copied, and the configuration version that its other flows are on.
-struct BucketBase {
-    Bucket m_bucket = 0;
-    ConfigVersion m_base;
-
-    friend bool operator==(const BucketBase&, const BucketBase&) = default;
-};
-
 /// What one entry VM tells another about flows. An exchange is idempotent and may be repeated, lost or reordered:
-/// records are keyed by flow, bases and handovers by bucket, and the fields name absolute state.
+/// records are keyed by flow, the rest by bucket, and all name absolute state. A receiver that does not hold the tables
+/// of a version that is named takes nothing of the batch; the sender tries again later.
 struct ReplicaBatch {
     std::vector<FlowRecord> m_records; ///< exceptions that the receiver must hold
-    std::vector<BucketBase> m_bases; ///< for a replica: all exceptions of the bucket against this base were sent
-    std::vector<BucketBase> m_handedOver; ///< the receiver now decides for these buckets; all exceptions were sent
-    std::vector<Bucket> m_wanted; ///< the sender owns these buckets and does not hold their state yet
 
-    bool empty() const { return m_records.empty() && m_bases.empty() && m_handedOver.empty() && m_wanted.empty(); }
+    /// The receiver is the successor of these buckets and holds all their exceptions against this version.
+    std::vector<Bucket> m_settled;
+    ConfigVersion m_settledBase;
+
+    /// The receiver now decides for these buckets and holds all their exceptions against this version.
+    std::vector<Bucket> m_handedOver;
+    ConfigVersion m_handedOverBase;
+
+    /// The sender owns these buckets, does not hold their state yet and wants it against this version.
+    std::vector<Bucket> m_wanted;
+    ConfigVersion m_wantedBase;
+
+    bool empty() const { return m_records.empty() && m_settled.empty() && m_handedOver.empty() && m_wanted.empty(); }
+
+    friend bool operator==(const ReplicaBatch&, const ReplicaBatch&) = default;
 };
 
 } // namespace cuminrelay
--- a/src/flows/FlowReplica.capnp
+++ b/src/flows/FlowReplica.capnp
@@ -9,19 +9,19 @@
   backend @1 :Configuration.PackedEndpoint; # 0: the flow is over
 }
 
-struct BucketBase {
-  bucket @0 :UInt16;
-  base @1 :UInt64;
-}
-
+# See cuminrelay::ReplicaBatch. The lists of buckets share one version each.
 struct ReplicaBatch {
   records @0 :List(FlowRecord);
-  bases @1 :List(BucketBase);
-  handedOver @2 :List(BucketBase);
-  wanted @3 :List(UInt16);
+  settled @1 :List(UInt16);
+  settledBase @2 :UInt64;
+  handedOver @3 :List(UInt16);
+  handedOverBase @4 :UInt64;
+  wanted @5 :List(UInt16);
+  wantedBase @6 :UInt64;
 }
 
 # Spoken between the entry processes; carries only what no packet has carried.
 interface FlowReplica {
-  exchange @0 (sender :Configuration.PackedEndpoint, batch :ReplicaBatch) -> ();
+  # accepted: false when the receiver does not hold the tables of a version that the batch names.
+  exchange @0 (sender :Configuration.PackedEndpoint, batch :ReplicaBatch) -> (accepted :Bool);
 }
--- a/src/flows/FlowReplica.capnp.h
+++ b/src/flows/FlowReplica.capnp.h
@@ -20,7 +20,6 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(ddfdeebcb687cdc3);
-CAPNP_DECLARE_SCHEMA(ba2f3979e320937e);
 CAPNP_DECLARE_SCHEMA(e63539c756960805);
 CAPNP_DECLARE_SCHEMA(f661d1567b1a774e);
 CAPNP_DECLARE_SCHEMA(8b0c0d979c85e9a3);
@@ -47,21 +46,6 @@
   };
 };
 
-struct BucketBase {
-  BucketBase() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba2f3979e320937e, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct ReplicaBatch {
   ReplicaBatch() = delete;
 
@@ -70,7 +54,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e63539c756960805, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e63539c756960805, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -119,7 +103,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9a5292166d5f9303, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9a5292166d5f9303, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -209,87 +193,6 @@
 };
 #endif  // !CAPNP_LITE
 
-class BucketBase::Reader {
-public:
-  typedef BucketBase Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getBucket() const;
-
-  inline  ::uint64_t getBase() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class BucketBase::Builder {
-public:
-  typedef BucketBase Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getBucket();
-  inline void setBucket( ::uint16_t value);
-
-  inline  ::uint64_t getBase();
-  inline void setBase( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class BucketBase::Pipeline {
-public:
-  typedef BucketBase Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 class ReplicaBatch::Reader {
 public:
   typedef ReplicaBatch Reads;
@@ -310,15 +213,21 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::cuminrelay::wire::FlowRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
-  inline bool hasBases() const;
-  inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Reader getBases() const;
+  inline bool hasSettled() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getSettled() const;
+
+  inline  ::uint64_t getSettledBase() const;
 
   inline bool hasHandedOver() const;
-  inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Reader getHandedOver() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getHandedOver() const;
+
+  inline  ::uint64_t getHandedOverBase() const;
 
   inline bool hasWanted() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
 
+  inline  ::uint64_t getWantedBase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -354,19 +263,27 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::FlowRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::FlowRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
-  inline bool hasBases();
-  inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Builder getBases();
-  inline void setBases( ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Builder initBases(unsigned int size);
-  inline void adoptBases(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>> disownBases();
+  inline bool hasSettled();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getSettled();
+  inline void setSettled( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSettled(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initSettled(unsigned int size);
+  inline void adoptSettled(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownSettled();
+
+  inline  ::uint64_t getSettledBase();
+  inline void setSettledBase( ::uint64_t value);
 
   inline bool hasHandedOver();
-  inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Builder getHandedOver();
-  inline void setHandedOver( ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Builder initHandedOver(unsigned int size);
-  inline void adoptHandedOver(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>> disownHandedOver();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getHandedOver();
+  inline void setHandedOver( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHandedOver(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initHandedOver(unsigned int size);
+  inline void adoptHandedOver(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownHandedOver();
+
+  inline  ::uint64_t getHandedOverBase();
+  inline void setHandedOverBase( ::uint64_t value);
 
   inline bool hasWanted();
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
@@ -376,6 +293,9 @@
   inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
 
+  inline  ::uint64_t getWantedBase();
+  inline void setWantedBase( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -559,6 +479,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getAccepted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -587,6 +509,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -643,34 +568,6 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t BucketBase::Reader::getBucket() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t BucketBase::Builder::getBucket() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void BucketBase::Builder::setBucket( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t BucketBase::Reader::getBase() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t BucketBase::Builder::getBase() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void BucketBase::Builder::setBase( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool ReplicaBatch::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -705,40 +602,58 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ReplicaBatch::Reader::hasBases() const {
+inline bool ReplicaBatch::Reader::hasSettled() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ReplicaBatch::Builder::hasBases() {
+inline bool ReplicaBatch::Builder::hasSettled() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Reader ReplicaBatch::Reader::getBases() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ReplicaBatch::Reader::getSettled() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Builder ReplicaBatch::Builder::getBases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ReplicaBatch::Builder::getSettled() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ReplicaBatch::Builder::setBases( ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ReplicaBatch::Builder::setSettled( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Builder ReplicaBatch::Builder::initBases(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void ReplicaBatch::Builder::setSettled(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ReplicaBatch::Builder::initSettled(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ReplicaBatch::Builder::adoptBases(
-    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ReplicaBatch::Builder::adoptSettled(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>> ReplicaBatch::Builder::disownBases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ReplicaBatch::Builder::disownSettled() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ReplicaBatch::Reader::getSettledBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReplicaBatch::Builder::getSettledBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaBatch::Builder::setSettledBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ReplicaBatch::Reader::hasHandedOver() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
@@ -747,32 +662,50 @@
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Reader ReplicaBatch::Reader::getHandedOver() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ReplicaBatch::Reader::getHandedOver() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Builder ReplicaBatch::Builder::getHandedOver() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ReplicaBatch::Builder::getHandedOver() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ReplicaBatch::Builder::setHandedOver( ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ReplicaBatch::Builder::setHandedOver( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>::Builder ReplicaBatch::Builder::initHandedOver(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void ReplicaBatch::Builder::setHandedOver(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ReplicaBatch::Builder::initHandedOver(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ReplicaBatch::Builder::adoptHandedOver(
-    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>> ReplicaBatch::Builder::disownHandedOver() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BucketBase,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ReplicaBatch::Builder::disownHandedOver() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ReplicaBatch::Reader::getHandedOverBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReplicaBatch::Builder::getHandedOverBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaBatch::Builder::setHandedOverBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ReplicaBatch::Reader::hasWanted() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
@@ -811,6 +744,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ReplicaBatch::Reader::getWantedBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReplicaBatch::Builder::getWantedBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaBatch::Builder::setWantedBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline FlowReplica::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -888,6 +835,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FlowReplica::ExchangeResults::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool FlowReplica::ExchangeResults::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FlowReplica::ExchangeResults::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -52,8 +52,8 @@
     /// The peer has taken the batch.
     void confirmBatch(Endpoint peer, const ReplicaBatch& batch, Instant now);
 
-    /// Takes what a peer tells.
-    void acceptBatch(Endpoint peer, const ReplicaBatch& batch, Instant now);
+    /// Takes what a peer tells. Returns false, and takes nothing, when a version that it names is not held.
+    bool acceptBatch(Endpoint peer, const ReplicaBatch& batch, Instant now);
 
     /// Call at least every 100 ms: ends idle flows and notices that the process was paused, after which nothing that
     /// is held is trusted until the successors have confirmed it.
