--- /dev/null
+++ b/src/members/MemberMessageTest.cpp
@@ -0,0 +1,46 @@
+#include "members/MemberMessage.h"
+
+#include <array>
+#include <capnp/message.h>
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    Member sampleMember(std::uint16_t port)
+    {
+        return Member { { 0x7f000001, port }, { 0x7f000001, 2 }, { 0x7f000001, 3 }, "entry-1", "khomas-a", 42,
+            MemberState::Leaving };
+    }
+
+    TEST(MemberMessage, membersSurviveTheWayThroughAMessage)
+    {
+        const std::array<Member, 2> members { sampleMember(1), sampleMember(9) };
+        capnp::MallocMessageBuilder message;
+        wire::ZoneSummary::Builder builder = message.initRoot<wire::ZoneSummary>();
+        writeMembers(members, builder.initMembers(members.size()));
+        const Outcome<std::vector<Member>> read = readMembers(builder.asReader().getMembers());
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(read.value(), std::vector<Member>(members.begin(), members.end()));
+    }
+
+    TEST(MemberMessage, malformedMembersAreRefused)
+    {
+        capnp::MallocMessageBuilder message;
+        wire::Member::Builder builder = message.initRoot<wire::Member>();
+        writeMember(sampleMember(1), builder);
+        builder.setState(3);
+        EXPECT_EQ(readMember(builder.asReader()).error().m_kind, ErrorKind::InvalidInput);
+        writeMember(sampleMember(1), builder);
+        builder.setName("");
+        EXPECT_EQ(readMember(builder.asReader()).error().m_kind, ErrorKind::InvalidInput);
+        writeMember(sampleMember(1), builder);
+        builder.setZone(std::string(300, 'z'));
+        EXPECT_EQ(readMember(builder.asReader()).error().m_kind, ErrorKind::InvalidInput);
+        writeMember(sampleMember(1), builder);
+        builder.setPeers(0);
+        EXPECT_EQ(readMember(builder.asReader()).error().m_kind, ErrorKind::InvalidInput);
+    }
+
+} // namespace
+} // namespace cuminrelay
