--- /dev/null
+++ b/src/settings/Program.cpp
@@ -0,0 +1,108 @@
+#include "settings/Program.h"
+
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+
+#ifndef CUMINRELAY_BUILD
+#define CUMINRELAY_BUILD "unknown"
+#endif
+
+namespace cuminrelay {
+
+namespace {
+
+    namespace options = boost::program_options;
+
+    /// What the command line of a daemon says.
+    struct CommandLine {
+        std::string m_config;
+        bool m_check = false;
+        bool m_version = false;
+        bool m_help = false;
+    };
+
+    options::options_description describeOptions(CommandLine& commandLine)
+    {
+        options::options_description description { "Options" };
+        description.add_options()("config", options::value(&commandLine.m_config)->value_name("FILE"),
+            "settings: JSON with comments")("check", options::bool_switch(&commandLine.m_check),
+            "print the effective settings, defaults included, and exit; status 2 when the file is bad")(
+            "version", options::bool_switch(&commandLine.m_version), "print version and build and exit")(
+            "help", options::bool_switch(&commandLine.m_help), "print this text and exit");
+        return description;
+    }
+
+    Outcome<void> parseCommandLine(std::span<char* const> arguments, const options::options_description& description)
+    {
+        // The library reports a bad command line by exception; here it becomes a value.
+        try {
+            options::variables_map variables;
+            options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
+                               .options(description)
+                               .positional({})
+                               .run(),
+                variables);
+            options::notify(variables);
+        } catch (const options::error& failure) {
+            return Error { ErrorKind::InvalidInput, failure.what() };
+        }
+        return boost::outcome_v2::success();
+    }
+
+    int exitWith(ExitStatus status)
+    {
+        return static_cast<int>(status);
+    }
+
+    int refuse(std::string_view message)
+    {
+        fmt::print(stderr, "{}\n", message);
+        return exitWith(ExitStatus::BadInput);
+    }
+
+} // namespace
+
+std::string versionText(std::string_view name)
+{
+    return fmt::format("{} {} (build {}, g++ {})", name, CUMINRELAY_VERSION, CUMINRELAY_BUILD, __VERSION__);
+}
+
+int runProgram(std::span<char* const> arguments, std::string_view name, std::string_view description,
+    const std::function<void(SettingsReader&)>& read, const std::function<ExitStatus()>& run)
+{
+    CommandLine commandLine;
+    const options::options_description known = describeOptions(commandLine);
+    const Outcome<void> parsed = parseCommandLine(arguments, known);
+    if (!parsed)
+        return refuse(fmt::format("{}: {}; see {} --help", name, parsed.error().m_message, name));
+    if (commandLine.m_help) {
+        fmt::print("{}: {}\n\nExample: {} --config /etc/cuminrelay/{}.json\n\n", name, description, name, name);
+        fmt::print("{}", fmt::streamed(known));
+        fmt::print("\nExit status: 0 success, 1 failure, 2 bad command line or settings.\n");
+        return exitWith(ExitStatus::Success);
+    }
+    if (commandLine.m_version) {
+        fmt::print("{}\n", versionText(name));
+        return exitWith(ExitStatus::Success);
+    }
+    if (commandLine.m_config.empty())
+        return refuse(fmt::format("{}: --config FILE is missing; see {} --help", name, name));
+
+    Outcome<SettingsReader> loaded = SettingsReader::load(commandLine.m_config);
+    if (!loaded)
+        return refuse(loaded.error().m_message);
+    SettingsReader& settings = loaded.value();
+    read(settings);
+    const Outcome<void> finished = settings.finish();
+    if (!finished)
+        return refuse(finished.error().m_message);
+    if (commandLine.m_check) {
+        fmt::print("{}", settings.effectiveText());
+        return exitWith(ExitStatus::Success);
+    }
+    return exitWith(run());
+}
+
+} // namespace cuminrelay
--- a/src/settings/Program.h
+++ b/src/settings/Program.h
@@ -16,9 +16,13 @@
     BadInput = 2, ///< command line or settings are wrong; nothing was done
 };
 
+/// "name 0.1.0 (build abc123, RelWithDebInfo, g++ 12.2.0)", as --version prints it.
+std::string versionText(std::string_view name);
+
 /// What every daemon's main function does the same way: parses --config FILE, --check, --version and --help with
 /// Boost.Program_options, loads the settings, reads them with `read`, prints problems one a line to standard error
-/// (status 2), prints the effective settings for --check, and otherwise runs `run`.
+/// (status 2), prints the effective settings for --check, and otherwise runs `run`. arguments are those of main,
+/// the program's own name first.
 ///
 /// read: calls the getters for all keys of the program. run: the program itself; returns its exit status.
 int runProgram(std::span<char* const> arguments, std::string_view name, std::string_view description,
