observe: serve /metrics over HTTP

Cause: each process is to serve its counters, and only their text existed. Measured: observe_test 3 of 3 pass.

--- /dev/null
+++ b/src/observe/MetricsServerTest.cpp
@@ -0,0 +1,84 @@
+#include "observe/MetricsServer.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <gtest/gtest.h>
+#include <string>
+#include <thread>
+
+namespace cuminrelay {
+namespace {
+
+    namespace asio = boost::asio;
+    namespace http = boost::beast::http;
+    using asio::ip::tcp;
+
+    /// A server on a free loopback port whose context runs on a thread of its own.
+    class MetricsServerTest : public testing::Test {
+    protected:
+        void SetUp() override
+        {
+            const Outcome<void> started = m_server.start({ 0x7f000001, 0 });
+            ASSERT_TRUE(started.has_value()) << started.error().m_message;
+            m_thread = std::thread { [this] { m_context.run(); } };
+        }
+
+        void TearDown() override
+        {
+            m_context.stop();
+            if (m_thread.joinable())
+                m_thread.join();
+        }
+
+        http::response<http::string_body> call(http::verb verb, const std::string& target)
+        {
+            asio::io_context context;
+            tcp::socket socket { context };
+            socket.connect({ asio::ip::address_v4::loopback(), m_server.localEndpoint().m_port });
+            http::request<http::empty_body> request { verb, target, 11 };
+            request.set(http::field::host, "localhost");
+            http::write(socket, request);
+            boost::beast::flat_buffer buffer;
+            http::response<http::string_body> response;
+            http::read(socket, buffer, response);
+            return response;
+        }
+
+        asio::io_context m_context;
+        Metrics m_metrics;
+        Log m_log { LogLevel::Error };
+        MetricsServer m_server { m_context.get_executor(), m_metrics, m_log };
+        std::thread m_thread;
+    };
+
+    TEST_F(MetricsServerTest, metricsAreServedAsText)
+    {
+        m_metrics.counter("cuminrelay_drops_total", "hop_limit").add(3);
+        const http::response<http::string_body> response = call(http::verb::get, "/metrics");
+        EXPECT_EQ(response.result(), http::status::ok);
+        EXPECT_NE(response.body().find("cuminrelay_drops_total{reason=\"hop_limit\"} 3\n"), std::string::npos);
+    }
+
+    TEST_F(MetricsServerTest, otherPathsAndMethodsAreRefused)
+    {
+        EXPECT_EQ(call(http::verb::get, "/").result(), http::status::not_found);
+        EXPECT_EQ(call(http::verb::post, "/metrics").result(), http::status::method_not_allowed);
+    }
+
+    TEST_F(MetricsServerTest, portInUseIsOneClearError)
+    {
+        MetricsServer second { m_context.get_executor(), m_metrics, m_log };
+        const Endpoint taken = m_server.localEndpoint();
+        const Outcome<void> started = second.start(taken);
+        ASSERT_FALSE(started.has_value());
+        EXPECT_EQ(started.error().m_kind, ErrorKind::Unavailable);
+        EXPECT_NE(started.error().m_message.find(formatEndpoint(taken)), std::string::npos);
+    }
+
+} // namespace
+} // namespace cuminrelay
