configuration: selectors, JSON, updates between peers, highest version held

Cause: the model had no code that reads, writes, compares or holds it. Change: selector parser in the Kubernetes form, ConfigurationJson, ConfigurationMessage (difference or whole), checkConfiguration, look-ups, ConfigurationHolder; services carry labels, edit records what they touched.

--- a/src/configuration/Configuration.capnp
+++ b/src/configuration/Configuration.capnp
@@ -33,6 +33,7 @@
   address @1 :PackedEndpoint;
   protocol @2 :UInt8;
   requirements @3 :List(Requirement);
+  labels @4 :List(Label);
 }
 
 struct Edit {
@@ -41,6 +42,7 @@
   summary @2 :Text;
   version @3 :UInt64;
   unixSeconds @4 :Int64;
+  touched @5 :List(Text);
 }
 
 # What changed between two versions. With base 0 it is the whole configuration.
--- a/src/configuration/Configuration.capnp.h
+++ b/src/configuration/Configuration.capnp.h
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(80149cbbcb6d85cb, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(80149cbbcb6d85cb, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -97,7 +97,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e83e6ee12ea6100e, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e83e6ee12ea6100e, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -462,6 +462,9 @@
   inline bool hasRequirements() const;
   inline  ::capnp::List< ::cuminrelay::wire::Requirement,  ::capnp::Kind::STRUCT>::Reader getRequirements() const;
 
+  inline bool hasLabels() const;
+  inline  ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>::Reader getLabels() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -510,6 +513,13 @@
   inline void adoptRequirements(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Requirement,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Requirement,  ::capnp::Kind::STRUCT>> disownRequirements();
 
+  inline bool hasLabels();
+  inline  ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>::Builder getLabels();
+  inline void setLabels( ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>::Builder initLabels(unsigned int size);
+  inline void adoptLabels(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>> disownLabels();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -566,6 +576,9 @@
 
   inline  ::int64_t getUnixSeconds() const;
 
+  inline bool hasTouched() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTouched() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -621,6 +634,14 @@
   inline  ::int64_t getUnixSeconds();
   inline void setUnixSeconds( ::int64_t value);
 
+  inline bool hasTouched();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getTouched();
+  inline void setTouched( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setTouched(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initTouched(unsigned int size);
+  inline void adoptTouched(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTouched();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1215,6 +1236,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Service::Reader::hasLabels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Service::Builder::hasLabels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>::Reader Service::Reader::getLabels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>::Builder Service::Builder::getLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Service::Builder::setLabels( ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>::Builder Service::Builder::initLabels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Service::Builder::adoptLabels(
+    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>> Service::Builder::disownLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Label,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Edit::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1345,6 +1400,44 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Edit::Reader::hasTouched() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Edit::Builder::hasTouched() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Edit::Reader::getTouched() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Edit::Builder::getTouched() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Edit::Builder::setTouched( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Edit::Builder::setTouched(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Edit::Builder::initTouched(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Edit::Builder::adoptTouched(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Edit::Builder::disownTouched() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigurationUpdate::Reader::getBase() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/src/configuration/ConfigurationHolder.cpp
@@ -0,0 +1,42 @@
+#include "configuration/ConfigurationHolder.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace cuminrelay {
+
+ConfigurationHolder::ConfigurationHolder()
+    : m_kept { std::make_shared<const Configuration>() }
+{
+}
+
+Outcome<bool> ConfigurationHolder::offer(Configuration configuration)
+{
+    const ConfigVersion held = version();
+    if (configuration.m_version < held) {
+        return Error { ErrorKind::Stale,
+            fmt::format("offered configuration version {} is older than the held {}", configuration.m_version.m_number,
+                held.m_number) };
+    }
+    if (configuration.m_version == held) {
+        if (configuration == *current())
+            return false;
+        return Error { ErrorKind::Conflict,
+            fmt::format(
+                "offered configuration has another content than the held one of the same version {}", held.m_number) };
+    }
+    m_kept.push_back(std::make_shared<const Configuration>(std::move(configuration)));
+    if (m_kept.size() > s_keptVersions)
+        m_kept.pop_front();
+    return true;
+}
+
+SharedConfiguration ConfigurationHolder::find(ConfigVersion version) const
+{
+    const auto found = std::ranges::find_if(
+        m_kept, [version](const SharedConfiguration& kept) { return kept->m_version == version; });
+    return found != m_kept.end() ? *found : nullptr;
+}
+
+} // namespace cuminrelay
--- a/src/configuration/Model.h
+++ b/src/configuration/Model.h
@@ -74,6 +74,7 @@
     Endpoint m_address;
     Protocol m_protocol = Protocol::Tcp;
     Selector m_selector;
+    Labels m_labels; ///< labels of the traffic itself, for operators; the selector looks at those of backend servers
 
     friend bool operator==(const Service&, const Service&) = default;
 };
@@ -85,10 +86,14 @@
     std::string m_summary;
     ConfigVersion m_version; ///< the version that the edit made
     std::int64_t m_unixSeconds = 0;
+    std::vector<std::string> m_touched; ///< paths of what it changed, such as "host/k-03/label/tier"; "*": very many
 
     friend bool operator==(const EditRecord&, const EditRecord&) = default;
 };
 
+/// Records kept in a configuration's history; older ones are dropped.
+inline constexpr std::size_t c_maximumHistory = 256;
+
 /// The whole declared state: one object in the platform's store, at most one megabyte, changed only by conditional
 /// updates. Tables are computed from it alone, so that two entry VMs at the same version agree.
 struct Configuration {
--- a/src/settings/JsonText.cpp
+++ b/src/settings/JsonText.cpp
@@ -13,6 +13,7 @@
 
     constexpr std::size_t c_indentWidth = 2;
     constexpr std::size_t c_maximumLineWidth = 100;
+    constexpr std::size_t c_maximumQuotedBytes = 60;
 
     void appendIndented(std::string& out, const boost::json::value& value, std::size_t indent);
 
@@ -99,6 +100,16 @@
     return "an unknown kind";
 }
 
+std::string quotedJson(const boost::json::value& value)
+{
+    std::string text = boost::json::serialize(value);
+    if (text.size() > c_maximumQuotedBytes) {
+        text.resize(c_maximumQuotedBytes);
+        text += "...";
+    }
+    return text;
+}
+
 std::string indentedJsonText(const boost::json::value& value)
 {
     std::string out;
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <boost/json/array.hpp>
-#include <boost/json/serialize.hpp>
 #include <cmath>
 #include <fmt/format.h>
 #include <fstream>
@@ -17,19 +16,6 @@
 namespace {
 
     constexpr std::size_t c_maximumFileBytes = 1'000'000;
-    constexpr std::size_t c_maximumQuotedBytes = 60;
-
-    /// A found value as a problem quotes it: cut short when long.
-    std::string quoted(const boost::json::value& value)
-    {
-        std::string text = boost::json::serialize(value);
-        if (text.size() > c_maximumQuotedBytes) {
-            text.resize(c_maximumQuotedBytes);
-            text += "...";
-        }
-        return text;
-    }
-
 } // namespace
 
 Outcome<SettingsReader> SettingsReader::load(std::string_view path)
@@ -291,7 +277,7 @@
 
 void SettingsReader::addTypeProblem(std::string_view key, const boost::json::value& found, std::string_view allowed)
 {
-    addProblem(key, fmt::format("found {}; allowed: {}", quoted(found), allowed));
+    addProblem(key, fmt::format("found {}; allowed: {}", quotedJson(found), allowed));
 }
 
 void SettingsReader::addMissingProblem(std::string_view key, std::string_view allowed)
