--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -14,10 +14,19 @@
 
     constexpr Duration c_openingIdle = std::chrono::seconds { 15 };
     constexpr Duration c_establishedIdle = std::chrono::hours { 24 };
-    constexpr Duration c_halfClosedIdle = std::chrono::minutes { 15 };
     constexpr Duration c_resetIdle = std::chrono::seconds { 2 };
     constexpr Duration c_datagramIdle = std::chrono::seconds { 60 };
 
+    /// A half-closed flow may wait long for its answer. One on its default can be computed again and needs no state.
+    constexpr Duration c_halfClosedExceptionIdle = std::chrono::minutes { 2 };
+    constexpr Duration c_halfClosedDefaultIdle = std::chrono::seconds { 10 };
+
+    /// How often a datagram of an exception takes the way through the replica, whose copy lapses like the owner's.
+    constexpr Duration c_datagramRefresh = std::chrono::seconds { 20 };
+
+    /// How much later than this VM the other side of a cut may notice it. Before, both would open the same flows.
+    constexpr Duration c_cutNoticed = std::chrono::seconds { 1 };
+
     /// A sender that has retransmitted for so long without progress is taken for lost track of.
     constexpr Duration c_silence = std::chrono::seconds { 10 };
 
@@ -27,17 +36,19 @@
         return static_cast<std::int32_t>(left - right) > 0;
     }
 
-    Duration idleOf(FlowStage stage, Protocol protocol)
+    /// How long a flow may be quiet before it counts as over. Short answers are safe: who opens again is placed again,
+    /// and a flow on its default can be computed again.
+    Duration idleOf(const FlowState& state)
     {
-        if (protocol == Protocol::Udp)
+        if (state.m_protocol == Protocol::Udp)
             return c_datagramIdle;
-        switch (stage) {
+        switch (state.m_stage) {
         case FlowStage::Opening:
             return c_openingIdle;
         case FlowStage::Established:
             return c_establishedIdle;
         case FlowStage::HalfClosed:
-            return c_halfClosedIdle;
+            return state.m_exception ? c_halfClosedExceptionIdle : c_halfClosedDefaultIdle;
         case FlowStage::Reset:
             break;
         }
@@ -205,20 +216,27 @@
     if (service->empty())
         return refuse(Reason::NoBackendServer);
 
+    const BucketState& bucket = m_buckets[context.m_bucket];
+    const bool isDatagram = packet.m_kind == PacketKind::Datagram;
+    if (bucket.m_beyondCut && context.m_now < bucket.m_acquiredAt + (isDatagram ? c_datagramIdle : c_cutNoticed))
+        return drop(Reason::OwnerBeyondCut);
+
     // A datagram, or an opening soon after a takeover, may belong to a flow that the previous owner placed.
-    const bool trustDefault = context.m_now < m_buckets[context.m_bucket].m_trustDefaultUntil;
+    const bool trustDefault = context.m_now < bucket.m_trustDefaultUntil;
     Endpoint preferred = service->defaultBackend(context.m_hash, tables->homeZone(context.m_bucket));
-    if (trustDefault || packet.m_kind == PacketKind::Datagram) {
-        const Endpoint based
-            = m_history.defaultSince(m_buckets[context.m_bucket].m_base, packet.m_flow, context.m_hash);
+    if (trustDefault || isDatagram) {
+        const Endpoint based = m_history.defaultSince(bucket.m_base, packet.m_flow, context.m_hash);
         if (std::binary_search(service->tunnels().begin(), service->tunnels().end(), based))
             preferred = based;
     }
-    Endpoint chosen = preferred;
-    if (!trustDefault || !isUsable(preferred)) {
+    const bool preferredIsUsable = isUsable(preferred);
+    if (!trustDefault || !preferredIsUsable) {
         const Admission admission = m_admission.admit(service->tunnels(), m_board, activeMembers(), context.m_now);
         if (admission != Admission::Admitted)
             return refuse(reasonOf(admission));
+    }
+    Endpoint chosen = preferred;
+    if (!preferredIsUsable || !(trustDefault || isDatagram)) {
         const PlacementRequest request { service->tunnels(), preferred, context.m_hash.m_value };
         const std::optional<Endpoint> placed = m_placement.choose(request, m_board, context.m_now);
         if (!placed)
@@ -228,7 +246,7 @@
     if (m_flows.size() >= m_limits.m_flows) {
         // Without room for a state only a flow that can be computed again may open.
         const bool computable
-            = m_history.isDefaultSince(m_buckets[context.m_bucket].m_base, packet.m_flow, context.m_hash, chosen);
+            = m_history.isDefaultSince(bucket.m_base, packet.m_flow, context.m_hash, chosen);
         return computable ? toBackend(chosen) : refuse(Reason::FlowTableFull);
     }
     FlowState& state = track(context, chosen, stageOf(packet.m_kind), true);
@@ -253,9 +271,6 @@
     state.m_relays = s_relaysPerReplica;
     setException(state, true);
     noteProgress(context, state);
-    // A replica does not see the packets that follow; it keeps its copy until the owner says that the flow is over.
-    if (state.m_stage == FlowStage::Opening || state.m_stage == FlowStage::Established)
-        state.m_expires = context.m_now + c_establishedIdle;
     return toBackend(packet.m_recorded);
 }
 
@@ -267,11 +282,17 @@
         state.m_replica = replica;
         state.m_relays = 0;
     }
+    // Each packet that changes the stage goes through the replica, so that its copy lapses when the flow does; of the
+    // others the first ones do, against loss.
     const PacketKind kind = context.m_packet.m_kind;
-    const bool changesStage = kind == PacketKind::Opening || kind == PacketKind::HalfClose || kind == PacketKind::Reset;
-    if (!changesStage && state.m_relays >= s_relaysPerReplica)
+    const bool refreshes = kind == PacketKind::Datagram && context.m_now >= state.m_silentAt;
+    const bool repeats = kind == PacketKind::Midstream || (kind == PacketKind::Datagram && !refreshes);
+    if (repeats && state.m_relays >= s_relaysPerReplica)
         return toBackend(state.m_backend);
-    state.m_relays = static_cast<std::uint8_t>(std::min<unsigned>(state.m_relays + 1U, s_relaysPerReplica));
+    if (repeats)
+        ++state.m_relays;
+    if (refreshes)
+        state.m_silentAt = context.m_now + c_datagramRefresh;
     return Verdict { VerdictKind::RecordThenForward, Reason::None, replica, state.m_backend };
 }
 
@@ -290,7 +311,6 @@
     state.m_service = key.m_service;
     state.m_protocol = key.m_protocol;
     state.m_stage = stage;
-    state.m_expires = context.m_now + idleOf(stage, key.m_protocol);
     state.m_sequence = context.m_packet.m_sequence;
     state.m_acknowledgment = context.m_packet.m_acknowledgment;
     state.m_carriedBytes = context.m_packet.m_payloadBytes;
@@ -300,6 +320,7 @@
         m_board.noteOpened(backend, context.m_now);
     FlowState& held = m_flows.put(context.m_hash, state);
     setException(held, !m_history.isDefaultSince(m_buckets[context.m_bucket].m_base, key, context.m_hash, backend));
+    held.m_expires = context.m_now + idleOf(held);
     return held;
 }
 
@@ -310,7 +331,7 @@
     if (state.m_stage == FlowStage::Opening && stage > state.m_stage)
         m_board.noteProven(state.m_backend);
     state.m_stage = std::max(state.m_stage, stage);
-    state.m_expires = context.m_now + idleOf(state.m_stage, state.m_protocol);
+    state.m_expires = context.m_now + idleOf(state);
 
     const bool acknowledgesMore = isAfter(packet.m_acknowledgment, state.m_acknowledgment);
     if (acknowledgesMore)
@@ -365,7 +386,9 @@
 {
     if (state.m_counted)
         m_board.noteClosed(state.m_backend, state.m_straggler, now);
-    const bool replicaHoldsIt = state.m_exception && state.m_replica != Endpoint {} && owns(bucketOf(hash));
+    // The replica's copy lapses by itself but for established flows, which it keeps as long as the owner does.
+    const bool replicaHoldsIt = state.m_exception && state.m_replica != Endpoint {}
+        && state.m_stage == FlowStage::Established && state.m_protocol == Protocol::Tcp && owns(bucketOf(hash));
     if (replicaHoldsIt)
         m_outboxes[state.m_replica].m_flows.push_back(hash);
     setException(state, false);
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -115,7 +115,8 @@
     void loseBucket(Bucket bucket);
     void warmFrom(Bucket bucket, Endpoint previousOwner);
     void finishWarming(Bucket bucket);
-    void warmAfterCut(std::span<const Member> previousMembers, Instant now);
+    void noteCut(bool cut, Instant now);
+    void warmAfterCut(std::span<const Member> previousMembers);
     void forgetReplica(Endpoint peer);
     void requestSettling(Bucket bucket);
     void settleShard(std::size_t index);
@@ -152,6 +153,8 @@
     std::size_t m_shardsToSettle = 0;
     Instant m_ranAt {}; ///< when a batch or a tick last ran; epoch before the first
     Instant m_cutSince {}; ///< since when some zone is cut off; epoch when none is
+    Deadline m_cutOverAt {}; ///< when a cut that has ended is forgotten; epoch while none has
+    OwnerMap m_beyondCut; ///< who owns what on the other side of a cut
     bool m_leaving = false;
 };
 
--- a/src/flows/FlowRouterBuckets.cpp
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -17,6 +17,9 @@
     /// Longer than callers retransmit an opening that got no answer.
     constexpr Duration c_openingRetransmission = std::chrono::seconds { 10 };
 
+    /// Longer than the views of two sides of a cut take to follow each other once it is over.
+    constexpr Duration c_cutRecovery = std::chrono::seconds { 3 };
+
     constexpr Duration c_wantInterval = std::chrono::seconds { 1 };
 
     /// Longer than the keep-alive interval of common hosts, two hours, after which each live flow has shown a packet.
@@ -52,12 +55,15 @@
             members.begin(), members.end(), [&](const Member& member) { return isCutOff(members, member.m_zone); });
     }
 
-    std::vector<Member> outsideZone(std::span<const Member> members, std::string_view zone)
+    /// The members that cannot be reached, as they see themselves: active.
+    std::vector<Member> beyondCut(std::span<const Member> members)
     {
         std::vector<Member> others;
         for (const Member& member : members) {
-            if (member.m_zone != zone)
-                others.push_back(member);
+            if (member.m_state != MemberState::Unreachable)
+                continue;
+            others.push_back(member);
+            others.back().m_state = MemberState::Active;
         }
         return others;
     }
@@ -149,10 +155,7 @@
         [&](const std::pair<const Endpoint, ReplicaOutbox>& outbox) { return !findMember(m_members, outbox.first); });
 
     const bool cut = isAnyZoneCutOff(m_members);
-    if (cut && m_cutSince == Instant {})
-        m_cutSince = now;
-    else if (!cut)
-        m_cutSince = {};
+    noteCut(cut, now);
 
     for (std::size_t index = 0; index < c_bucketCount; ++index) {
         const Bucket bucket = static_cast<Bucket>(index);
@@ -175,8 +178,8 @@
                 requestSettling(bucket);
         }
     }
-    if (!first)
-        warmAfterCut(previousMembers, now);
+    if (m_cutSince != Instant {})
+        warmAfterCut(previousMembers);
 }
 
 void FlowRouter::takeBucket(Bucket bucket, Endpoint previousOwner, Instant now)
@@ -227,24 +230,35 @@
     state.m_owed = m_leaving;
 }
 
-void FlowRouter::warmAfterCut(std::span<const Member> previousMembers, Instant now)
+void FlowRouter::noteCut(bool cut, Instant now)
 {
-    // While a zone was cut off, it may have opened flows for buckets of this VM. Whoever owned a bucket there is the
-    // owner in a view without this VM's zone.
-    const Member* const self = findMember(m_members, m_self);
-    if (!self || !isAnyZoneCutOff(previousMembers))
+    if (!cut) {
+        // Members come back one by one; what is left beyond the cut is forgotten a while later.
+        if (m_cutSince != Instant {} && m_cutOverAt == Deadline {})
+            m_cutOverAt = now + c_cutRecovery;
         return;
-    const OwnerMap beyond { outsideZone(m_members, self->m_zone) };
+    }
+    m_cutOverAt = {};
+    if (m_cutSince == Instant {})
+        m_cutSince = now;
+    const std::vector<Member> beyond = beyondCut(m_members);
+    if (beyond.size() >= m_beyondCut.members().size())
+        m_beyondCut = OwnerMap { beyond };
+}
+
+void FlowRouter::warmAfterCut(std::span<const Member> previousMembers)
+{
+    // While the fleet was cut, the other side may have opened flows for buckets of this VM. Whoever owned a bucket
+    // there is the owner in a view of that side alone.
     for (std::size_t index = 0; index < c_bucketCount; ++index) {
         const Bucket bucket = static_cast<Bucket>(index);
-        const MemberIndex stand = beyond.owners(bucket).m_owner;
-        if (owner(bucket) != m_self || stand == c_noMember || m_buckets[bucket].m_warmingFrom != Endpoint {})
+        const MemberIndex stand = m_beyondCut.owners(bucket).m_owner;
+        if (!owns(bucket) || stand == c_noMember || m_buckets[bucket].m_warmingFrom != Endpoint {})
             continue;
-        const Member* const before = findMember(previousMembers, beyond.member(stand));
-        if (!before || before->m_state != MemberState::Unreachable)
-            continue;
-        m_buckets[bucket].m_acquiredAt = now;
-        warmFrom(bucket, beyond.member(stand));
+        const Endpoint standIn = m_beyondCut.member(stand);
+        const Member* const before = findMember(previousMembers, standIn);
+        if (before && before->m_state == MemberState::Unreachable && isReachable(standIn))
+            warmFrom(bucket, standIn);
     }
 }
 
@@ -282,6 +296,10 @@
 void FlowRouter::tick(Instant now)
 {
     notePause(now);
+    if (m_cutOverAt != Deadline {} && now >= m_cutOverAt) {
+        m_cutSince = m_cutOverAt = {};
+        m_beyondCut = OwnerMap {};
+    }
     expireShard(m_expireShard, now);
     m_expireShard = (m_expireShard + 1) % FlowTable::s_shardCount;
     if (m_expireShard == 0)
@@ -436,6 +454,7 @@
             continue;
         if (batch.m_handedOverBase != ConfigVersion {})
             state.m_base = batch.m_handedOverBase;
+        state.m_acquiredAt = now;
         finishWarming(bucket);
         requestSettling(bucket);
     }
@@ -479,12 +498,16 @@
     for (std::size_t index = 0; index < FlowTable::s_shardCount; ++index) {
         if (!hasWanted[index])
             continue;
-        for (const FlowTable::Shard::value_type& entry : m_flows.shard(index)) {
+        for (FlowTable::Shard::value_type& entry : m_flows.shard(index)) {
             const FlowHash hash { entry.first };
             const Bucket bucket = bucketOf(hash);
             const bool mustTell = entry.second.m_exception || m_buckets[bucket].m_beyondCut;
-            if (isWanted[bucket] && mustTell)
-                outbox.m_flows.push_back(hash);
+            if (!isWanted[bucket] || !mustTell)
+                continue;
+            // Who asks may have lost what it was told before.
+            if (entry.second.m_replica == peer)
+                entry.second.m_relays = 0;
+            outbox.m_flows.push_back(hash);
         }
     }
 }
--- a/src/flows/FlowTable.h
+++ b/src/flows/FlowTable.h
@@ -24,13 +24,14 @@
     Endpoint m_service; ///< empty when only the replica's record is known: the flow then always counts as an exception
     Endpoint m_replica; ///< the entry VM that also holds it; empty when none is known to
     Deadline m_expires {};
-    Deadline m_silentAt {}; ///< when retransmission without progress counts as a lost connection; epoch when none
+    Deadline m_silentAt {}; ///< TCP: when retransmission without progress counts as a lost connection; epoch when none.
+                            ///< UDP: when the replica must see the flow again
     std::uint32_t m_sequence = 0; ///< of the last packet with payload
     std::uint32_t m_acknowledgment = 0; ///< highest seen
     std::uint32_t m_carriedBytes = 0; ///< payload from the caller; saturates
     Protocol m_protocol = Protocol::Tcp;
     FlowStage m_stage = FlowStage::Opening;
-    std::uint8_t m_relays = 0; ///< packets that took the way through m_replica
+    std::uint8_t m_relays = 0; ///< mid-stream packets that took the way through m_replica
     bool m_exception = false; ///< not on the default of every table that the bucket may be based on
     bool m_straggler = false;
     bool m_counted = false; ///< the board counts it as an open flow of this VM
