bench: a catalog of designs and the step each flow was in when a fault struck

Cause: the fault matrix needs a column for each step of a flow's life. Change: flows have a half-closed step, results count flows and broken flows by step, designs are made by name.

--- /dev/null
+++ b/src/bench/DesignCatalog.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "bench/FlowExperiment.h"
+
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace cuminrelay {
+
+/// The names of the designs that the bench compares; the first is the product's.
+std::span<const std::string_view> designNames();
+
+/// Makes a design by name for the fleet of a profile. Precondition: the name is one of designNames().
+std::unique_ptr<FleetDesign> makeDesign(
+    std::string_view name, const FleetProfile& profile, std::span<const Endpoint> vms, FleetNetwork& network);
+
+} // namespace cuminrelay
--- a/src/bench/FlowExperiment.cpp
+++ b/src/bench/FlowExperiment.cpp
@@ -64,6 +64,16 @@
 
 /// One entry VM as the bench sees it.
 struct FlowExperiment::Vm {
+    struct Waiting {
+        std::size_t m_flow = 0;
+        PacketSummary m_packet;
+    };
+
+    struct Delivery {
+        Instant m_at {};
+        std::size_t m_version = 0; ///< index into the published configurations
+    };
+
     Member m_member;
     bool m_dead = false;
     Deadline m_pausedUntil {};
@@ -74,12 +84,7 @@
     Deadline m_startsAt {};
     MemberView m_view; ///< what it was last told
     std::vector<Duration> m_skews; ///< how much later it learns of each other VM
-    std::vector<std::pair<std::size_t, PacketSummary>> m_socket; ///< what arrived while it was paused
-
-    struct Delivery {
-        Instant m_at {};
-        std::size_t m_version = 0; ///< index into the published configurations
-    };
+    std::vector<Waiting> m_socket; ///< what arrived while it was paused
     std::vector<Delivery> m_deliveries;
 };
 
@@ -97,7 +102,8 @@
     enum class Step : std::uint8_t {
         Opening,
         Established,
-        Closing,
+        HalfClosed, ///< the FIN was delivered; the acknowledgment of the answer is still to come
+        Closing, ///< the FIN was sent
         Over,
     };
 
@@ -113,16 +119,11 @@
     std::uint32_t m_sequence = 0;
     std::uint32_t m_generation = 0; ///< tells a reused slot's old events from its own
     unsigned m_attempts = 0;
+    unsigned m_delivered = 0; ///< packets
+    FlowStep m_stepAtFault = FlowStep::Later;
     std::uint16_t m_payload = 0;
 };
 
-struct FlowExperiment::Event {
-    Instant m_at {};
-    std::uint64_t m_order = 0;
-    std::size_t m_flow = 0;
-    std::uint32_t m_generation = 0;
-};
-
 bool FlowExperiment::LaterEvent::operator()(const Event& one, const Event& other) const
 {
     return one.m_at != other.m_at ? one.m_at > other.m_at : one.m_order > other.m_order;
@@ -184,6 +185,13 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
+std::string_view flowStepName(FlowStep step)
+{
+    static constexpr std::array<std::string_view, static_cast<std::size_t>(FlowStep::Count)> names { "opening",
+        "first-data", "established", "half-closed", "closing", "later" };
+    return names[static_cast<std::size_t>(step)];
+}
+
 bool isPlanned(FaultKind kind)
 {
     return kind == FaultKind::None || kind == FaultKind::ReplaceVm || kind == FaultKind::DrainBackend
@@ -313,13 +321,11 @@
     if (flow.m_step == CallerFlow::Step::Over)
         return;
     if (flow.m_step == CallerFlow::Step::Opening && flow.m_attempts++ == c_openingAttempts) {
-        ++m_result.m_neverOpened;
         breakFlow(flow, m_result.m_neverOpened);
-        --m_result.m_neverOpened;
         return;
     }
     const bool onDeadBackend = flow.m_backend != Endpoint {} && m_backends.at(flow.m_backend).m_dead;
-    if (flow.m_step == CallerFlow::Step::Established && m_now > flow.m_progressAt + c_stall) {
+    if (flow.m_step != CallerFlow::Step::Opening && m_now > flow.m_progressAt + c_stall) {
         breakFlow(flow, onDeadBackend ? m_result.m_brokenOnDeadBackend : m_result.m_brokenByStall);
         return;
     }
@@ -338,6 +344,8 @@
     } else if (flow.m_step == CallerFlow::Step::Closing) {
         packet.m_kind = PacketKind::HalfClose;
         packet.m_payloadBytes = 0;
+    } else if (flow.m_step == CallerFlow::Step::HalfClosed) {
+        packet.m_payloadBytes = 0;
     }
     const std::uint32_t generation = flow.m_generation;
     const bool duplicated = m_now < m_duplicationEnds && m_random.chance(c_disturbanceRate);
@@ -386,7 +394,7 @@
 {
     if (m_now < m_vms[vm].m_pausedUntil) {
         if (m_vms[vm].m_socket.size() < c_socketQueue)
-            m_vms[vm].m_socket.emplace_back(index, packet);
+            m_vms[vm].m_socket.push_back(Vm::Waiting { index, packet });
         return;
     }
     receive(index, packet, m_design->route(vm, packet, m_now));
@@ -400,7 +408,9 @@
     m_result.m_hops += outcome.m_hops;
     if (outcome.m_kind == VerdictKind::Refuse || outcome.m_kind == VerdictKind::ResetCaller) {
         const bool before = flow.m_step == CallerFlow::Step::Opening;
-        breakFlow(flow, before ? m_result.m_refused : m_result.m_brokenByReset);
+        const bool deadBackend = flow.m_backend != Endpoint {} && m_backends.at(flow.m_backend).m_dead;
+        std::uint64_t& broken = deadBackend ? m_result.m_brokenOnDeadBackend : m_result.m_brokenByReset;
+        breakFlow(flow, before ? m_result.m_refused : broken);
         return;
     }
     if (outcome.m_kind != VerdictKind::ToBackend) {
@@ -438,7 +448,11 @@
     }
     flow.m_progressAt = m_now;
     flow.m_sequence += packet.m_payloadBytes;
-    if (flow.m_step == CallerFlow::Step::Closing) {
+    ++flow.m_delivered;
+    const bool isDatagram = flow.m_key.m_protocol == Protocol::Udp;
+    if (flow.m_step == CallerFlow::Step::Closing && !isDatagram) {
+        flow.m_step = CallerFlow::Step::HalfClosed;
+    } else if (flow.m_step == CallerFlow::Step::Closing || flow.m_step == CallerFlow::Step::HalfClosed) {
         for (const Endpoint opened : flow.m_openedAt)
             m_backends.at(opened).m_flows.erase(index);
         flow.m_step = CallerFlow::Step::Over;
@@ -450,6 +464,8 @@
 {
     ++counter;
     const bool counts = &counter == &m_result.m_brokenByReset || &counter == &m_result.m_brokenByStall;
+    if (counts)
+        ++m_result.m_steps[static_cast<std::size_t>(flow.m_stepAtFault)].m_broken;
     if (counts && m_lastFault != Instant {} && flow.m_openedAtTime + c_establishedAge < m_lastFault)
         ++m_result.m_brokenEstablished;
     const std::size_t index = static_cast<std::size_t>(&flow - m_flows.data());
@@ -491,6 +507,7 @@
 void FlowExperiment::strike(const FaultEvent& fault)
 {
     m_lastFault = m_now;
+    noteSteps();
     switch (fault.m_kind) {
     case FaultKind::KillVm:
         killVm(randomRunningVm());
@@ -539,6 +556,29 @@
     }
 }
 
+void FlowExperiment::noteSteps()
+{
+    for (CallerFlow& flow : m_flows) {
+        switch (flow.m_step) {
+        case CallerFlow::Step::Opening:
+            flow.m_stepAtFault = FlowStep::Opening;
+            break;
+        case CallerFlow::Step::Established:
+            flow.m_stepAtFault = flow.m_delivered <= 2 ? FlowStep::FirstData : FlowStep::Established;
+            break;
+        case CallerFlow::Step::HalfClosed:
+            flow.m_stepAtFault = FlowStep::HalfClosed;
+            break;
+        case CallerFlow::Step::Closing:
+            flow.m_stepAtFault = FlowStep::Closing;
+            break;
+        case CallerFlow::Step::Over:
+            continue;
+        }
+        ++m_result.m_steps[static_cast<std::size_t>(flow.m_stepAtFault)].m_flows;
+    }
+}
+
 void FlowExperiment::changeBackend(FaultKind kind)
 {
     std::vector<Endpoint> serving;
@@ -607,9 +647,9 @@
     Vm& vm = m_vms[index];
     vm.m_pausedUntil = {};
     vm.m_silentSince = {};
-    const std::vector<std::pair<std::size_t, PacketSummary>> waiting = std::exchange(vm.m_socket, {});
-    for (const std::pair<std::size_t, PacketSummary>& entry : waiting)
-        receive(entry.first, entry.second, m_design->route(index, entry.second, m_now));
+    const std::vector<Vm::Waiting> waiting = std::exchange(vm.m_socket, {});
+    for (const Vm::Waiting& entry : waiting)
+        receive(entry.m_flow, entry.m_packet, m_design->route(index, entry.m_packet, m_now));
 }
 
 void FlowExperiment::finishLeaving()
--- a/src/bench/FlowExperiment.h
+++ b/src/bench/FlowExperiment.h
@@ -64,6 +64,19 @@
     FaultKind m_kind = FaultKind::None;
 };
 
+/// The step of its life that a flow was in when the last fault struck.
+enum class FlowStep : std::uint8_t {
+    Opening,
+    FirstData,
+    Established,
+    HalfClosed,
+    Closing,
+    Later, ///< opened after the fault
+    Count,
+};
+
+std::string_view flowStepName(FlowStep step);
+
 struct FlowExperimentSettings {
     FleetProfile m_profile;
     std::uint64_t m_seed = 1;
@@ -90,6 +103,12 @@
     std::size_t m_heldFlows = 0; ///< at the end
     std::size_t m_liveFlows = 0; ///< at the end
     std::map<Reason, std::uint64_t> m_drops;
+
+    struct StepCount {
+        std::uint64_t m_flows = 0;
+        std::uint64_t m_broken = 0;
+    };
+    std::array<StepCount, static_cast<std::size_t>(FlowStep::Count)> m_steps {}; ///< by FlowStep
     double m_worstImbalance = 0; ///< over services: most loaded backend server by mean, of open flows at the end
 
     std::uint64_t broken() const { return m_brokenByReset + m_brokenByStall; }
@@ -111,7 +130,18 @@
     struct Vm;
     struct Backend;
     struct CallerFlow;
-    struct Event;
+
+    /// When a flow sends its next packet.
+    struct Event {
+        Instant m_at {};
+        std::uint64_t m_order = 0;
+        std::size_t m_flow = 0;
+        std::uint32_t m_generation = 0;
+    };
+
+    struct LaterEvent {
+        bool operator()(const Event& one, const Event& other) const;
+    };
 
     bool reaches(VmIndex from, VmIndex to) override;
     bool isRunning(VmIndex vm) const override;
@@ -126,6 +156,7 @@
     std::optional<VmIndex> spray();
 
     void strike(const FaultEvent& fault);
+    void noteSteps();
     void killVm(VmIndex vm);
     void startVm(VmIndex vm);
     void wakeVm(VmIndex vm);
@@ -148,9 +179,6 @@
     std::map<Endpoint, Backend> m_backends;
     std::vector<CallerFlow> m_flows;
     std::vector<std::size_t> m_freeFlows;
-    struct LaterEvent {
-        bool operator()(const Event& one, const Event& other) const;
-    };
     std::priority_queue<Event, std::vector<Event>, LaterEvent> m_events;
     std::uint64_t m_nextEvent = 0;
     std::unique_ptr<FleetDesign> m_design;
