bench: load experiment, a queueing model of backend servers in virtual time

Cause: placement and admission must be chosen and tuned by measurement. Change: LoadProfile makes the work of each service by seed, BackendModel queues it before slots, LoadExperiment plays it against the policies of each entry VM with reports a second late. What capacity forces is counted by one queue before all slots that knows each wait, but no slot time, in advance.

--- /dev/null
+++ b/src/bench/LoadExperiment.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "bench/BackendModel.h"
+#include "bench/FlowExperiment.h"
+#include "bench/LoadProfile.h"
+#include "bench/OwnerDesign.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <queue>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cuminrelay {
+
+struct LoadExperimentSettings {
+    FleetProfile m_profile;
+    ServiceLoad m_load; ///< of one service of the profile
+    std::uint64_t m_seed = 1;
+    Crest m_crest;
+    bool m_hasStragglers = true;
+    Instant m_measureFrom { std::chrono::seconds { 20 } };
+    Instant m_end { std::chrono::seconds { 60 } };
+    Duration m_reportDelay = std::chrono::seconds { 1 };
+    Duration m_patience = std::chrono::seconds { 2 }; ///< callers' deadline after arrival, for feeds and short work
+};
+
+/// What one run measured. Counts and times are of work that arrived from m_measureFrom on.
+struct LoadResult {
+    double m_worstImbalance = 0; ///< most connections by the mean, worst of a sample a second; 0 below 50
+    double m_meanImbalance = 0; ///< mean over the samples
+    double m_connectionVariation = 0; ///< coefficient of variation, mean over the samples
+    double m_waitMedian = 0; ///< seconds to a slot of feeds and short work
+    double m_waitP99 = 0;
+    double m_shortP99 = 0; ///< seconds from arrival to the end of short work
+    double m_inDeadlineShare = 1; ///< of admitted feeds and short work, the part done in time
+    std::uint64_t m_offered = 0;
+    std::uint64_t m_admitted = 0;
+    std::array<std::uint64_t, 3> m_refused {}; ///< by Admission
+    std::uint64_t m_withoutBackend = 0; ///< placement found none eligible
+    std::uint64_t m_refusedByBackend = 0; ///< at a backend server's connection limit
+    std::uint64_t m_forcedRefusals = 0; ///< by one queue before all slots that knows each wait exactly
+    double m_refusalSpread = 0; ///< most refusals at an entry VM by the mean; 0 without refusals
+    double m_exceptionShare = 0; ///< of admitted work, the part not on its default
+
+    std::uint64_t refusals() const;
+
+    /// Refusals beyond what capacity forces, as a part of these; negative when late work was let in.
+    double excessRefusals() const;
+};
+
+/// Plays the work of one service against policies in virtual time: entry VMs with a board and policies of their own,
+/// each for the flows that it owns, and backend servers as queueing models whose reports arrive late.
+class LoadExperiment {
+public:
+    LoadExperiment(LoadExperimentSettings settings, const PolicyFactory& makePolicies);
+    ~LoadExperiment();
+
+    LoadResult run();
+
+private:
+    using BackendIndex = std::size_t;
+
+    struct EntryVm;
+    struct Placed;
+
+    enum class EventKind : std::uint8_t {
+        SlotDone,
+        FeedEnds,
+        StragglerNoticed,
+        Probe,
+        ReportArrives,
+        Sample,
+    };
+
+    struct Event {
+        Instant m_at {};
+        std::uint64_t m_order = 0;
+        EventKind m_kind = EventKind::Sample;
+        std::size_t m_subject = 0; ///< a WorkIndex, a BackendIndex or a position in m_reports
+    };
+
+    struct LaterEvent {
+        bool operator()(const Event& one, const Event& other) const;
+    };
+
+    void schedule(Instant at, EventKind kind, std::size_t subject);
+    void handle(const Event& event);
+    void arrive(WorkIndex index);
+    void place(WorkIndex index, VmIndex vm, BackendIndex backend);
+    void startWaiting(BackendIndex backend);
+    void finishSlot(WorkIndex index);
+    void endConnection(WorkIndex index);
+    void probe(BackendIndex backend);
+    void sample();
+    bool isMeasured(const Work& work) const { return work.m_arrives >= m_settings.m_measureFrom; }
+    std::uint64_t countForcedRefusals() const;
+    void summarize();
+
+    LoadExperimentSettings m_settings;
+    Configuration m_configuration;
+    std::unique_ptr<ServiceTables> m_tables;
+    const ServiceTable* m_service = nullptr;
+    OwnerMap m_owners;
+    std::vector<EntryVm> m_vms;
+    std::vector<BackendModel> m_backends; ///< in the order of m_service->tunnels()
+    std::vector<Work> m_work;
+    std::vector<Placed> m_placed; ///< at the same index as m_work
+    std::vector<BackendReport> m_reports;
+    std::priority_queue<Event, std::vector<Event>, LaterEvent> m_events;
+    std::uint64_t m_nextEvent = 0;
+    Instant m_now {};
+    std::uint64_t m_exceptions = 0;
+    std::uint64_t m_doneInTime = 0;
+    std::uint64_t m_admittedWithDeadline = 0;
+    std::vector<double> m_waits;
+    std::vector<double> m_shortTimes;
+    std::size_t m_sampleCount = 0;
+    LoadResult m_result;
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/LoadExperimentTest.cpp
@@ -0,0 +1,126 @@
+#include "bench/LoadExperiment.h"
+
+#include "admission/ShareAdmission.h"
+#include "admission/UnlimitedAdmission.h"
+#include "placement/BoundedLoadPlacement.h"
+#include "placement/DefaultOnlyPlacement.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr std::uint64_t c_seed = 20261204;
+
+    // The stated targets.
+    constexpr double c_worstImbalance = 1.15;
+    constexpr double c_stragglerRatio = 1.5;
+
+    PolicyFactory productPolicies()
+    {
+        return { [] { return std::make_unique<BoundedLoadPlacement>(); },
+            [] { return std::make_unique<ShareAdmission>(); } };
+    }
+
+    PolicyFactory baselinePolicies()
+    {
+        return { [] { return std::make_unique<DefaultOnlyPlacement>(); },
+            [] { return std::make_unique<UnlimitedAdmission>(); } };
+    }
+
+    LoadExperimentSettings settingsFor(std::string_view profile, std::size_t service)
+    {
+        LoadExperimentSettings settings;
+        settings.m_profile = *findFleetProfile(profile);
+        settings.m_load = findServiceLoads(profile)[service];
+        settings.m_seed = c_seed;
+        return settings;
+    }
+
+    /// The large and the small service of each profile.
+    class LoadExperimentProfile : public ::testing::TestWithParam<const char*> { };
+
+    TEST_P(LoadExperimentProfile, connectionsStayEvenInOrdinaryTimesWithFewExceptions)
+    {
+        const LoadResult result = LoadExperiment(settingsFor(GetParam(), 0), productPolicies()).run();
+        EXPECT_GT(result.m_worstImbalance, 1);
+        EXPECT_LE(result.m_worstImbalance, c_worstImbalance);
+        EXPECT_LT(result.m_exceptionShare, 0.05);
+        EXPECT_EQ(result.refusals(), 0);
+    }
+
+    TEST_P(LoadExperimentProfile, stragglersHardlyDelayShortWork)
+    {
+        LoadExperimentSettings settings = settingsFor(GetParam(), 1);
+        settings.m_end = Instant { std::chrono::seconds { 320 } };
+        const LoadResult with = LoadExperiment(settings, productPolicies()).run();
+        settings.m_hasStragglers = false;
+        const LoadResult without = LoadExperiment(settings, productPolicies()).run();
+        EXPECT_LE(with.m_shortP99, c_stragglerRatio * without.m_shortP99);
+    }
+
+    INSTANTIATE_TEST_SUITE_P(Profiles, LoadExperimentProfile, ::testing::Values("shirakaba", "kalahari"));
+
+    TEST(LoadExperiment, theSameSeedGivesTheSameResult)
+    {
+        const LoadExperimentSettings settings = settingsFor("shirakaba", 1);
+        const LoadResult first = LoadExperiment(settings, productPolicies()).run();
+        const LoadResult second = LoadExperiment(settings, productPolicies()).run();
+        EXPECT_GT(first.m_offered, 1000);
+        EXPECT_EQ(first.m_offered, second.m_offered);
+        EXPECT_EQ(first.m_shortP99, second.m_shortP99);
+        EXPECT_EQ(first.m_exceptionShare, second.m_exceptionShare);
+    }
+
+    TEST(LoadExperiment, policiesDoNotChangeTheArrivals)
+    {
+        const LoadExperimentSettings settings = settingsFor("kalahari", 1);
+        const LoadResult product = LoadExperiment(settings, productPolicies()).run();
+        const LoadResult baseline = LoadExperiment(settings, baselinePolicies()).run();
+        EXPECT_EQ(product.m_offered, baseline.m_offered);
+        EXPECT_EQ(product.m_forcedRefusals, baseline.m_forcedRefusals);
+        EXPECT_EQ(baseline.m_exceptionShare, 0);
+    }
+
+    TEST(LoadProfile, leavingOutStragglersChangesNoOtherWork)
+    {
+        const ServiceLoad load = findServiceLoads("shirakaba")[1];
+        const Instant end { std::chrono::seconds { 200 } };
+        std::vector<Work> with = makeWork(load, {}, true, end, c_seed);
+        const std::vector<Work> without = makeWork(load, {}, false, end, c_seed);
+        EXPECT_GT(std::erase_if(with, [](const Work& work) { return work.m_kind == WorkKind::Straggler; }), 0);
+        ASSERT_EQ(with.size(), without.size());
+        for (std::size_t i = 0; i < with.size(); ++i)
+            ASSERT_EQ(with[i].m_flowHash, without[i].m_flowHash);
+    }
+
+    TEST(LoadProfile, aCrestMultipliesTheArrivalsWithinItsRise)
+    {
+        const Crest crest { 10, Instant { std::chrono::seconds { 10 } }, Instant { std::chrono::seconds { 12 } },
+            Instant { std::chrono::seconds { 20 } } };
+        EXPECT_EQ(crest.factorAt(Instant { std::chrono::seconds { 5 } }), 1);
+        EXPECT_DOUBLE_EQ(crest.factorAt(Instant { std::chrono::seconds { 11 } }), 5.5);
+        EXPECT_EQ(crest.factorAt(Instant { std::chrono::seconds { 15 } }), 10);
+        EXPECT_EQ(crest.factorAt(Instant { std::chrono::seconds { 20 } }), 1);
+        EXPECT_TRUE(findServiceLoads("nobody").empty());
+    }
+
+    TEST(BackendModel, runsWorkInOrderInItsSlots)
+    {
+        BackendModel backend({ 1, 1 }, 2, 3);
+        for (WorkIndex work = 0; work < 3; ++work) {
+            EXPECT_TRUE(backend.connect());
+            backend.enqueue(work);
+        }
+        EXPECT_FALSE(backend.connect());
+        EXPECT_EQ(backend.startNext(), 0);
+        EXPECT_EQ(backend.startNext(), 1);
+        EXPECT_EQ(backend.startNext(), std::nullopt);
+        EXPECT_EQ(backend.report({}).m_queued, 1);
+        EXPECT_EQ(backend.report({}).m_busySlots, 2);
+        backend.finish();
+        EXPECT_EQ(backend.startNext(), 2);
+    }
+
+} // namespace
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/LoadProfile.cpp
@@ -0,0 +1,131 @@
+#include "bench/LoadProfile.h"
+
+#include "base/Hash.h"
+#include "bench/Random.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+namespace {
+
+    // Established feeds arrive over the first seconds of a run, before anything is measured.
+    constexpr double c_establishSeconds = 8;
+
+    Duration secondsToDuration(double seconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+
+    /// Arrivals of one kind. Each kind has its own source of chance, so that leaving one out changes no other.
+    class WorkSource {
+    public:
+        WorkSource(WorkKind kind, std::uint64_t seed, std::vector<Work>& work)
+            : m_kind(kind)
+            , m_random(hashPair(seed, static_cast<std::uint64_t>(kind)))
+            , m_work(work)
+        {
+        }
+
+        void establish(const ServiceLoad& load)
+        {
+            for (std::size_t i = 0; i < load.m_establishedFeeds; ++i)
+                add(Instant { secondsToDuration(c_establishSeconds * m_random.fraction()) }, 0, load.m_feedSeconds);
+        }
+
+        /// Arrivals at a mean rate that the crest raises: drawn at the crest's rate, then thinned.
+        void arrive(double perSecond, double slotSeconds, double lifeSeconds, const Crest& crest, Instant end)
+        {
+            if (perSecond <= 0)
+                return;
+            Instant now {};
+            while (true) {
+                now += secondsToDuration(m_random.exponentialSeconds(perSecond * crest.m_factor));
+                if (now >= end)
+                    return;
+                if (m_random.chance(crest.factorAt(now) / crest.m_factor))
+                    add(now, slotSeconds, lifeSeconds);
+            }
+        }
+
+    private:
+        void add(Instant now, double meanSlotSeconds, double meanLifeSeconds)
+        {
+            Work work;
+            work.m_arrives = now;
+            work.m_kind = m_kind;
+            work.m_flowHash = hashPair(m_random.below(UINT64_MAX), static_cast<std::uint64_t>(m_kind));
+            if (meanSlotSeconds > 0)
+                work.m_slotSeconds = m_random.exponentialSeconds(1 / meanSlotSeconds);
+            if (meanLifeSeconds > 0)
+                work.m_lifeSeconds = m_random.exponentialSeconds(1 / meanLifeSeconds);
+            m_work.push_back(work);
+        }
+
+        WorkKind m_kind;
+        Random m_random;
+        std::vector<Work>& m_work;
+    };
+
+} // namespace
+
+double Crest::factorAt(Instant now) const
+{
+    if (now < m_begins || now >= m_ends)
+        return 1;
+    if (now >= m_reached)
+        return m_factor;
+    const double risen = static_cast<double>((now - m_begins).count());
+    return 1 + (m_factor - 1) * risen / static_cast<double>((m_reached - m_begins).count());
+}
+
+std::vector<ServiceLoad> findServiceLoads(std::string_view profile)
+{
+    if (profile == "shirakaba") {
+        return { ServiceLoad { .m_service = "kanteisha",
+                     .m_establishedFeeds = 12'000,
+                     .m_feedsPerSecond = 20,
+                     .m_feedSeconds = 3600,
+                     .m_shortPerSecond = 1500,
+                     .m_shortSlotSeconds = 0.005 },
+            ServiceLoad { .m_service = "chosa-bako",
+                .m_shortPerSecond = 40,
+                .m_shortSlotSeconds = 0.05,
+                .m_stragglersPerSecond = 0.05,
+                .m_stragglerSlotSeconds = 20 } };
+    }
+    if (profile == "kalahari") {
+        return { ServiceLoad { .m_service = "agenda",
+                     .m_establishedFeeds = 10'000,
+                     .m_feedsPerSecond = 60,
+                     .m_feedSeconds = 1800,
+                     .m_shortPerSecond = 1500,
+                     .m_shortSlotSeconds = 0.005 },
+            ServiceLoad { .m_service = "abstracts",
+                .m_shortPerSecond = 30,
+                .m_shortSlotSeconds = 0.06,
+                .m_stragglersPerSecond = 0.05,
+                .m_stragglerSlotSeconds = 20 } };
+    }
+    return {};
+}
+
+std::vector<Work> makeWork(
+    const ServiceLoad& load, const Crest& crest, bool hasStragglers, Instant end, std::uint64_t seed)
+{
+    std::vector<Work> work;
+    WorkSource feeds(WorkKind::Feed, seed, work);
+    feeds.establish(load);
+    feeds.arrive(load.m_feedsPerSecond, load.m_shortSlotSeconds, load.m_feedSeconds, crest, end);
+    WorkSource shortWork(WorkKind::ShortWork, seed, work);
+    shortWork.arrive(load.m_shortPerSecond, load.m_shortSlotSeconds, 0, crest, end);
+    if (hasStragglers) {
+        WorkSource stragglers(WorkKind::Straggler, seed, work);
+        stragglers.arrive(load.m_stragglersPerSecond, load.m_stragglerSlotSeconds, 0, {}, end);
+    }
+    std::stable_sort(
+        work.begin(), work.end(), [](const Work& one, const Work& other) { return one.m_arrives < other.m_arrives; });
+    return work;
+}
+
+} // namespace cuminrelay
