--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -245,8 +245,7 @@
     }
     if (m_flows.size() >= m_limits.m_flows) {
         // Without room for a state only a flow that can be computed again may open.
-        const bool computable
-            = m_history.isDefaultSince(bucket.m_base, packet.m_flow, context.m_hash, chosen);
+        const bool computable = m_history.isDefaultSince(bucket.m_base, packet.m_flow, context.m_hash, chosen);
         return computable ? toBackend(chosen) : refuse(Reason::FlowTableFull);
     }
     FlowState& state = track(context, chosen, stageOf(packet.m_kind), true);
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -1,27 +1,154 @@
-#include "admission/AdmissionPolicy.h"
-#include "bench/BaselineDesigns.h"
-#include "bench/FlowExperiment.h"
-#include "bench/OwnerDesign.h"
-#include "placement/BoundedLoadPlacement.h"
+#include "bench/DesignCatalog.h"
+#include "bench/FaultMatrix.h"
+#include "bench/PacketBench.h"
+#include "bench/Reports.h"
+#include "settings/Program.h"
+
+#include <algorithm>
+#include <boost/program_options.hpp>
 #include <fmt/format.h>
-using namespace cuminrelay;
-struct All : AdmissionPolicy { Admission admit(std::span<const Endpoint>, const BackendBoard&, std::size_t, Instant) override { return Admission::Admitted; } };
-int main(int argc, char** argv) {
-    unsigned long seed = argc > 1 ? atoi(argv[1]) : 1;
-    unsigned k = argc>2?atoi(argv[2]):1; for (int d = 0; d < 1; ++d) {
-        FlowExperimentSettings s; s.m_profile = *findFleetProfile("shirakaba"); s.m_seed = seed; s.m_faults = { { Instant { std::chrono::seconds { 15 } }, (FaultKind)k } };
-        s.m_length = std::chrono::seconds{40};
-        FlowExperiment e(s, [&](std::span<const Endpoint> a, FleetNetwork& n) -> std::unique_ptr<FleetDesign> {
-            PolicyFactory f { [] { return std::make_unique<BoundedLoadPlacement>(); }, [] { return std::make_unique<All>(); } };
-            if (d == 0) return std::make_unique<OwnerDesign>("owner", a, n, f);
-            if (d == 1) return std::make_unique<OwnerDesign>("owner-nocopy", a, n, f, OwnerDesign::Copies::None);
-            if (d == 2) return std::make_unique<ModuloDesign>(a.size());
-            if (d == 3) return std::make_unique<ConnectionTableDesign>(a.size());
-            if (d == 4) { Configuration c = makeConfiguration(s.m_profile); for (auto& b : c.m_backendServers) b.m_labels["tier"] = "serving"; return std::make_unique<HorizonDesign>(a.size(), c); }
-            return std::make_unique<CarriedIdentityDesign>(a.size());
-        });
-        FlowExperimentResult r = e.run();
-        std::string drops; for (auto& [a, b] : r.m_drops) drops += fmt::format("{}={} ", reasonName(a), b);
-        fmt::print("{:18} d{} flows {:6} refused {} never {} reset {} stall {} dead {} est {} misr {} twice {} pk {} hops {:.2f} relay {} ctl {} held {} live {} imb {:.2f} {}\n", faultName((FaultKind)k), d, r.m_flows, r.m_refused, r.m_neverOpened, r.m_brokenByReset, r.m_brokenByStall, r.m_brokenOnDeadBackend, r.m_brokenEstablished, r.m_misrouted, r.m_openedTwice, r.m_packets, double(r.m_hops) / r.m_packets, r.m_relayedPackets, r.m_controlBytes, r.m_heldFlows, r.m_liveFlows, r.m_worstImbalance, drops);
+#include <string>
+#include <vector>
+
+namespace cuminrelay {
+namespace {
+
+    namespace options = boost::program_options;
+
+    struct BenchOptions {
+        std::string m_command;
+        std::string m_profile;
+        std::string m_design;
+        std::uint64_t m_seed = 1;
+        unsigned m_repeats = 1;
+        double m_arrivalsPerSecond = 0;
+        std::size_t m_flows = 0;
+        bool m_pairs = true;
+        ReportFormat m_format = ReportFormat::Table;
+    };
+
+    constexpr std::string_view c_usage = R"(usage: cuminrelay-bench COMMAND [options]
+
+  compare   plays the same arrivals and single faults against each design
+  faults    the fault matrix: every fault alone and with a second one later; status 1 when a promise breaks
+  packets   the cost of a decision on an established packet, by open flows
+
+example: cuminrelay-bench faults --profile kalahari --seed 7
+
+)";
+
+    FaultMatrixSettings matrixSettings(const BenchOptions& given, const FleetProfile& profile)
+    {
+        FaultMatrixSettings settings;
+        settings.m_profile = profile;
+        settings.m_design = given.m_design;
+        settings.m_seed = given.m_seed;
+        settings.m_repeats = given.m_repeats;
+        settings.m_pairs = given.m_pairs;
+        settings.m_arrivalsPerSecond = given.m_arrivalsPerSecond;
+        return settings;
     }
+
+    ExitStatus compare(const BenchOptions& given, const FleetProfile& profile)
+    {
+        if (given.m_format == ReportFormat::Table)
+            fmt::print("{:<22} {:<18} {:>6} {:>6} {:>6} {:>5} {:>6} {:>6} {:>6} {:>6} {:>7} {:>8} {:>6}\n", "design",
+                "fault", "flows", "reset", "stall", "dead", "estab", "misrt", "twice", "hops", "relayed", "control",
+                "imbal");
+        FaultMatrixSettings settings = matrixSettings(given, profile);
+        settings.m_pairs = false;
+        for (const std::string_view design : designNames()) {
+            settings.m_design = design;
+            fmt::print("{}", reportComparison(design, runFaultMatrix(settings), given.m_format));
+        }
+        return ExitStatus::Success;
+    }
+
+    ExitStatus faults(const BenchOptions& given, const FleetProfile& profile)
+    {
+        const std::vector<FaultRun> runs = runFaultMatrix(matrixSettings(given, profile));
+        fmt::print("{}", reportMatrix(runs, given.m_format));
+        const std::ptrdiff_t violations
+            = std::count_if(runs.begin(), runs.end(), [](const FaultRun& run) { return !run.m_violation.empty(); });
+        fmt::print(stderr, "{} runs, {} broke a promise\n", runs.size(), violations);
+        return violations == 0 ? ExitStatus::Success : ExitStatus::Failure;
+    }
+
+    ExitStatus packets(const BenchOptions& given)
+    {
+        fmt::print("{}", runPacketBench(given.m_flows, given.m_seed, given.m_format));
+        return ExitStatus::Success;
+    }
+
+    int run(std::span<char* const> arguments)
+    {
+        BenchOptions given;
+        options::options_description described { "options" };
+        described.add_options()("help", "this text")("version", "the version")(
+            "profile", options::value(&given.m_profile)->default_value("shirakaba"), "shirakaba or kalahari")("design",
+            options::value(&given.m_design)->default_value("owner"), "the design that faults are played against")(
+            "seed", options::value(&given.m_seed)->default_value(1), "the same seed gives the same run")(
+            "repeats", options::value(&given.m_repeats)->default_value(1), "seeds of each single fault")("arrivals",
+            options::value(&given.m_arrivalsPerSecond)->default_value(300),
+            "new flows a second over the fleet")("flows", options::value(&given.m_flows)->default_value(0),
+            "packets: only this many flows; 0: 10^3 to 10^6")("single", "faults: no pairs")(
+            "json", "one JSON object a line");
+        options::options_description all;
+        all.add(described).add_options()("command", options::value(&given.m_command));
+        options::positional_options_description positions;
+        positions.add("command", 1);
+        options::variables_map values;
+        try {
+            options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
+                               .options(all)
+                               .positional(positions)
+                               .run(),
+                values);
+            options::notify(values);
+        } catch (const options::error& problem) {
+            fmt::print(stderr, "cuminrelay-bench: {}\n", problem.what());
+            return static_cast<int>(ExitStatus::BadInput);
+        }
+        if (values.count("version") > 0) {
+            fmt::print("cuminrelay-bench {}\n", CUMINRELAY_VERSION);
+            return 0;
+        }
+        if (values.count("help") > 0 || given.m_command.empty()) {
+            std::string help;
+            for (const boost::shared_ptr<options::option_description>& option : described.options())
+                help += fmt::format(
+                    "  {:<24} {}\n", option->format_name() + " " + option->format_parameter(), option->description());
+            fmt::print("{}{}", c_usage, help);
+            return values.count("help") > 0 ? 0 : static_cast<int>(ExitStatus::BadInput);
+        }
+        given.m_pairs = values.count("single") == 0;
+        given.m_format = values.count("json") > 0 ? ReportFormat::Json : ReportFormat::Table;
+        const std::optional<FleetProfile> profile = findFleetProfile(given.m_profile);
+        if (!profile) {
+            fmt::print(
+                stderr, "cuminrelay-bench: no profile \"{}\"; there are shirakaba and kalahari\n", given.m_profile);
+            return static_cast<int>(ExitStatus::BadInput);
+        }
+        const std::span<const std::string_view> designs = designNames();
+        if (std::find(designs.begin(), designs.end(), given.m_design) == designs.end()) {
+            fmt::print(
+                stderr, "cuminrelay-bench: no design \"{}\"; there are {}\n", given.m_design, fmt::join(designs, ", "));
+            return static_cast<int>(ExitStatus::BadInput);
+        }
+        if (given.m_command == "compare")
+            return static_cast<int>(compare(given, *profile));
+        if (given.m_command == "faults")
+            return static_cast<int>(faults(given, *profile));
+        if (given.m_command == "packets")
+            return static_cast<int>(packets(given));
+        fmt::print(stderr, "cuminrelay-bench: no command \"{}\"; see --help\n", given.m_command);
+        return static_cast<int>(ExitStatus::BadInput);
+    }
+
+} // namespace
+} // namespace cuminrelay
+
+int main(int argc, char** argv)
+{
+    return cuminrelay::run({ argv, static_cast<std::size_t>(argc) });
 }
