--- a/src/bench/FaultMatrix.cpp
+++ b/src/bench/FaultMatrix.cpp
@@ -70,6 +70,10 @@
 std::vector<FaultRun> runFaultMatrix(const FaultMatrixSettings& settings)
 {
     std::vector<FaultRun> runs = planRuns(settings);
+    std::erase_if(runs, [&](const FaultRun& run) {
+        return (!settings.m_onlyFirst.empty() && settings.m_onlyFirst != faultName(run.m_first))
+            || (!settings.m_onlySecond.empty() && settings.m_onlySecond != faultName(run.m_second));
+    });
     tbb::parallel_for(std::size_t { 0 }, runs.size(), [&](std::size_t i) {
         FaultRun& run = runs[i];
         FlowExperimentSettings experiment;
--- a/src/bench/FaultMatrix.h
+++ b/src/bench/FaultMatrix.h
@@ -26,6 +26,8 @@
     unsigned m_repeats = 1; ///< seeds of each single fault
     bool m_pairs = true; ///< also each ordered pair of faults, the gap drawn by the seed
     double m_arrivalsPerSecond = 300;
+    std::string m_onlyFirst; ///< the name of the first fault of the runs to play; empty: all
+    std::string m_onlySecond;
 };
 
 /// Runs every fault alone and every ordered pair, over all cores. The runs come in a fixed order and, for a seed, with
--- a/src/bench/FlowExperiment.cpp
+++ b/src/bench/FlowExperiment.cpp
@@ -266,6 +266,7 @@
         if (flow.m_step == CallerFlow::Step::Established)
             ++m_result.m_liveFlows;
     }
+    m_result.m_lastFault = m_lastFault;
     m_result.m_worstImbalance = imbalance();
     return m_result;
 }
@@ -321,12 +322,13 @@
     if (flow.m_step == CallerFlow::Step::Over)
         return;
     if (flow.m_step == CallerFlow::Step::Opening && flow.m_attempts++ == c_openingAttempts) {
-        breakFlow(flow, m_result.m_neverOpened);
+        breakFlow(flow, m_result.m_neverOpened, {}, PacketKind::Opening);
         return;
     }
     const bool onDeadBackend = flow.m_backend != Endpoint {} && m_backends.at(flow.m_backend).m_dead;
     if (flow.m_step != CallerFlow::Step::Opening && m_now > flow.m_progressAt + c_stall) {
-        breakFlow(flow, onDeadBackend ? m_result.m_brokenOnDeadBackend : m_result.m_brokenByStall);
+        breakFlow(
+            flow, onDeadBackend ? m_result.m_brokenOnDeadBackend : m_result.m_brokenByStall, {}, PacketKind::Midstream);
         return;
     }
     if (flow.m_step == CallerFlow::Step::Established && m_now >= flow.m_endsAt)
@@ -410,7 +412,7 @@
         const bool before = flow.m_step == CallerFlow::Step::Opening;
         const bool deadBackend = flow.m_backend != Endpoint {} && m_backends.at(flow.m_backend).m_dead;
         std::uint64_t& broken = deadBackend ? m_result.m_brokenOnDeadBackend : m_result.m_brokenByReset;
-        breakFlow(flow, before ? m_result.m_refused : broken);
+        breakFlow(flow, before ? m_result.m_refused : broken, outcome, packet.m_kind);
         return;
     }
     if (outcome.m_kind != VerdictKind::ToBackend) {
@@ -427,7 +429,7 @@
     const bool isFirst = flow.m_key.m_service == m_configuration.m_services[0].m_address;
     if (backend.m_service != m_settings.m_profile.m_services[isFirst ? 0 : 1].m_name) {
         ++m_result.m_misrouted;
-        breakFlow(flow, m_result.m_brokenByReset);
+        breakFlow(flow, m_result.m_brokenByReset, outcome, packet.m_kind);
         return;
     }
     const bool opens = packet.m_kind == PacketKind::Opening
@@ -443,7 +445,7 @@
             ++m_result.m_flows;
         }
     } else if (outcome.m_backend != flow.m_backend) {
-        breakFlow(flow, m_result.m_brokenByReset);
+        breakFlow(flow, m_result.m_brokenByReset, outcome, packet.m_kind);
         return;
     }
     flow.m_progressAt = m_now;
@@ -460,12 +462,18 @@
     }
 }
 
-void FlowExperiment::breakFlow(CallerFlow& flow, std::uint64_t& counter)
+void FlowExperiment::breakFlow(CallerFlow& flow, std::uint64_t& counter, const FleetOutcome& outcome, PacketKind packet)
 {
+    constexpr std::size_t kept = 20;
+
     ++counter;
     const bool counts = &counter == &m_result.m_brokenByReset || &counter == &m_result.m_brokenByStall;
-    if (counts)
+    if (counts) {
         ++m_result.m_steps[static_cast<std::size_t>(flow.m_stepAtFault)].m_broken;
+        if (m_result.m_brokenFlows.size() < kept)
+            m_result.m_brokenFlows.push_back(BrokenFlow { m_now, flow.m_openedAtTime, flow.m_key, packet,
+                outcome.m_lastVm, outcome.m_hops, flow.m_backend, outcome.m_backend });
+    }
     if (counts && m_lastFault != Instant {} && flow.m_openedAtTime + c_establishedAge < m_lastFault)
         ++m_result.m_brokenEstablished;
     const std::size_t index = static_cast<std::size_t>(&flow - m_flows.data());
--- a/src/bench/FlowExperiment.h
+++ b/src/bench/FlowExperiment.h
@@ -85,6 +85,18 @@
     std::vector<FaultEvent> m_faults;
 };
 
+/// How a flow broke, to find the cause from.
+struct BrokenFlow {
+    Instant m_at {};
+    Instant m_openedAt {};
+    FlowKey m_key;
+    PacketKind m_packet = PacketKind::Midstream;
+    VmIndex m_lastVm = 0; ///< that sent the packet out
+    unsigned m_hops = 0;
+    Endpoint m_expected;
+    Endpoint m_reached; ///< empty when nothing got through
+};
+
 /// What happened to the flows of one run.
 struct FlowExperimentResult {
     std::uint64_t m_flows = 0; ///< opened
@@ -100,6 +112,8 @@
     std::uint64_t m_hops = 0;
     std::uint64_t m_relayedPackets = 0;
     std::uint64_t m_controlBytes = 0;
+    std::vector<BrokenFlow> m_brokenFlows; ///< the first few
+    Instant m_lastFault {};
     std::size_t m_heldFlows = 0; ///< at the end
     std::size_t m_liveFlows = 0; ///< at the end
     std::map<Reason, std::uint64_t> m_drops;
@@ -152,7 +166,7 @@
     void sendNext(std::size_t flow);
     void deliver(std::size_t flow, VmIndex vm, const PacketSummary& packet);
     void receive(std::size_t flow, const PacketSummary& packet, const FleetOutcome& outcome);
-    void breakFlow(CallerFlow& flow, std::uint64_t& counter);
+    void breakFlow(CallerFlow& flow, std::uint64_t& counter, const FleetOutcome& outcome, PacketKind packet);
     void scheduleNext(std::size_t flow);
     std::optional<VmIndex> spray();
 
--- a/src/bench/Reports.cpp
+++ b/src/bench/Reports.cpp
@@ -1,5 +1,7 @@
 #include "bench/Reports.h"
 
+#include "flows/OwnerMap.h"
+
 #include <fmt/format.h>
 
 namespace cuminrelay {
@@ -83,4 +85,25 @@
     return text;
 }
 
+std::string reportBrokenFlows(std::span<const FaultRun> runs)
+{
+    constexpr double microsecondsPerSecond = 1e6;
+
+    std::string text;
+    for (const FaultRun& run : runs) {
+        for (const BrokenFlow& flow : run.m_result.m_brokenFlows) {
+            const double sinceFault = static_cast<double>((flow.m_at - run.m_result.m_lastFault).count());
+            const double openedSinceFault = static_cast<double>((flow.m_openedAt - run.m_result.m_lastFault).count());
+            text += fmt::format(
+                "{} seed {}: {} flow of bucket {}, opened {:+.2f} s, broken {:+.2f} s from the last fault, "
+                "packet kind {}, sent by VM {} after {} hops, expected {}, reached {}\n",
+                runName(run), run.m_seed, flow.m_key.m_protocol == Protocol::Tcp ? "TCP" : "UDP",
+                bucketOf(hashFlow(flow.m_key)), openedSinceFault / microsecondsPerSecond,
+                sinceFault / microsecondsPerSecond, static_cast<int>(flow.m_packet), flow.m_lastVm, flow.m_hops,
+                formatEndpoint(flow.m_expected), formatEndpoint(flow.m_reached));
+        }
+    }
+    return text;
+}
+
 } // namespace cuminrelay
--- a/src/bench/Reports.h
+++ b/src/bench/Reports.h
@@ -18,4 +18,7 @@
 /// One row for each run, with a column for each step of a flow's life.
 std::string reportMatrix(std::span<const FaultRun> runs, ReportFormat format);
 
+/// How the first broken flows of each run broke, one a line; empty when none did.
+std::string reportBrokenFlows(std::span<const FaultRun> runs);
+
 } // namespace cuminrelay
--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -28,7 +28,8 @@
     constexpr Duration c_cutNoticed = std::chrono::seconds { 1 };
 
     /// A sender that has retransmitted for so long without progress is taken for lost track of.
-    constexpr Duration c_silence = std::chrono::seconds { 10 };
+    constexpr Duration c_silence = std::chrono::seconds { 20 };
+    constexpr std::uint8_t c_silentRetransmissions = 6;
 
     /// TCP sequence comparison: whether left comes after right, modulo 2^32.
     bool isAfter(std::uint32_t left, std::uint32_t right)
@@ -145,13 +146,14 @@
         return decideKnown(context, *state, replica);
     if (warming)
         return Verdict { VerdictKind::AskPrevious, Reason::None, bucket.m_warmingFrom, {} };
+    const bool replacesCopy = state && state->m_exception && state->m_replica != Endpoint {};
     if (state)
         endFlow(context.m_hash, *state, context.m_now);
 
     switch (context.m_packet.m_kind) {
     case PacketKind::Opening:
     case PacketKind::Datagram:
-        return openFlow(context, replica);
+        return openFlow(context, replica, replacesCopy);
     case PacketKind::Midstream:
     case PacketKind::HalfClose:
         return decideMidstream(context, replica);
@@ -205,7 +207,7 @@
     return forward(context, state, replica);
 }
 
-Verdict FlowRouter::openFlow(const Context& context, Endpoint replica)
+Verdict FlowRouter::openFlow(const Context& context, Endpoint replica, bool replacesCopy)
 {
     const PacketSummary& packet = context.m_packet;
     const std::shared_ptr<const ServiceTables>& tables = m_history.current();
@@ -249,6 +251,9 @@
         return computable ? toBackend(chosen) : refuse(Reason::FlowTableFull);
     }
     FlowState& state = track(context, chosen, stageOf(packet.m_kind), true);
+    // The replica still holds the flow's former place and must learn the new one, even where it is the default.
+    if (replacesCopy)
+        setException(state, true);
     return forward(context, state, replica);
 }
 
@@ -335,19 +340,16 @@
     const bool acknowledgesMore = isAfter(packet.m_acknowledgment, state.m_acknowledgment);
     if (acknowledgesMore)
         state.m_acknowledgment = packet.m_acknowledgment;
+    const bool isNewPayload
+        = packet.m_payloadBytes > 0 && (isAfter(packet.m_sequence, state.m_sequence) || state.m_carriedBytes == 0);
     if (packet.m_payloadBytes > 0) {
-        const bool isNew = isAfter(packet.m_sequence, state.m_sequence) || state.m_carriedBytes == 0;
-        if (isNew || acknowledgesMore)
-            state.m_silentAt = {};
-        else if (state.m_silentAt == Deadline {} && state.m_protocol == Protocol::Tcp)
-            state.m_silentAt = context.m_now + c_silence;
-        if (isNew)
+        if (isNewPayload)
             state.m_sequence = packet.m_sequence;
         const std::uint32_t room = std::numeric_limits<std::uint32_t>::max() - state.m_carriedBytes;
         state.m_carriedBytes += std::min<std::uint32_t>(room, packet.m_payloadBytes);
-    } else if (acknowledgesMore) {
-        state.m_silentAt = {};
     }
+    if (packet.m_kind != PacketKind::Datagram)
+        noteSilence(context, state, isNewPayload || acknowledgesMore);
 
     if (!state.m_counted)
         return;
@@ -361,10 +363,26 @@
     }
 }
 
+void FlowRouter::noteSilence(const Context& context, FlowState& state, bool progress) const
+{
+    // During a cut a flow may wait without anybody having lost track of it.
+    if (progress || m_cutSince != Instant {}) {
+        state.m_silentAt = {};
+        state.m_retransmissions = 0;
+        return;
+    }
+    if (context.m_packet.m_payloadBytes == 0)
+        return;
+    if (state.m_silentAt == Deadline {})
+        state.m_silentAt = context.m_now + c_silence;
+    if (state.m_retransmissions < c_silentRetransmissions)
+        ++state.m_retransmissions;
+}
+
 bool FlowRouter::isSilent(const Context& context, const FlowState& state) const
 {
-    return state.m_silentAt != Deadline {} && context.m_now >= state.m_silentAt
-        && context.m_packet.m_kind != PacketKind::Opening;
+    return state.m_retransmissions >= c_silentRetransmissions && context.m_now >= state.m_silentAt
+        && context.m_packet.m_kind == PacketKind::Midstream;
 }
 
 void FlowRouter::setException(FlowState& state, bool exception)
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -95,13 +95,14 @@
     Verdict decideAsOwner(const Context& context, Endpoint replica, bool mayAskPrevious);
     Verdict decideKnown(const Context& context, FlowState& state, Endpoint replica);
     Verdict decideMidstream(const Context& context, Endpoint replica);
-    Verdict openFlow(const Context& context, Endpoint replica);
+    Verdict openFlow(const Context& context, Endpoint replica, bool replacesCopy);
     Verdict acceptRecord(const Context& context);
     Verdict forward(const Context& context, FlowState& state, Endpoint replica);
     Verdict forwardUntracked(const Context& context) const;
 
     FlowState& track(const Context& context, Endpoint backend, FlowStage stage, bool isNew);
     void noteProgress(const Context& context, FlowState& state);
+    void noteSilence(const Context& context, FlowState& state, bool progress) const;
     bool isSilent(const Context& context, const FlowState& state) const;
     bool mustReopen(const Context& context, const FlowState& state) const;
     bool isUsable(Endpoint backend) const;
--- a/src/flows/FlowRouterBuckets.cpp
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -20,6 +20,9 @@
     /// Longer than the views of two sides of a cut take to follow each other once it is over.
     constexpr Duration c_cutRecovery = std::chrono::seconds { 3 };
 
+    /// How much of the flow table one tick walks to copy exceptions to a new successor: all of it in eight ticks.
+    constexpr unsigned c_shardsPerTick = FlowTable::s_shardCount / 8;
+
     constexpr Duration c_wantInterval = std::chrono::seconds { 1 };
 
     /// Longer than the keep-alive interval of common hosts, two hours, after which each live flow has shown a packet.
@@ -304,11 +307,11 @@
     m_expireShard = (m_expireShard + 1) % FlowTable::s_shardCount;
     if (m_expireShard == 0)
         advanceBases(now);
-    if (m_shardsToSettle == 0)
-        return;
-    --m_shardsToSettle;
-    settleShard(m_settleShard);
-    m_settleShard = (m_settleShard + 1) % FlowTable::s_shardCount;
+    for (unsigned i = 0; i < c_shardsPerTick && m_shardsToSettle > 0; ++i) {
+        --m_shardsToSettle;
+        settleShard(m_settleShard);
+        m_settleShard = (m_settleShard + 1) % FlowTable::s_shardCount;
+    }
 }
 
 void FlowRouter::requestSettling(Bucket bucket)
--- a/src/flows/FlowTable.h
+++ b/src/flows/FlowTable.h
@@ -31,6 +31,7 @@
     std::uint32_t m_carriedBytes = 0; ///< payload from the caller; saturates
     Protocol m_protocol = Protocol::Tcp;
     FlowStage m_stage = FlowStage::Opening;
+    std::uint8_t m_retransmissions = 0; ///< without progress, as seen here; saturates
     std::uint8_t m_relays = 0; ///< mid-stream packets that took the way through m_replica
     bool m_exception = false; ///< not on the default of every table that the bucket may be based on
     bool m_straggler = false;
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -24,6 +24,9 @@
         double m_arrivalsPerSecond = 0;
         std::size_t m_flows = 0;
         bool m_pairs = true;
+        std::string m_first;
+        std::string m_second;
+        bool m_trace = false;
         ReportFormat m_format = ReportFormat::Table;
     };
 
@@ -45,6 +48,8 @@
         settings.m_seed = given.m_seed;
         settings.m_repeats = given.m_repeats;
         settings.m_pairs = given.m_pairs;
+        settings.m_onlyFirst = given.m_first;
+        settings.m_onlySecond = given.m_second;
         settings.m_arrivalsPerSecond = given.m_arrivalsPerSecond;
         return settings;
     }
@@ -68,6 +73,8 @@
     {
         const std::vector<FaultRun> runs = runFaultMatrix(matrixSettings(given, profile));
         fmt::print("{}", reportMatrix(runs, given.m_format));
+        if (given.m_trace)
+            fmt::print(stderr, "{}", reportBrokenFlows(runs));
         const std::ptrdiff_t violations
             = std::count_if(runs.begin(), runs.end(), [](const FaultRun& run) { return !run.m_violation.empty(); });
         fmt::print(stderr, "{} runs, {} broke a promise\n", runs.size(), violations);
@@ -92,7 +99,9 @@
             options::value(&given.m_arrivalsPerSecond)->default_value(300),
             "new flows a second over the fleet")("flows", options::value(&given.m_flows)->default_value(0),
             "packets: only this many flows; 0: 10^3 to 10^6")("single", "faults: no pairs")(
-            "json", "one JSON object a line");
+            "first", options::value(&given.m_first), "faults: only runs that begin with this")(
+            "second", options::value(&given.m_second), "faults: only runs that go on with this")(
+            "trace", "faults: how flows broke, on standard error")("json", "one JSON object a line");
         options::options_description all;
         all.add(described).add_options()("command", options::value(&given.m_command));
         options::positional_options_description positions;
@@ -121,6 +130,7 @@
             fmt::print("{}{}", c_usage, help);
             return values.count("help") > 0 ? 0 : static_cast<int>(ExitStatus::BadInput);
         }
+        given.m_trace = values.count("trace") > 0;
         given.m_pairs = values.count("single") == 0;
         given.m_format = values.count("json") > 0 ? ReportFormat::Json : ReportFormat::Table;
         const std::optional<FleetProfile> profile = findFleetProfile(given.m_profile);
