admission: room for the spread of waits; placement: exceptions from 12% above

Cause: on 15 hosts a longer wait lets in more work in time, on 4 hosts of long work the same wait is too long for a tenth of the flows. Change: the mean wait may reach the maximum wait less 4.5 standard deviations of the wait at one backend server, which grow with the slot time. The bounded-load factor is 1.12. Tests fix the parameters that they rest on.

--- a/src/admission/AdmissionPolicyTest.cpp
+++ b/src/admission/AdmissionPolicyTest.cpp
@@ -1,6 +1,7 @@
 #include "admission/ShareAdmission.h"
 #include "admission/UnlimitedAdmission.h"
 
+#include <cmath>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 #include <vector>
@@ -89,7 +90,7 @@
 
     TEST(ShareAdmission, aBurstGetsTheEvenShareOfTheQueueRoomAndTheRestIsRefusedAtOnce)
     {
-        ShareAdmission policy({ .m_maximumWait = std::chrono::milliseconds { 400 } });
+        ShareAdmission policy({ .m_maximumWait = std::chrono::milliseconds { 400 }, .m_spreadFactor = 0 });
         Service service(policy);
         constexpr int room = 4 * c_flowsPerSecond * 400 / 1000;
         constexpr int share = room / static_cast<int>(c_ownerCount);
@@ -97,6 +98,18 @@
         EXPECT_EQ(service.admit(12'000), Admission::ShareUsed);
     }
 
+    TEST(ShareAdmission, theSpreadOverBackendServersShortensTheQueue)
+    {
+        ShareAdmission withoutSpread({ .m_maximumWait = std::chrono::seconds { 1 }, .m_spreadFactor = 0 });
+        ShareAdmission withSpread({ .m_maximumWait = std::chrono::seconds { 1 }, .m_spreadFactor = 3 });
+        Service first(withoutSpread);
+        Service second(withSpread);
+        const int whole = first.offer(1000, 12'000);
+        const int shortened = second.offer(1000, 12'000);
+        // One flow takes 25 ms at a busy backend server, so the spread of a second's queue is sqrt(1 s * 25 ms).
+        EXPECT_NEAR(shortened, whole * (1 - 3 * std::sqrt(0.025)), 2);
+    }
+
     TEST(ShareAdmission, betweenReportsEachVmAdmitsItsShareOfWhatTheSlotsWorkOff)
     {
         ShareAdmission policy;
@@ -121,7 +134,7 @@
 
     TEST(ShareAdmission, aReportedBacklogBeyondTheMaximumWaitIsQueueFull)
     {
-        ShareAdmission policy;
+        ShareAdmission policy({ .m_maximumWait = std::chrono::milliseconds { 600 }, .m_spreadFactor = 0 });
         Service service(policy);
         service.reportAll(11'000, { .m_busySlots = 2, .m_queued = 100 });
         EXPECT_EQ(service.admit(11'100), Admission::QueueFull);
@@ -130,7 +143,7 @@
 
     TEST(ShareAdmission, aLateReportKeepsWhatWasAdmittedAfterIt)
     {
-        ShareAdmission policy({ .m_maximumWait = std::chrono::seconds { 2 } });
+        ShareAdmission policy({ .m_maximumWait = std::chrono::seconds { 2 }, .m_spreadFactor = 0 });
         Service service(policy);
         const int admitted = service.offer(1000, 12'000);
         constexpr int share = 2 * 4 * c_flowsPerSecond / static_cast<int>(c_ownerCount);
--- a/src/admission/ServiceLoadEstimate.cpp
+++ b/src/admission/ServiceLoadEstimate.cpp
@@ -107,6 +107,13 @@
     return m_reported.m_backlog / *rate;
 }
 
+double ServiceLoadEstimate::slotSecondsPerBackend() const
+{
+    if (m_reported.m_slots <= 0)
+        return 0;
+    return m_slotTime.seconds() * static_cast<double>(m_reported.m_backends) / m_reported.m_slots;
+}
+
 void ServiceLoadEstimate::learnSlotTime(const ReportedLoad& newer, double scale)
 {
     const ReportedLoad older = m_learnt;
--- a/src/admission/ServiceLoadEstimate.h
+++ b/src/admission/ServiceLoadEstimate.h
@@ -70,6 +70,9 @@
     /// The same, from the reports alone.
     std::optional<double> reportedWait() const;
 
+    /// Seconds in which a busy backend server completes one flow; 0 while too little is known.
+    double slotSecondsPerBackend() const;
+
 private:
     void learnSlotTime(const ReportedLoad& newer, double scale);
     void restartBacklog(double scale);
--- a/src/admission/ShareAdmission.cpp
+++ b/src/admission/ShareAdmission.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminrelay {
 
@@ -61,13 +62,21 @@
 
     ServiceLoadEstimate& load = estimateFor(candidates);
     load.update(sumReports(candidates, board, now), scale);
-    const double maximumWait = std::chrono::duration<double>(m_parameters.m_maximumWait).count();
+    const double maximumWait = maximumMeanWait(load);
     if (load.expectedWait(now).value_or(0) > maximumWait)
         return load.reportedWait().value_or(0) > maximumWait ? Admission::QueueFull : Admission::ShareUsed;
     load.noteAdmitted(scale, now);
     return Admission::Admitted;
 }
 
+double ShareAdmission::maximumMeanWait(const ServiceLoadEstimate& load) const
+{
+    const double maximumWait = std::chrono::duration<double>(m_parameters.m_maximumWait).count();
+    // A queue of n flows before one backend server takes its slots n slot times / slots, give or take sqrt(n) of them.
+    const double spread = std::sqrt(maximumWait * load.slotSecondsPerBackend());
+    return std::max(maximumWait / 4, maximumWait - m_parameters.m_spreadFactor * spread);
+}
+
 ServiceLoadEstimate& ShareAdmission::estimateFor(std::span<const Endpoint> candidates)
 {
     if (m_estimates.size() >= c_maximumServices)
--- a/src/admission/ShareAdmission.h
+++ b/src/admission/ShareAdmission.h
@@ -8,7 +8,10 @@
 namespace cuminrelay {
 
 /// Refuses new flows once the service's capacity is used: when its eligible backend servers have no free connection
-/// left, or when a new flow would wait for a slot longer than the maximum wait.
+/// left, or when a new flow may have to wait for a slot longer than the maximum wait.
+///
+/// The wait is estimated as a mean over the service. How far a single backend server may lie above it grows with the
+/// slot time, stragglers included, so that services of long work keep shorter queues.
 ///
 /// Between reports each entry VM takes what it admits itself for the even part of what all admit. So each admits its
 /// share of the free capacity, and the excess of a crest is refused evenly over the VMs before the first report shows
@@ -18,7 +21,8 @@
 class ShareAdmission final : public AdmissionPolicy {
 public:
     struct Parameters {
-        Duration m_maximumWait = std::chrono::milliseconds { 600 }; ///< for a slot, as a mean over the service
+        Duration m_maximumWait = std::chrono::milliseconds { 1100 }; ///< for a slot, at nearly every backend server
+        double m_spreadFactor = 4.5; ///< standard deviations that the wait at a backend server may lie above the mean
     };
 
     ShareAdmission() = default;
@@ -33,6 +37,9 @@
 private:
     ServiceLoadEstimate& estimateFor(std::span<const Endpoint> candidates);
 
+    /// The mean wait up to which flows are admitted.
+    double maximumMeanWait(const ServiceLoadEstimate& load) const;
+
     Parameters m_parameters;
     boost::unordered_flat_map<std::uint64_t, ServiceLoadEstimate> m_estimates; ///< by set of backend servers
 };
--- a/src/bench/LoadExperimentTest.cpp
+++ b/src/bench/LoadExperimentTest.cpp
@@ -5,6 +5,7 @@
 #include "placement/BoundedLoadPlacement.h"
 #include "placement/DefaultOnlyPlacement.h"
 
+#include <cmath>
 #include <gtest/gtest.h>
 
 namespace cuminrelay {
@@ -15,6 +16,8 @@
     // The stated targets.
     constexpr double c_worstImbalance = 1.15;
     constexpr double c_stragglerRatio = 1.5;
+    constexpr double c_inDeadlineShare = 0.99;
+    constexpr double c_excessRefusals = 0.05;
 
     PolicyFactory productPolicies()
     {
@@ -59,6 +62,38 @@
         EXPECT_LE(with.m_shortP99, c_stragglerRatio * without.m_shortP99);
     }
 
+    LoadExperimentSettings crestFor(std::string_view profile, std::size_t service)
+    {
+        LoadExperimentSettings settings = settingsFor(profile, service);
+        settings.m_crest = { 10, Instant { std::chrono::seconds { 22 } }, Instant { std::chrono::seconds { 24 } },
+            Instant { std::chrono::seconds { 44 } } };
+        settings.m_end = Instant { std::chrono::seconds { 50 } };
+        return settings;
+    }
+
+    TEST_P(LoadExperimentProfile, atTheCrestAdmittedWorkMeetsItsDeadlineOnEachService)
+    {
+        for (const std::size_t service : { 0U, 1U }) {
+            const LoadResult result = LoadExperiment(crestFor(GetParam(), service), productPolicies()).run();
+            EXPECT_GT(result.m_forcedRefusals, 0);
+            EXPECT_GE(result.m_inDeadlineShare, c_inDeadlineShare) << service;
+        }
+    }
+
+    TEST_P(LoadExperimentProfile, atTheCrestRefusalsOfTheLargeServiceAreWhatCapacityForces)
+    {
+        const LoadResult result = LoadExperiment(crestFor(GetParam(), 0), productPolicies()).run();
+        EXPECT_LE(std::abs(result.excessRefusals()), c_excessRefusals);
+        EXPECT_EQ(result.m_refusedByBackend, 0);
+        EXPECT_LE(result.m_worstImbalance, c_worstImbalance);
+    }
+
+    TEST_P(LoadExperimentProfile, atTheCrestBaselinesMissTheDeadline)
+    {
+        const LoadResult result = LoadExperiment(crestFor(GetParam(), 0), baselinePolicies()).run();
+        EXPECT_LT(result.m_inDeadlineShare, c_inDeadlineShare);
+    }
+
     INSTANTIATE_TEST_SUITE_P(Profiles, LoadExperimentProfile, ::testing::Values("shirakaba", "kalahari"));
 
     TEST(LoadExperiment, theSameSeedGivesTheSameResult)
--- a/src/placement/BoundedLoadPlacement.h
+++ b/src/placement/BoundedLoadPlacement.h
@@ -20,7 +20,7 @@
 class BoundedLoadPlacement final : public PlacementPolicy {
 public:
     struct Parameters {
-        double m_loadFactor = 1.08; ///< connections of a default may exceed the mean by this factor
+        double m_loadFactor = 1.12; ///< connections of a default may exceed the mean by this factor
         double m_loadSlack = 8; ///< and by this many connections, which matters while there are few
         std::size_t m_choices = 2; ///< how many eligible backend servers are drawn
         double m_coldShare = 0.1; ///< part of its even share that a backend server gets as its cold start begins
