--- a/src/admission/AdmissionPolicyTest.cpp
+++ b/src/admission/AdmissionPolicyTest.cpp
@@ -90,7 +90,8 @@
 
     TEST(ShareAdmission, aBurstGetsTheEvenShareOfTheQueueRoomAndTheRestIsRefusedAtOnce)
     {
-        ShareAdmission policy({ .m_maximumWait = std::chrono::milliseconds { 400 }, .m_spreadFactor = 0 });
+        ShareAdmission policy(
+            { .m_maximumWait = std::chrono::milliseconds { 400 }, .m_spreadFactor = 0, .m_leastShare = 1 });
         Service service(policy);
         constexpr int room = 4 * c_flowsPerSecond * 400 / 1000;
         constexpr int share = room / static_cast<int>(c_ownerCount);
@@ -100,8 +101,10 @@
 
     TEST(ShareAdmission, theSpreadOverBackendServersShortensTheQueue)
     {
-        ShareAdmission withoutSpread({ .m_maximumWait = std::chrono::seconds { 1 }, .m_spreadFactor = 0 });
-        ShareAdmission withSpread({ .m_maximumWait = std::chrono::seconds { 1 }, .m_spreadFactor = 3 });
+        ShareAdmission withoutSpread(
+            { .m_maximumWait = std::chrono::seconds { 1 }, .m_spreadFactor = 0, .m_leastShare = 1 });
+        ShareAdmission withSpread(
+            { .m_maximumWait = std::chrono::seconds { 1 }, .m_spreadFactor = 3, .m_leastShare = 1 });
         Service first(withoutSpread);
         Service second(withSpread);
         const int whole = first.offer(1000, 12'000);
@@ -110,6 +113,13 @@
         EXPECT_NEAR(shortened, whole * (1 - 3 * std::sqrt(0.025)), 2);
     }
 
+    TEST(ShareAdmission, aFewOwnFlowsInQuickSuccessionAreLetIn)
+    {
+        ShareAdmission policy({ .m_maximumWait = std::chrono::milliseconds { 100 }, .m_leastShare = 6 });
+        Service service(policy);
+        EXPECT_NEAR(service.offer(1000, 12'000), 7, 1);
+    }
+
     TEST(ShareAdmission, betweenReportsEachVmAdmitsItsShareOfWhatTheSlotsWorkOff)
     {
         ShareAdmission policy;
@@ -134,7 +144,8 @@
 
     TEST(ShareAdmission, aReportedBacklogBeyondTheMaximumWaitIsQueueFull)
     {
-        ShareAdmission policy({ .m_maximumWait = std::chrono::milliseconds { 600 }, .m_spreadFactor = 0 });
+        ShareAdmission policy(
+            { .m_maximumWait = std::chrono::milliseconds { 600 }, .m_spreadFactor = 0, .m_leastShare = 1 });
         Service service(policy);
         service.reportAll(11'000, { .m_busySlots = 2, .m_queued = 100 });
         EXPECT_EQ(service.admit(11'100), Admission::QueueFull);
@@ -143,7 +154,7 @@
 
     TEST(ShareAdmission, aLateReportKeepsWhatWasAdmittedAfterIt)
     {
-        ShareAdmission policy({ .m_maximumWait = std::chrono::seconds { 2 }, .m_spreadFactor = 0 });
+        ShareAdmission policy({ .m_maximumWait = std::chrono::seconds { 2 }, .m_spreadFactor = 0, .m_leastShare = 1 });
         Service service(policy);
         const int admitted = service.offer(1000, 12'000);
         constexpr int share = 2 * 4 * c_flowsPerSecond / static_cast<int>(c_ownerCount);
--- a/src/admission/ServiceLoadEstimate.cpp
+++ b/src/admission/ServiceLoadEstimate.cpp
@@ -109,9 +109,13 @@
 
 double ServiceLoadEstimate::slotSecondsPerBackend() const
 {
-    if (m_reported.m_slots <= 0)
-        return 0;
-    return m_slotTime.seconds() * static_cast<double>(m_reported.m_backends) / m_reported.m_slots;
+    return secondsPerFlow() * static_cast<double>(m_reported.m_backends);
+}
+
+double ServiceLoadEstimate::secondsPerFlow() const
+{
+    const std::optional<double> rate = flowsPerSecond();
+    return rate ? 1 / *rate : 0;
 }
 
 void ServiceLoadEstimate::learnSlotTime(const ReportedLoad& newer, double scale)
--- a/src/admission/ServiceLoadEstimate.h
+++ b/src/admission/ServiceLoadEstimate.h
@@ -73,6 +73,9 @@
     /// Seconds in which a busy backend server completes one flow; 0 while too little is known.
     double slotSecondsPerBackend() const;
 
+    /// Seconds in which the busy service completes one flow; 0 while too little is known.
+    double secondsPerFlow() const;
+
 private:
     void learnSlotTime(const ReportedLoad& newer, double scale);
     void restartBacklog(double scale);
--- a/src/admission/ShareAdmission.cpp
+++ b/src/admission/ShareAdmission.cpp
@@ -62,19 +62,21 @@
 
     ServiceLoadEstimate& load = estimateFor(candidates);
     load.update(sumReports(candidates, board, now), scale);
-    const double maximumWait = maximumMeanWait(load);
+    const double maximumWait = maximumMeanWait(load, scale);
     if (load.expectedWait(now).value_or(0) > maximumWait)
         return load.reportedWait().value_or(0) > maximumWait ? Admission::QueueFull : Admission::ShareUsed;
     load.noteAdmitted(scale, now);
     return Admission::Admitted;
 }
 
-double ShareAdmission::maximumMeanWait(const ServiceLoadEstimate& load) const
+double ShareAdmission::maximumMeanWait(const ServiceLoadEstimate& load, double scale) const
 {
     const double maximumWait = std::chrono::duration<double>(m_parameters.m_maximumWait).count();
     // A queue of n flows before one backend server takes its slots n slot times / slots, give or take sqrt(n) of them.
     const double spread = std::sqrt(maximumWait * load.slotSecondsPerBackend());
-    return std::max(maximumWait / 4, maximumWait - m_parameters.m_spreadFactor * spread);
+    const double spreadWait = maximumWait - m_parameters.m_spreadFactor * spread;
+    const double leastWait = m_parameters.m_leastShare * scale * load.secondsPerFlow();
+    return std::max({ maximumWait / 4, spreadWait, leastWait });
 }
 
 ServiceLoadEstimate& ShareAdmission::estimateFor(std::span<const Endpoint> candidates)
--- a/src/bench/LoadExperimentTest.cpp
+++ b/src/bench/LoadExperimentTest.cpp
@@ -96,6 +96,15 @@
 
     INSTANTIATE_TEST_SUITE_P(Profiles, LoadExperimentProfile, ::testing::Values("shirakaba", "kalahari"));
 
+    TEST_P(LoadExperimentProfile, inOrdinaryTimesHardlyAnythingIsRefused)
+    {
+        LoadExperimentSettings settings = settingsFor(GetParam(), 1);
+        settings.m_end = Instant { std::chrono::seconds { 320 } };
+        const LoadResult result = LoadExperiment(settings, productPolicies()).run();
+        EXPECT_EQ(result.m_forcedRefusals, 0);
+        EXPECT_LE(static_cast<double>(result.refusals()), 0.01 * static_cast<double>(result.m_offered));
+    }
+
     TEST(LoadExperiment, theSameSeedGivesTheSameResult)
     {
         const LoadExperimentSettings settings = settingsFor("shirakaba", 1);
