--- /dev/null
+++ b/src/bench/BaselineDesigns.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "bench/FleetDesign.h"
+#include "flows/ServiceTables.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <memory>
+#include <vector>
+
+namespace cuminrelay {
+
+/// What the baselines share: each VM decides alone, from the configuration that it holds; there is no control traffic.
+class LocalDesign : public FleetDesign {
+public:
+    explicit LocalDesign(std::size_t vmCount);
+
+    void start(VmIndex vm, Instant now) override;
+    void stop(VmIndex vm) override;
+    void beginLeaving(VmIndex vm) override;
+    bool drained(VmIndex vm) const override;
+    void installConfiguration(VmIndex vm, const Configuration& configuration, Instant now) override;
+    void installMembers(VmIndex vm, const MemberView& view, Instant now) override;
+    void applyReports(VmIndex vm, std::span<const BackendReport> reports) override;
+    FleetOutcome route(VmIndex vm, const PacketSummary& packet, Instant now) override;
+    void tick(VmIndex vm, Instant now) override;
+    std::uint64_t controlBytes() const override { return 0; }
+    std::uint64_t relayedPackets() const override { return 0; }
+    std::size_t heldFlows() const override;
+
+protected:
+    /// The backend server for a packet at a VM, or an empty Endpoint.
+    virtual Endpoint choose(VmIndex vm, const PacketSummary& packet, FlowHash hash) = 0;
+
+    using LocalFlows = boost::unordered_flat_map<std::uint64_t, Endpoint>;
+
+    const ServiceTables* tables(VmIndex vm) const { return m_vms[vm].m_tables.get(); }
+    LocalFlows& flows(VmIndex vm) { return m_vms[vm].m_flows; }
+
+private:
+    struct Vm {
+        std::shared_ptr<const ServiceTables> m_tables;
+        LocalFlows m_flows;
+    };
+
+    std::vector<Vm> m_vms;
+    std::shared_ptr<const ServiceTables> m_newestTables;
+};
+
+/// The flow's hash modulo the number of backend servers; no state.
+class ModuloDesign final : public LocalDesign {
+public:
+    using LocalDesign::LocalDesign;
+    std::string_view name() const override { return "modulo"; }
+
+protected:
+    Endpoint choose(VmIndex vm, const PacketSummary& packet, FlowHash hash) override;
+};
+
+/// A consistent table, and on each VM a connection table of the flows whose packets it has seen, as Maglev does.
+class ConnectionTableDesign final : public LocalDesign {
+public:
+    using LocalDesign::LocalDesign;
+    std::string_view name() const override { return "connection-table"; }
+
+protected:
+    Endpoint choose(VmIndex vm, const PacketSummary& packet, FlowHash hash) override;
+};
+
+/// A consistent table, and on each VM a table of only those flows whose answer the known horizon of backend servers to
+/// come would change, as JET does.
+class HorizonDesign final : public LocalDesign {
+public:
+    /// horizon: the configuration with all backend servers that may be added.
+    HorizonDesign(std::size_t vmCount, const Configuration& horizon);
+    std::string_view name() const override { return "horizon-tracking"; }
+
+protected:
+    Endpoint choose(VmIndex vm, const PacketSummary& packet, FlowHash hash) override;
+
+private:
+    ServiceTables m_horizon;
+};
+
+/// The backend server's identity travels in the caller's packets, as Cheetah does. An upper bound: it needs a backend
+/// server that puts the identity into its answers, which ours do not.
+class CarriedIdentityDesign final : public LocalDesign {
+public:
+    using LocalDesign::LocalDesign;
+    std::string_view name() const override { return "carried-identity"; }
+
+protected:
+    Endpoint choose(VmIndex vm, const PacketSummary& packet, FlowHash hash) override;
+
+private:
+    LocalFlows m_carried; ///< stands for what the packets carry
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/FlowExperiment.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "bench/FleetDesign.h"
+#include "bench/Random.h"
+#include "configuration/Model.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cuminrelay {
+
+/// The deployment of one of the two users: its zones, entry VMs, backend servers and services.
+struct FleetProfile {
+    std::string m_name;
+    std::vector<std::string> m_zones;
+    std::size_t m_entryVms = 0;
+    struct ServiceSize {
+        std::string m_name;
+        std::size_t m_backendServers = 0;
+        double m_arrivalShare = 0;
+    };
+    std::vector<ServiceSize> m_services;
+};
+
+/// The profile "shirakaba" or "kalahari"; nothing for another name.
+std::optional<FleetProfile> findFleetProfile(std::string_view name);
+
+/// The configuration of a profile at version 1; a standby backend server of each service is declared but not selected.
+Configuration makeConfiguration(const FleetProfile& profile);
+
+/// What is done to the fleet at one instant of an experiment.
+enum class FaultKind : std::uint8_t {
+    None,
+    KillVm,
+    PauseVm, ///< for 3 s, then it goes on with what it held and what waited in its socket
+    RestartVm, ///< killed and started again with nothing after 300 ms
+    ReplaceVm, ///< planned: leaves gracefully, then another takes its place
+    KillBackend,
+    DrainBackend,
+    AddBackend, ///< a selector change that takes the standby in
+    RemoveBackend, ///< a selector change that takes a backend server out; its flows live on
+    CutZone, ///< one zone from the others, for 6 s
+    LosePackets, ///< 5% of packets between VMs, for 3 s
+    DuplicatePackets, ///< 5% of callers' packets, the copy through another VM, for 3 s
+    LoseAnswers, ///< half of the calls between VMs or their answers, for 3 s
+    Count,
+};
+
+std::string_view faultName(FaultKind kind);
+
+/// Whether a fault is a planned change, after which nothing may break.
+bool isPlanned(FaultKind kind);
+
+struct FaultEvent {
+    Instant m_at {};
+    FaultKind m_kind = FaultKind::None;
+};
+
+struct FlowExperimentSettings {
+    FleetProfile m_profile;
+    std::uint64_t m_seed = 1;
+    double m_arrivalsPerSecond = 300;
+    Duration m_length = std::chrono::seconds { 20 };
+    std::vector<FaultEvent> m_faults;
+};
+
+/// What happened to the flows of one run.
+struct FlowExperimentResult {
+    std::uint64_t m_flows = 0; ///< opened
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_neverOpened = 0; ///< gave up after all retransmissions of the opening
+    std::uint64_t m_brokenByReset = 0; ///< a mid-stream packet reached a backend server that does not know the flow
+    std::uint64_t m_brokenByStall = 0; ///< nothing got through for longer than callers wait
+    std::uint64_t m_brokenOnDeadBackend = 0; ///< its own backend server died; nobody can help
+    std::uint64_t m_brokenEstablished = 0; ///< of the broken by reset or stall: older than 2 s at the last fault
+    std::uint64_t m_misrouted = 0; ///< a packet reached a backend server of another service
+    std::uint64_t m_openedTwice = 0; ///< openings of one flow reached two backend servers
+    std::uint64_t m_packets = 0;
+    std::uint64_t m_hops = 0;
+    std::uint64_t m_relayedPackets = 0;
+    std::uint64_t m_controlBytes = 0;
+    std::size_t m_heldFlows = 0; ///< at the end
+    std::size_t m_liveFlows = 0; ///< at the end
+    std::map<Reason, std::uint64_t> m_drops;
+    double m_worstImbalance = 0; ///< over services: most loaded backend server by mean, of open flows at the end
+
+    std::uint64_t broken() const { return m_brokenByReset + m_brokenByStall; }
+};
+
+/// Plays callers against a fleet of entry VMs on a virtual clock: long feeds, short forms, uploads and datagrams, each
+/// packet through a VM drawn at random, while faults strike. Backend servers are modelled as kernels: they know the
+/// flows whose opening they saw and reset all others.
+class FlowExperiment final : private FleetNetwork {
+public:
+    using DesignFactory = std::function<std::unique_ptr<FleetDesign>(std::span<const Endpoint> vms, FleetNetwork& network)>;
+
+    FlowExperiment(FlowExperimentSettings settings, const DesignFactory& makeDesign);
+    ~FlowExperiment() override;
+
+    FlowExperimentResult run();
+
+private:
+    struct Vm;
+    struct Backend;
+    struct CallerFlow;
+    struct Event;
+
+    bool reaches(VmIndex from, VmIndex to) override;
+    bool isRunning(VmIndex vm) const override;
+    VmIndex vmAt(Endpoint peers) const override;
+
+    void openFlow();
+    void sendNext(std::size_t flow);
+    void deliver(std::size_t flow, VmIndex vm, const PacketSummary& packet);
+    void receive(std::size_t flow, const PacketSummary& packet, const FleetOutcome& outcome);
+    void breakFlow(CallerFlow& flow, std::uint64_t& counter);
+    void scheduleNext(std::size_t flow);
+    std::optional<VmIndex> spray();
+
+    void strike(const FaultEvent& fault);
+    void killVm(VmIndex vm);
+    void startVm(VmIndex vm);
+    void wakeVm(VmIndex vm);
+    void finishLeaving();
+    void publish(const Configuration& configuration);
+    void changeBackend(FaultKind kind);
+    void refreshViews();
+    MemberView viewOf(VmIndex vm) const;
+    void reportBackends();
+    void tick();
+    double imbalance() const;
+    VmIndex randomRunningVm();
+
+    FlowExperimentSettings m_settings;
+    Random m_random;
+    Configuration m_configuration;
+    std::vector<Configuration> m_published;
+    std::vector<Vm> m_vms;
+    std::map<Endpoint, VmIndex> m_vmByAddress;
+    std::map<Endpoint, Backend> m_backends;
+    std::vector<CallerFlow> m_flows;
+    std::vector<std::size_t> m_freeFlows;
+    struct LaterEvent {
+        bool operator()(const Event& one, const Event& other) const;
+    };
+    std::priority_queue<Event, std::vector<Event>, LaterEvent> m_events;
+    std::uint64_t m_nextEvent = 0;
+    std::unique_ptr<FleetDesign> m_design;
+    FlowExperimentResult m_result;
+    Instant m_now { std::chrono::seconds { 1 } };
+    Instant m_lastFault {};
+    std::string m_cutZone;
+    Deadline m_cutEnds {};
+    Deadline m_lossEnds {};
+    Deadline m_duplicationEnds {};
+    Deadline m_answerLossEnds {};
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/OwnerDesign.cpp
@@ -0,0 +1,166 @@
+#include "bench/OwnerDesign.h"
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::size_t c_recordsPerBatch = 256;
+    constexpr unsigned c_maximumSteps = 12;
+
+    /// What a batch costs on the wire: two words a record, two bytes a bucket, and the call with its answer.
+    constexpr std::uint64_t c_callBytes = 160;
+    constexpr std::uint64_t c_recordBytes = 16;
+
+    std::uint64_t batchBytes(const ReplicaBatch& batch)
+    {
+        const std::size_t buckets = batch.m_settled.size() + batch.m_handedOver.size() + batch.m_wanted.size();
+        return c_callBytes + batch.m_records.size() * c_recordBytes + buckets * sizeof(Bucket);
+    }
+
+    Arrival arrivalFor(VerdictKind kind)
+    {
+        switch (kind) {
+        case VerdictKind::AskPrevious:
+            return Arrival::AskPrevious;
+        case VerdictKind::RecordThenForward:
+            return Arrival::Record;
+        default:
+            return Arrival::AskOwner;
+        }
+    }
+
+} // namespace
+
+OwnerDesign::OwnerDesign(
+    std::string name, std::span<const Endpoint> addresses, FleetNetwork& network, PolicyFactory policies, Copies copies)
+    : m_name(std::move(name))
+    , m_network(network)
+    , m_policies(std::move(policies))
+    , m_copies(copies)
+{
+    for (const Endpoint address : addresses) {
+        Vm vm;
+        vm.m_address = address;
+        m_vms.push_back(std::move(vm));
+    }
+}
+
+void OwnerDesign::start(VmIndex vm, Instant)
+{
+    Vm& started = m_vms[vm];
+    started.m_router.reset();
+    started.m_placement = m_policies.m_placement();
+    started.m_admission = m_policies.m_admission();
+    started.m_router = std::make_unique<FlowRouter>(
+        started.m_address, *started.m_placement, *started.m_admission, FlowRouter::Limits {});
+    started.m_view = {};
+}
+
+void OwnerDesign::stop(VmIndex vm)
+{
+    m_vms[vm].m_router.reset();
+    m_vms[vm].m_view = {};
+}
+
+void OwnerDesign::beginLeaving(VmIndex vm)
+{
+    m_vms[vm].m_router->beginLeaving();
+}
+
+bool OwnerDesign::drained(VmIndex vm) const
+{
+    return m_vms[vm].m_router->drained();
+}
+
+void OwnerDesign::installConfiguration(VmIndex vm, const Configuration& configuration, Instant now)
+{
+    FlowRouter& router = *m_vms[vm].m_router;
+    if (configuration.m_version <= router.configVersion())
+        return;
+    if (!m_newestTables || m_newestTables->version() != configuration.m_version)
+        m_newestTables = std::make_shared<const ServiceTables>(configuration, m_newestTables.get());
+    router.installTables(m_newestTables, configuration.m_backendServers, now);
+}
+
+void OwnerDesign::installMembers(VmIndex vm, const MemberView& view, Instant now)
+{
+    m_vms[vm].m_view = view;
+    m_vms[vm].m_router->installMembers(view, now);
+}
+
+void OwnerDesign::applyReports(VmIndex vm, std::span<const BackendReport> reports)
+{
+    m_vms[vm].m_router->applyReports(reports);
+}
+
+FleetOutcome OwnerDesign::route(VmIndex vm, const PacketSummary& packet, Instant now)
+{
+    PacketSummary current = packet;
+    FleetOutcome outcome;
+    outcome.m_lastVm = vm;
+    for (unsigned step = 0; step < c_maximumSteps; ++step) {
+        Verdict verdict;
+        m_vms[outcome.m_lastVm].m_router->decide({ &current, 1 }, { &verdict, 1 }, now);
+        outcome.m_kind = verdict.m_kind;
+        outcome.m_reason = verdict.m_reason;
+        outcome.m_backend = verdict.m_backend;
+        if (verdict.m_kind == VerdictKind::RecordThenForward && m_copies == Copies::None)
+            outcome.m_kind = verdict.m_kind = VerdictKind::ToBackend;
+        const bool toPeer = verdict.m_kind == VerdictKind::AskOwner || verdict.m_kind == VerdictKind::AskPrevious
+            || verdict.m_kind == VerdictKind::RecordThenForward;
+        if (!toPeer)
+            return outcome;
+        if (verdict.m_kind == VerdictKind::RecordThenForward)
+            ++m_relayedPackets;
+        const VmIndex next = m_network.vmAt(verdict.m_target);
+        if (!m_network.isRunning(next) || !m_network.reaches(outcome.m_lastVm, next)) {
+            outcome.m_kind = VerdictKind::Drop;
+            return outcome;
+        }
+        current.m_arrival = arrivalFor(verdict.m_kind);
+        current.m_peer = m_vms[outcome.m_lastVm].m_address;
+        current.m_recorded = verdict.m_backend;
+        current.m_hops = static_cast<std::uint8_t>(current.m_hops + 1);
+        outcome.m_lastVm = next;
+        ++outcome.m_hops;
+    }
+    outcome.m_kind = VerdictKind::Drop;
+    outcome.m_reason = Reason::HopLimit;
+    return outcome;
+}
+
+void OwnerDesign::tick(VmIndex vm, Instant now)
+{
+    m_vms[vm].m_router->tick(now);
+    for (const Member& member : m_vms[vm].m_view.m_members) {
+        const VmIndex peer = m_network.vmAt(member.m_peers);
+        if (peer != vm && m_network.isRunning(peer))
+            exchange(vm, peer, now);
+    }
+}
+
+void OwnerDesign::exchange(VmIndex from, VmIndex to, Instant now)
+{
+    ReplicaBatch batch = m_vms[from].m_router->nextBatch(m_vms[to].m_address, c_recordsPerBatch, now);
+    if (batch.empty())
+        return;
+    if (m_copies == Copies::None)
+        batch.m_records.clear();
+    m_controlBytes += batchBytes(batch);
+    // The call or its answer may be lost; the sender then tells the same again.
+    if (!m_network.reaches(from, to))
+        return;
+    const bool accepted = m_vms[to].m_router->acceptBatch(m_vms[from].m_address, batch, now);
+    if (accepted && m_network.reaches(to, from))
+        m_vms[from].m_router->confirmBatch(m_vms[to].m_address, batch, now);
+}
+
+std::size_t OwnerDesign::heldFlows() const
+{
+    std::size_t sum = 0;
+    for (const Vm& vm : m_vms)
+        sum += vm.m_router ? vm.m_router->flowCount() : 0;
+    return sum;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/Random.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace cuminrelay {
+
+/// The bench's seeded source of chance: the same seed gives the same run.
+class Random {
+public:
+    explicit Random(std::uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+
+    /// A whole number from 0 to bound - 1.
+    std::uint64_t below(std::uint64_t bound) { return m_engine() % bound; }
+
+    /// A number in [0, 1).
+    double fraction() { return static_cast<double>(m_engine() >> 11) * 0x1.0p-53; }
+
+    bool chance(double probability) { return fraction() < probability; }
+
+    /// A time between events that come at a mean rate, in seconds.
+    double exponentialSeconds(double perSecond) { return std::exponential_distribution<double> { perSecond }(m_engine); }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+} // namespace cuminrelay
--- a/src/flows/FlowRecord.h
+++ b/src/flows/FlowRecord.h
@@ -20,7 +20,7 @@
 
 /// What one entry VM tells another about flows. An exchange is idempotent and may be repeated, lost or reordered:
 /// records are keyed by flow, the rest by bucket, and all name absolute state. A receiver that does not hold the tables
-/// of a version that is named takes nothing of the batch; the sender tries again later.
+/// of a version that is named takes nothing of the batch; the sender tries again later. Version 0 is always held.
 struct ReplicaBatch {
     std::vector<FlowRecord> m_records; ///< exceptions that the receiver must hold
 
@@ -28,13 +28,13 @@
     std::vector<Bucket> m_settled;
     ConfigVersion m_settledBase;
 
-    /// The receiver now decides for these buckets and holds all their exceptions against this version.
+    /// The receiver now decides for these buckets and holds all their exceptions against this version. Version 0: the
+    /// sender knows of no base, the receiver keeps its own.
     std::vector<Bucket> m_handedOver;
     ConfigVersion m_handedOverBase;
 
-    /// The sender owns these buckets, does not hold their state yet and wants it against this version.
+    /// The sender owns these buckets and does not hold their state yet.
     std::vector<Bucket> m_wanted;
-    ConfigVersion m_wantedBase;
 
     bool empty() const { return m_records.empty() && m_settled.empty() && m_handedOver.empty() && m_wanted.empty(); }
 
--- a/src/flows/FlowReplica.capnp
+++ b/src/flows/FlowReplica.capnp
@@ -17,7 +17,6 @@
   handedOver @3 :List(UInt16);
   handedOverBase @4 :UInt64;
   wanted @5 :List(UInt16);
-  wantedBase @6 :UInt64;
 }
 
 # Spoken between the entry processes; carries only what no packet has carried.
--- a/src/flows/FlowReplica.capnp.h
+++ b/src/flows/FlowReplica.capnp.h
@@ -54,7 +54,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e63539c756960805, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e63539c756960805, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -226,8 +226,6 @@
   inline bool hasWanted() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
 
-  inline  ::uint64_t getWantedBase() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -293,9 +291,6 @@
   inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
 
-  inline  ::uint64_t getWantedBase();
-  inline void setWantedBase( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -744,20 +739,6 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ReplicaBatch::Reader::getWantedBase() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ReplicaBatch::Builder::getWantedBase() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void ReplicaBatch::Builder::setWantedBase( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
 #if !CAPNP_LITE
 inline FlowReplica::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- /dev/null
+++ b/src/flows/FlowRouter.cpp
@@ -0,0 +1,423 @@
+#include "flows/FlowRouter.h"
+
+#include "base/Assert.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::uint8_t c_maximumHops = 4;
+    constexpr std::uint32_t c_stragglerBytes = 256 * 1024;
+
+    constexpr Duration c_openingIdle = std::chrono::seconds { 15 };
+    constexpr Duration c_establishedIdle = std::chrono::hours { 24 };
+    constexpr Duration c_halfClosedIdle = std::chrono::minutes { 15 };
+    constexpr Duration c_resetIdle = std::chrono::seconds { 2 };
+    constexpr Duration c_datagramIdle = std::chrono::seconds { 60 };
+
+    /// A sender that has retransmitted for so long without progress is taken for lost track of.
+    constexpr Duration c_silence = std::chrono::seconds { 10 };
+
+    /// TCP sequence comparison: whether left comes after right, modulo 2^32.
+    bool isAfter(std::uint32_t left, std::uint32_t right)
+    {
+        return static_cast<std::int32_t>(left - right) > 0;
+    }
+
+    Duration idleOf(FlowStage stage, Protocol protocol)
+    {
+        if (protocol == Protocol::Udp)
+            return c_datagramIdle;
+        switch (stage) {
+        case FlowStage::Opening:
+            return c_openingIdle;
+        case FlowStage::Established:
+            return c_establishedIdle;
+        case FlowStage::HalfClosed:
+            return c_halfClosedIdle;
+        case FlowStage::Reset:
+            break;
+        }
+        return c_resetIdle;
+    }
+
+    FlowStage stageOf(PacketKind kind)
+    {
+        switch (kind) {
+        case PacketKind::Opening:
+            return FlowStage::Opening;
+        case PacketKind::HalfClose:
+            return FlowStage::HalfClosed;
+        case PacketKind::Reset:
+            return FlowStage::Reset;
+        case PacketKind::Midstream:
+        case PacketKind::Datagram:
+            break;
+        }
+        return FlowStage::Established;
+    }
+
+    Reason reasonOf(Admission admission)
+    {
+        return admission == Admission::QueueFull ? Reason::AdmissionQueueFull : Reason::AdmissionShare;
+    }
+
+    Verdict drop(Reason reason)
+    {
+        return Verdict { VerdictKind::Drop, reason, {}, {} };
+    }
+    Verdict refuse(Reason reason)
+    {
+        return Verdict { VerdictKind::Refuse, reason, {}, {} };
+    }
+    Verdict toBackend(Endpoint backend)
+    {
+        return Verdict { VerdictKind::ToBackend, Reason::None, backend, backend };
+    }
+
+    Verdict askOwner(Endpoint owner)
+    {
+        return Verdict { VerdictKind::AskOwner, Reason::None, owner, {} };
+    }
+
+} // namespace
+
+FlowRouter::FlowRouter(Endpoint self, PlacementPolicy& placement, AdmissionPolicy& admission, Limits limits)
+    : m_self(self)
+    , m_placement(placement)
+    , m_admission(admission)
+    , m_limits(limits)
+    , m_buckets(c_bucketCount)
+{
+}
+
+void FlowRouter::decide(std::span<const PacketSummary> packets, std::span<Verdict> verdicts, Instant now)
+{
+    CR_ASSERT(packets.size() == verdicts.size(), "one verdict for each packet");
+    notePause(now);
+    for (std::size_t i = 0; i < packets.size(); ++i)
+        verdicts[i] = decideOne(packets[i], now);
+}
+
+Verdict FlowRouter::decideOne(const PacketSummary& packet, Instant now)
+{
+    const FlowHash hash = hashFlow(packet.m_flow);
+    const Context context { packet, hash, bucketOf(hash), now };
+    if (packet.m_arrival == Arrival::Record)
+        return acceptRecord(context);
+    if (packet.m_arrival == Arrival::AskPrevious)
+        return decideAsOwner(context, packet.m_peer, false);
+
+    const Endpoint deciding = decider(context.m_bucket, now);
+    if (deciding == m_self)
+        return decideAsOwner(context, successor(context.m_bucket), true);
+    if (deciding == Endpoint {})
+        return drop(Reason::OwnerBeyondCut);
+    if (packet.m_hops < c_maximumHops)
+        return askOwner(deciding);
+
+    // Views disagree and the packet has gone round. Whoever holds the flow's state can still place it.
+    FlowState* const state = m_flows.find(hash);
+    return state ? toBackend(state->m_backend) : drop(Reason::HopLimit);
+}
+
+Verdict FlowRouter::decideAsOwner(const Context& context, Endpoint replica, bool mayAskPrevious)
+{
+    const BucketState& bucket = m_buckets[context.m_bucket];
+    const bool warming
+        = mayAskPrevious && bucket.m_warmingFrom != Endpoint {} && context.m_packet.m_hops < c_maximumHops;
+    FlowState* const state = m_flows.find(context.m_hash);
+    if (state && !(warming && state->m_stage == FlowStage::Opening) && !mustReopen(context, *state))
+        return decideKnown(context, *state, replica);
+    if (warming)
+        return Verdict { VerdictKind::AskPrevious, Reason::None, bucket.m_warmingFrom, {} };
+    if (state)
+        endFlow(context.m_hash, *state, context.m_now);
+
+    switch (context.m_packet.m_kind) {
+    case PacketKind::Opening:
+    case PacketKind::Datagram:
+        return openFlow(context, replica);
+    case PacketKind::Midstream:
+    case PacketKind::HalfClose:
+        return decideMidstream(context, replica);
+    case PacketKind::Reset:
+        break;
+    }
+    return forwardUntracked(context);
+}
+
+bool FlowRouter::mustReopen(const Context& context, const FlowState& state) const
+{
+    if (context.m_packet.m_kind != PacketKind::Opening)
+        return false;
+    // The caller uses the port again, or its opening went to a backend server that has died since.
+    if (state.m_stage == FlowStage::HalfClosed || state.m_stage == FlowStage::Reset)
+        return true;
+    const BackendStatus* const status = m_board.find(state.m_backend);
+    return state.m_stage == FlowStage::Opening && status && status->m_report.m_health == BackendHealth::Unhealthy;
+}
+
+Verdict FlowRouter::decideKnown(const Context& context, FlowState& state, Endpoint replica)
+{
+    if (state.m_service == Endpoint {}) {
+        state.m_service = context.m_packet.m_flow.m_service;
+        state.m_protocol = context.m_packet.m_flow.m_protocol;
+    }
+    noteProgress(context, state);
+    if (isSilent(context, state)) {
+        state.m_stage = FlowStage::Reset;
+        state.m_silentAt = {};
+        state.m_expires = context.m_now + c_resetIdle;
+        return Verdict { VerdictKind::ResetCaller, Reason::SilentConnection, {}, state.m_backend };
+    }
+    return forward(context, state, replica);
+}
+
+Verdict FlowRouter::decideMidstream(const Context& context, Endpoint replica)
+{
+    const BucketState& bucket = m_buckets[context.m_bucket];
+    const bool ownedBeforeCut = m_cutSince != Instant {} && bucket.m_acquiredAt < m_cutSince;
+    if (bucket.m_beyondCut || ownedBeforeCut)
+        return drop(Reason::UnknownFlowDuringCut);
+    const Endpoint backend = m_history.defaultSince(bucket.m_base, context.m_packet.m_flow, context.m_hash);
+    if (backend == Endpoint {})
+        return drop(Reason::UnknownService);
+    if (m_flows.size() >= m_limits.m_flows)
+        return toBackend(backend);
+    FlowState& state = track(context, backend, stageOf(context.m_packet.m_kind), false);
+    if (state.m_exception && replica != Endpoint {})
+        m_outboxes[replica].m_flows.push_back(context.m_hash);
+    return forward(context, state, replica);
+}
+
+Verdict FlowRouter::openFlow(const Context& context, Endpoint replica)
+{
+    const PacketSummary& packet = context.m_packet;
+    const std::shared_ptr<const ServiceTables>& tables = m_history.current();
+    const ServiceTable* const service
+        = tables ? tables->find(packet.m_flow.m_service, packet.m_flow.m_protocol) : nullptr;
+    if (!service)
+        return drop(Reason::UnknownService);
+    if (service->empty())
+        return refuse(Reason::NoBackendServer);
+
+    // A datagram, or an opening soon after a takeover, may belong to a flow that the previous owner placed.
+    const bool trustDefault = context.m_now < m_buckets[context.m_bucket].m_trustDefaultUntil;
+    Endpoint preferred = service->defaultBackend(context.m_hash, tables->homeZone(context.m_bucket));
+    if (trustDefault || packet.m_kind == PacketKind::Datagram) {
+        const Endpoint based
+            = m_history.defaultSince(m_buckets[context.m_bucket].m_base, packet.m_flow, context.m_hash);
+        if (std::binary_search(service->tunnels().begin(), service->tunnels().end(), based))
+            preferred = based;
+    }
+    Endpoint chosen = preferred;
+    if (!trustDefault || !isUsable(preferred)) {
+        const Admission admission = m_admission.admit(service->tunnels(), m_board, activeMembers(), context.m_now);
+        if (admission != Admission::Admitted)
+            return refuse(reasonOf(admission));
+        const PlacementRequest request { service->tunnels(), preferred, context.m_hash.m_value };
+        const std::optional<Endpoint> placed = m_placement.choose(request, m_board, context.m_now);
+        if (!placed)
+            return refuse(Reason::NoBackendServer);
+        chosen = *placed;
+    }
+    if (m_flows.size() >= m_limits.m_flows) {
+        // Without room for a state only a flow that can be computed again may open.
+        const bool computable
+            = m_history.isDefaultSince(m_buckets[context.m_bucket].m_base, packet.m_flow, context.m_hash, chosen);
+        return computable ? toBackend(chosen) : refuse(Reason::FlowTableFull);
+    }
+    FlowState& state = track(context, chosen, stageOf(packet.m_kind), true);
+    return forward(context, state, replica);
+}
+
+Verdict FlowRouter::acceptRecord(const Context& context)
+{
+    const PacketSummary& packet = context.m_packet;
+    FlowState* const known = m_flows.find(context.m_hash);
+    const BucketState& bucket = m_buckets[context.m_bucket];
+    const bool decidesHere = decider(context.m_bucket, context.m_now) == m_self && bucket.m_warmingFrom == Endpoint {};
+    // An owner that was paused and does not know yet that this VM took over is overruled.
+    if (known && decidesHere && known->m_backend != packet.m_recorded)
+        return toBackend(known->m_backend);
+
+    FlowState& state = known ? *known : m_flows.put(context.m_hash, FlowState {});
+    state.m_backend = packet.m_recorded;
+    state.m_service = packet.m_flow.m_service;
+    state.m_protocol = packet.m_flow.m_protocol;
+    state.m_replica = packet.m_peer;
+    state.m_relays = s_relaysPerReplica;
+    setException(state, true);
+    noteProgress(context, state);
+    // A replica does not see the packets that follow; it keeps its copy until the owner says that the flow is over.
+    if (state.m_stage == FlowStage::Opening || state.m_stage == FlowStage::Established)
+        state.m_expires = context.m_now + c_establishedIdle;
+    return toBackend(packet.m_recorded);
+}
+
+Verdict FlowRouter::forward(const Context& context, FlowState& state, Endpoint replica)
+{
+    if (!state.m_exception || replica == Endpoint {} || replica == m_self)
+        return toBackend(state.m_backend);
+    if (state.m_replica != replica) {
+        state.m_replica = replica;
+        state.m_relays = 0;
+    }
+    const PacketKind kind = context.m_packet.m_kind;
+    const bool changesStage = kind == PacketKind::Opening || kind == PacketKind::HalfClose || kind == PacketKind::Reset;
+    if (!changesStage && state.m_relays >= s_relaysPerReplica)
+        return toBackend(state.m_backend);
+    state.m_relays = static_cast<std::uint8_t>(std::min<unsigned>(state.m_relays + 1U, s_relaysPerReplica));
+    return Verdict { VerdictKind::RecordThenForward, Reason::None, replica, state.m_backend };
+}
+
+Verdict FlowRouter::forwardUntracked(const Context& context) const
+{
+    const Endpoint backend
+        = m_history.defaultSince(m_buckets[context.m_bucket].m_base, context.m_packet.m_flow, context.m_hash);
+    return backend == Endpoint {} ? drop(Reason::UnknownService) : toBackend(backend);
+}
+
+FlowState& FlowRouter::track(const Context& context, Endpoint backend, FlowStage stage, bool isNew)
+{
+    const FlowKey& key = context.m_packet.m_flow;
+    FlowState state;
+    state.m_backend = backend;
+    state.m_service = key.m_service;
+    state.m_protocol = key.m_protocol;
+    state.m_stage = stage;
+    state.m_expires = context.m_now + idleOf(stage, key.m_protocol);
+    state.m_sequence = context.m_packet.m_sequence;
+    state.m_acknowledgment = context.m_packet.m_acknowledgment;
+    state.m_carriedBytes = context.m_packet.m_payloadBytes;
+    // A flow that a previous owner placed is in the backend server's own report already.
+    state.m_counted = isNew;
+    if (isNew)
+        m_board.noteOpened(backend, context.m_now);
+    FlowState& held = m_flows.put(context.m_hash, state);
+    setException(held, !m_history.isDefaultSince(m_buckets[context.m_bucket].m_base, key, context.m_hash, backend));
+    return held;
+}
+
+void FlowRouter::noteProgress(const Context& context, FlowState& state)
+{
+    const PacketSummary& packet = context.m_packet;
+    const FlowStage stage = stageOf(packet.m_kind);
+    if (state.m_stage == FlowStage::Opening && stage > state.m_stage)
+        m_board.noteProven(state.m_backend);
+    state.m_stage = std::max(state.m_stage, stage);
+    state.m_expires = context.m_now + idleOf(state.m_stage, state.m_protocol);
+
+    const bool acknowledgesMore = isAfter(packet.m_acknowledgment, state.m_acknowledgment);
+    if (acknowledgesMore)
+        state.m_acknowledgment = packet.m_acknowledgment;
+    if (packet.m_payloadBytes > 0) {
+        const bool isNew = isAfter(packet.m_sequence, state.m_sequence) || state.m_carriedBytes == 0;
+        if (isNew || acknowledgesMore)
+            state.m_silentAt = {};
+        else if (state.m_silentAt == Deadline {} && state.m_protocol == Protocol::Tcp)
+            state.m_silentAt = context.m_now + c_silence;
+        if (isNew)
+            state.m_sequence = packet.m_sequence;
+        const std::uint32_t room = std::numeric_limits<std::uint32_t>::max() - state.m_carriedBytes;
+        state.m_carriedBytes += std::min<std::uint32_t>(room, packet.m_payloadBytes);
+    } else if (acknowledgesMore) {
+        state.m_silentAt = {};
+    }
+
+    if (!state.m_counted)
+        return;
+    if (!state.m_straggler && state.m_carriedBytes >= c_stragglerBytes) {
+        state.m_straggler = true;
+        m_board.noteStraggler(state.m_backend);
+    }
+    if (state.m_stage == FlowStage::Reset) {
+        state.m_counted = false;
+        m_board.noteClosed(state.m_backend, state.m_straggler, context.m_now);
+    }
+}
+
+bool FlowRouter::isSilent(const Context& context, const FlowState& state) const
+{
+    return state.m_silentAt != Deadline {} && context.m_now >= state.m_silentAt
+        && context.m_packet.m_kind != PacketKind::Opening;
+}
+
+void FlowRouter::setException(FlowState& state, bool exception)
+{
+    if (state.m_exception == exception)
+        return;
+    state.m_exception = exception;
+    m_exceptions += exception ? 1 : std::size_t(-1);
+}
+
+void FlowRouter::endFlow(FlowHash hash, FlowState& state, Instant now)
+{
+    forget(hash, state, now);
+    m_flows.erase(hash);
+}
+
+void FlowRouter::forget(FlowHash hash, FlowState& state, Instant now)
+{
+    if (state.m_counted)
+        m_board.noteClosed(state.m_backend, state.m_straggler, now);
+    const bool replicaHoldsIt = state.m_exception && state.m_replica != Endpoint {} && owns(bucketOf(hash));
+    if (replicaHoldsIt)
+        m_outboxes[state.m_replica].m_flows.push_back(hash);
+    setException(state, false);
+}
+
+void FlowRouter::expireShard(std::size_t index, Instant now)
+{
+    boost::unordered::erase_if(m_flows.shard(index), [&](FlowTable::Shard::value_type& entry) {
+        if (now < entry.second.m_expires)
+            return false;
+        forget(FlowHash { entry.first }, entry.second, now);
+        return true;
+    });
+}
+
+bool FlowRouter::isUsable(Endpoint backend) const
+{
+    const BackendStatus* const status = m_board.find(backend);
+    return status && status->m_report.m_health == BackendHealth::Healthy && !status->m_draining;
+}
+
+Endpoint FlowRouter::decider(Bucket bucket, Instant now) const
+{
+    const BucketState& state = m_buckets[bucket];
+    return state.m_handedTo != Endpoint {} && now < state.m_handedUntil ? state.m_handedTo : owner(bucket);
+}
+
+Endpoint FlowRouter::owner(Bucket bucket) const
+{
+    const MemberIndex index = m_owners.owners(bucket).m_owner;
+    return index == c_noMember ? Endpoint {} : m_owners.member(index);
+}
+
+Endpoint FlowRouter::successor(Bucket bucket) const
+{
+    const MemberIndex index = m_owners.owners(bucket).m_successor;
+    return index == c_noMember ? Endpoint {} : m_owners.member(index);
+}
+
+std::size_t FlowRouter::activeMembers() const
+{
+    return std::max<std::size_t>(1, m_owners.members().size());
+}
+
+std::size_t FlowRouter::ownedBucketCount() const
+{
+    std::size_t count = 0;
+    for (std::size_t bucket = 0; bucket < c_bucketCount; ++bucket) {
+        if (owns(static_cast<Bucket>(bucket)))
+            ++count;
+    }
+    return count;
+}
+
+} // namespace cuminrelay
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -3,10 +3,14 @@
 #include "admission/AdmissionPolicy.h"
 #include "backends/BackendBoard.h"
 #include "base/Time.h"
+#include "flows/BucketStates.h"
 #include "flows/FlowRecord.h"
+#include "flows/FlowTable.h"
 #include "flows/OwnerMap.h"
 #include "flows/Packet.h"
+#include "flows/ReplicaOutbox.h"
 #include "flows/ServiceTables.h"
+#include "flows/TableHistory.h"
 #include "placement/PlacementPolicy.h"
 
 #include <cstdint>
@@ -31,6 +35,7 @@
         std::size_t m_flows = 1'000'000; ///< states held, own and replica together
     };
 
+    /// placement and admission must outlive the router.
     FlowRouter(Endpoint self, PlacementPolicy& placement, AdmissionPolicy& admission, Limits limits);
 
     /// Decides on a batch: verdicts[i] answers packets[i]. Established packets allocate nothing.
@@ -39,6 +44,13 @@
     /// Takes a configuration; an older one than the held is ignored. Returns whether it was taken.
     bool installConfiguration(const Configuration& configuration, Instant now);
 
+    /// As installConfiguration, with tables that were built elsewhere, off the packet path.
+    bool installTables(
+        std::shared_ptr<const ServiceTables> tables, std::span<const BackendServer> backendServers, Instant now);
+
+    /// The tables in force, to build the next ones from; nullptr before the first.
+    std::shared_ptr<const ServiceTables> tables() const { return m_history.current(); }
+
     /// Takes a view of the members and moves buckets accordingly.
     void installMembers(const MemberView& view, Instant now);
 
@@ -46,7 +58,7 @@
     void applyReports(std::span<const BackendReport> reports);
 
     /// The next things that a peer should be told, at most maximumRecords of records; empty when there is nothing.
-    /// Repeated calls return the same until confirmBatch is called.
+    /// What was not confirmed is told again by the next call.
     ReplicaBatch nextBatch(Endpoint peer, std::size_t maximumRecords, Instant now);
 
     /// The peer has taken the batch.
@@ -55,25 +67,92 @@
     /// Takes what a peer tells. Returns false, and takes nothing, when a version that it names is not held.
     bool acceptBatch(Endpoint peer, const ReplicaBatch& batch, Instant now);
 
-    /// Call at least every 100 ms: ends idle flows and notices that the process was paused, after which nothing that
-    /// is held is trusted until the successors have confirmed it.
+    /// Call at least every 100 ms: ends idle flows, advances bases, and notices that the process was paused, after
+    /// which nothing that is held is trusted until the successors have confirmed it.
     void tick(Instant now);
 
-    /// Stops taking new flows: they go to the successors. The members must also be told (MemberState::Leaving).
+    /// Stops owning flows: they go to the successors. The members must also be told (MemberState::Leaving).
     void beginLeaving() { m_leaving = true; }
 
-    /// Whether everything that this VM held has been handed over.
+    /// Whether everything that this VM owned has been handed over; false before beginLeaving.
     bool drained() const;
 
-    ConfigVersion configVersion() const;
-    std::size_t flowCount() const;
-    std::size_t exceptionCount() const;
+    ConfigVersion configVersion() const { return m_history.currentVersion(); }
+    std::size_t flowCount() const { return m_flows.size(); }
+    std::size_t exceptionCount() const { return m_exceptions; }
+    std::size_t ownedBucketCount() const;
     const BackendBoard& board() const { return m_board; }
 
 private:
-    // completed by flows/FlowRouter.cpp's author
-    bool m_leaving = false;
+    struct Context {
+        const PacketSummary& m_packet;
+        FlowHash m_hash;
+        Bucket m_bucket;
+        Instant m_now;
+    };
+
+    Verdict decideOne(const PacketSummary& packet, Instant now);
+    Verdict decideAsOwner(const Context& context, Endpoint replica, bool mayAskPrevious);
+    Verdict decideKnown(const Context& context, FlowState& state, Endpoint replica);
+    Verdict decideMidstream(const Context& context, Endpoint replica);
+    Verdict openFlow(const Context& context, Endpoint replica);
+    Verdict acceptRecord(const Context& context);
+    Verdict forward(const Context& context, FlowState& state, Endpoint replica);
+    Verdict forwardUntracked(const Context& context) const;
+
+    FlowState& track(const Context& context, Endpoint backend, FlowStage stage, bool isNew);
+    void noteProgress(const Context& context, FlowState& state);
+    bool isSilent(const Context& context, const FlowState& state) const;
+    bool mustReopen(const Context& context, const FlowState& state) const;
+    bool isUsable(Endpoint backend) const;
+    void setException(FlowState& state, bool exception);
+    void forget(FlowHash hash, FlowState& state, Instant now);
+    void endFlow(FlowHash hash, FlowState& state, Instant now);
+    void expireShard(std::size_t index, Instant now);
+    void notePause(Instant now);
+
+    void takeBucket(Bucket bucket, Endpoint previousOwner, Instant now);
+    void loseBucket(Bucket bucket);
+    void warmFrom(Bucket bucket, Endpoint previousOwner);
+    void finishWarming(Bucket bucket);
+    void warmAfterCut(std::span<const Member> previousMembers, Instant now);
+    void forgetReplica(Endpoint peer);
+    void requestSettling(Bucket bucket);
+    void settleShard(std::size_t index);
+    bool settleBucket(Bucket bucket);
+    void advanceBases(Instant now);
+    void acceptFlowRecord(Endpoint peer, const FlowRecord& record, Instant now);
+    void answerWanted(Endpoint peer, std::span<const Bucket> wanted, Instant now);
+
+    bool isReplicated(const FlowState& state, Endpoint replica) const;
+    Endpoint decider(Bucket bucket, Instant now) const;
+    Endpoint owner(Bucket bucket) const;
+    Endpoint successor(Bucket bucket) const;
+    bool owns(Bucket bucket) const { return owner(bucket) == m_self; }
+    bool isReachable(Endpoint peers) const;
+    std::size_t activeMembers() const;
+
+    /// How many packets of an exception take the way through its replica, against loss.
+    static constexpr std::uint8_t s_relaysPerReplica = 2;
+
+    Endpoint m_self;
+    PlacementPolicy& m_placement;
+    AdmissionPolicy& m_admission;
+    Limits m_limits;
     BackendBoard m_board;
+    FlowTable m_flows;
+    OwnerMap m_owners;
+    std::vector<Member> m_members;
+    TableHistory m_history;
+    BucketStates m_buckets;
+    std::map<Endpoint, ReplicaOutbox> m_outboxes; ///< by peer
+    std::size_t m_exceptions = 0;
+    std::size_t m_expireShard = 0;
+    std::size_t m_settleShard = 0;
+    std::size_t m_shardsToSettle = 0;
+    Instant m_ranAt {}; ///< when a batch or a tick last ran; epoch before the first
+    Instant m_cutSince {}; ///< since when some zone is cut off; epoch when none is
+    bool m_leaving = false;
 };
 
 } // namespace cuminrelay
--- /dev/null
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -0,0 +1,509 @@
+// The slow part of FlowRouter: configurations, views of the members, and what entry VMs tell each other of flows.
+
+#include "flows/FlowRouter.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+namespace {
+
+    /// A process that was not run for so long treats what it holds as old.
+    constexpr Duration c_pauseTolerance = std::chrono::seconds { 1 };
+
+    /// How long a handed-over bucket stays with a member that the view does not confirm.
+    constexpr Duration c_handoverGrace = std::chrono::seconds { 5 };
+
+    /// Longer than callers retransmit an opening that got no answer.
+    constexpr Duration c_openingRetransmission = std::chrono::seconds { 10 };
+
+    constexpr Duration c_wantInterval = std::chrono::seconds { 1 };
+
+    /// Longer than the keep-alive interval of common hosts, two hours, after which each live flow has shown a packet.
+    constexpr Duration c_quietFlow = std::chrono::minutes { 130 };
+
+    /// How many configuration versions buckets may be based on before bases are advanced early.
+    constexpr std::size_t c_maximumVersions = 64;
+
+    const Member* findMember(std::span<const Member> members, Endpoint peers)
+    {
+        const auto found = std::find_if(
+            members.begin(), members.end(), [peers](const Member& member) { return member.m_peers == peers; });
+        return found == members.end() ? nullptr : &*found;
+    }
+
+    /// Whether a zone has members and none of them can be reached.
+    bool isCutOff(std::span<const Member> members, std::string_view zone)
+    {
+        bool listed = false;
+        for (const Member& member : members) {
+            if (member.m_zone != zone)
+                continue;
+            if (member.m_state != MemberState::Unreachable)
+                return false;
+            listed = true;
+        }
+        return listed;
+    }
+
+    bool isAnyZoneCutOff(std::span<const Member> members)
+    {
+        return std::any_of(
+            members.begin(), members.end(), [&](const Member& member) { return isCutOff(members, member.m_zone); });
+    }
+
+    std::vector<Member> outsideZone(std::span<const Member> members, std::string_view zone)
+    {
+        std::vector<Member> others;
+        for (const Member& member : members) {
+            if (member.m_zone != zone)
+                others.push_back(member);
+        }
+        return others;
+    }
+
+    /// A set of buckets to test membership in.
+    std::vector<bool> bucketSet(std::span<const Bucket> buckets)
+    {
+        std::vector<bool> set(c_bucketCount, false);
+        for (const Bucket bucket : buckets)
+            set[bucket] = true;
+        return set;
+    }
+
+    /// Moves into a batch the pending buckets that share the first one's base.
+    void takeGroup(const std::map<Bucket, ConfigVersion>& pending, std::vector<Bucket>& buckets, ConfigVersion& base)
+    {
+        for (const auto& [bucket, version] : pending) {
+            if (buckets.empty())
+                base = version;
+            if (version == base)
+                buckets.push_back(bucket);
+        }
+    }
+
+    /// Removes from what is pending the buckets that a batch told, unless their base has changed since.
+    void eraseTold(std::map<Bucket, ConfigVersion>& pending, std::span<const Bucket> buckets, ConfigVersion base)
+    {
+        for (const Bucket bucket : buckets) {
+            const auto found = pending.find(bucket);
+            if (found != pending.end() && found->second == base)
+                pending.erase(found);
+        }
+    }
+
+} // namespace
+
+bool FlowRouter::installConfiguration(const Configuration& configuration, Instant now)
+{
+    if (configuration.m_version <= configVersion())
+        return false;
+    return installTables(
+        std::make_shared<const ServiceTables>(configuration, tables().get()), configuration.m_backendServers, now);
+}
+
+bool FlowRouter::installTables(
+    std::shared_ptr<const ServiceTables> tables, std::span<const BackendServer> backendServers, Instant now)
+{
+    if (!m_history.append(std::move(tables)))
+        return false;
+    std::vector<Endpoint> declared;
+    declared.reserve(backendServers.size());
+    for (const BackendServer& server : backendServers) {
+        m_board.declare(server.m_tunnel, server.m_slots, server.m_connectionLimit, server.m_draining, now);
+        declared.push_back(server.m_tunnel);
+    }
+    m_board.retainOnly(declared);
+
+    for (std::size_t index = 0; index < c_bucketCount; ++index) {
+        const Bucket bucket = static_cast<Bucket>(index);
+        BucketState& state = m_buckets[bucket];
+        if (owns(bucket) && state.m_base == ConfigVersion {} && state.m_warmingFrom == Endpoint {}) {
+            state.m_base = configVersion();
+            requestSettling(bucket);
+        }
+    }
+    return true;
+}
+
+void FlowRouter::applyReports(std::span<const BackendReport> reports)
+{
+    for (const BackendReport& report : reports)
+        m_board.apply(report);
+}
+
+void FlowRouter::installMembers(const MemberView& view, Instant now)
+{
+    if (view.m_members == m_members)
+        return;
+    for (const Member& before : m_members) {
+        const Member* const after = findMember(view.m_members, before.m_peers);
+        if (after && after->m_incarnation != before.m_incarnation && before.m_peers != m_self)
+            forgetReplica(before.m_peers);
+    }
+    const bool first = m_members.empty();
+    const std::vector<Member> previousMembers = std::exchange(m_members, view.m_members);
+    const OwnerMap previous = std::exchange(m_owners, OwnerMap { m_members });
+    m_board.setOwnerCount(activeMembers());
+    std::erase_if(m_outboxes,
+        [&](const std::pair<const Endpoint, ReplicaOutbox>& outbox) { return !findMember(m_members, outbox.first); });
+
+    const bool cut = isAnyZoneCutOff(m_members);
+    if (cut && m_cutSince == Instant {})
+        m_cutSince = now;
+    else if (!cut)
+        m_cutSince = {};
+
+    for (std::size_t index = 0; index < c_bucketCount; ++index) {
+        const Bucket bucket = static_cast<Bucket>(index);
+        const MemberIndex ownerBefore = previous.owners(bucket).m_owner;
+        const Endpoint before = ownerBefore == c_noMember ? Endpoint {} : previous.member(ownerBefore);
+        const Endpoint after = owner(bucket);
+        if (after != m_self)
+            m_buckets[bucket].m_handedTo = {};
+        if (after == m_self && before != m_self)
+            takeBucket(bucket, first ? successor(bucket) : before, now);
+        else if (after != m_self && before == m_self)
+            loseBucket(bucket);
+        if (after == m_self) {
+            BucketState& state = m_buckets[bucket];
+            if (!cut)
+                state.m_beyondCut = false;
+            if (state.m_warmingFrom != Endpoint {} && !isReachable(state.m_warmingFrom))
+                finishWarming(bucket);
+            if (state.m_settledWith != successor(bucket))
+                requestSettling(bucket);
+        }
+    }
+    if (!first)
+        warmAfterCut(previousMembers, now);
+}
+
+void FlowRouter::takeBucket(Bucket bucket, Endpoint previousOwner, Instant now)
+{
+    BucketState& state = m_buckets[bucket];
+    state.m_acquiredAt = now;
+    state.m_completeAt = now + c_quietFlow;
+    state.m_trustDefaultUntil = now + c_openingRetransmission;
+    state.m_settledWith = {};
+    state.m_nextBase = {};
+    state.m_owed = false;
+    state.m_handedTo = {};
+    state.m_beyondCut = false;
+    state.m_warmingFrom = {};
+    if (previousOwner != Endpoint {} && previousOwner != m_self) {
+        const Member* const before = findMember(m_members, previousOwner);
+        if (before && before->m_state != MemberState::Unreachable)
+            warmFrom(bucket, previousOwner);
+        else
+            state.m_beyondCut = before && isCutOff(m_members, before->m_zone);
+    }
+    if (state.m_warmingFrom == Endpoint {})
+        finishWarming(bucket);
+    requestSettling(bucket);
+}
+
+void FlowRouter::warmFrom(Bucket bucket, Endpoint previousOwner)
+{
+    m_buckets[bucket].m_warmingFrom = previousOwner;
+    ReplicaOutbox& outbox = m_outboxes[previousOwner];
+    outbox.m_wanted.insert(bucket);
+    outbox.m_wantAgainAt = {};
+}
+
+void FlowRouter::finishWarming(Bucket bucket)
+{
+    BucketState& state = m_buckets[bucket];
+    state.m_warmingFrom = {};
+    if (!m_history.find(state.m_base))
+        state.m_base = configVersion();
+}
+
+void FlowRouter::loseBucket(Bucket bucket)
+{
+    BucketState& state = m_buckets[bucket];
+    state.m_warmingFrom = {};
+    state.m_settledWith = {};
+    state.m_owed = m_leaving;
+}
+
+void FlowRouter::warmAfterCut(std::span<const Member> previousMembers, Instant now)
+{
+    // While a zone was cut off, it may have opened flows for buckets of this VM. Whoever owned a bucket there is the
+    // owner in a view without this VM's zone.
+    const Member* const self = findMember(m_members, m_self);
+    if (!self || !isAnyZoneCutOff(previousMembers))
+        return;
+    const OwnerMap beyond { outsideZone(m_members, self->m_zone) };
+    for (std::size_t index = 0; index < c_bucketCount; ++index) {
+        const Bucket bucket = static_cast<Bucket>(index);
+        const MemberIndex stand = beyond.owners(bucket).m_owner;
+        if (owner(bucket) != m_self || stand == c_noMember || m_buckets[bucket].m_warmingFrom != Endpoint {})
+            continue;
+        const Member* const before = findMember(previousMembers, beyond.member(stand));
+        if (!before || before->m_state != MemberState::Unreachable)
+            continue;
+        m_buckets[bucket].m_acquiredAt = now;
+        warmFrom(bucket, beyond.member(stand));
+    }
+}
+
+void FlowRouter::forgetReplica(Endpoint peer)
+{
+    for (std::size_t index = 0; index < FlowTable::s_shardCount; ++index) {
+        for (FlowTable::Shard::value_type& entry : m_flows.shard(index)) {
+            if (entry.second.m_replica == peer) {
+                entry.second.m_replica = {};
+                entry.second.m_relays = 0;
+            }
+        }
+    }
+    for (BucketState& bucket : m_buckets) {
+        if (bucket.m_settledWith == peer)
+            bucket.m_settledWith = {};
+    }
+    m_outboxes.erase(peer);
+}
+
+void FlowRouter::notePause(Instant now)
+{
+    const bool paused = m_ranAt != Instant {} && now - m_ranAt > c_pauseTolerance;
+    m_ranAt = now;
+    if (!paused)
+        return;
+    for (std::size_t index = 0; index < c_bucketCount; ++index) {
+        const Bucket bucket = static_cast<Bucket>(index);
+        const Endpoint standIn = successor(bucket);
+        if (owner(bucket) == m_self && standIn != Endpoint {} && m_buckets[bucket].m_warmingFrom == Endpoint {})
+            warmFrom(bucket, standIn);
+    }
+}
+
+void FlowRouter::tick(Instant now)
+{
+    notePause(now);
+    expireShard(m_expireShard, now);
+    m_expireShard = (m_expireShard + 1) % FlowTable::s_shardCount;
+    if (m_expireShard == 0)
+        advanceBases(now);
+    if (m_shardsToSettle == 0)
+        return;
+    --m_shardsToSettle;
+    settleShard(m_settleShard);
+    m_settleShard = (m_settleShard + 1) % FlowTable::s_shardCount;
+}
+
+void FlowRouter::requestSettling(Bucket bucket)
+{
+    m_buckets[bucket].m_needsSettling = true;
+    m_shardsToSettle = FlowTable::s_shardCount;
+}
+
+void FlowRouter::settleShard(std::size_t index)
+{
+    for (FlowTable::Shard::value_type& entry : m_flows.shard(index)) {
+        const FlowHash hash { entry.first };
+        FlowState& state = entry.second;
+        const Bucket bucket = bucketOf(hash);
+        if (!owns(bucket) || !m_buckets[bucket].m_needsSettling)
+            continue;
+        const FlowKey key { {}, state.m_service, state.m_protocol };
+        if (!m_history.isDefaultSince(m_buckets[bucket].m_base, key, hash, state.m_backend))
+            setException(state, true);
+        const Endpoint replica = successor(bucket);
+        if (state.m_exception && replica != Endpoint {} && !isReplicated(state, replica))
+            m_outboxes[replica].m_flows.push_back(hash);
+    }
+    constexpr std::size_t bucketsPerShard = c_bucketCount / FlowTable::s_shardCount;
+    bool isFinished = true;
+    for (std::size_t i = 0; i < bucketsPerShard; ++i)
+        isFinished = settleBucket(static_cast<Bucket>(index * bucketsPerShard + i)) && isFinished;
+    if (!isFinished)
+        m_shardsToSettle = FlowTable::s_shardCount;
+}
+
+bool FlowRouter::settleBucket(Bucket bucket)
+{
+    BucketState& state = m_buckets[bucket];
+    if (!owns(bucket) || !state.m_needsSettling)
+        return true;
+    if (state.m_warmingFrom != Endpoint {} || state.m_base == ConfigVersion {})
+        return false;
+    state.m_needsSettling = false;
+    const ConfigVersion base = std::max(state.m_base, state.m_nextBase);
+    const Endpoint replica = successor(bucket);
+    if (replica == Endpoint {})
+        state.m_base = base;
+    else
+        m_outboxes[replica].m_settled[bucket] = base;
+    return true;
+}
+
+void FlowRouter::advanceBases(Instant now)
+{
+    const bool early = m_history.size() > c_maximumVersions;
+    ConfigVersion oldest = configVersion();
+    for (std::size_t index = 0; index < c_bucketCount; ++index) {
+        const Bucket bucket = static_cast<Bucket>(index);
+        BucketState& state = m_buckets[bucket];
+        const bool isDue = early || now >= state.m_completeAt;
+        if (owns(bucket) && isDue && state.m_warmingFrom == Endpoint {} && state.m_base < configVersion()
+            && state.m_nextBase < configVersion()) {
+            state.m_nextBase = configVersion();
+            requestSettling(bucket);
+        }
+        if (state.m_base != ConfigVersion {})
+            oldest = std::min(oldest, state.m_base);
+    }
+    m_history.retireBelow(oldest);
+}
+
+ReplicaBatch FlowRouter::nextBatch(Endpoint peer, std::size_t maximumRecords, Instant now)
+{
+    ReplicaBatch batch;
+    const auto found = m_outboxes.find(peer);
+    if (found == m_outboxes.end())
+        return batch;
+    ReplicaOutbox& outbox = found->second;
+    outbox.m_offered = 0;
+    for (const FlowHash hash : outbox.m_flows) {
+        if (batch.m_records.size() == maximumRecords)
+            break;
+        ++outbox.m_offered;
+        const FlowState* const state = m_flows.find(hash);
+        if (!state)
+            batch.m_records.push_back(FlowRecord { hash, {}, true });
+        else if (!isReplicated(*state, peer))
+            batch.m_records.push_back(FlowRecord { hash, state->m_backend, false });
+    }
+    if (outbox.m_offered == outbox.m_flows.size()) {
+        takeGroup(outbox.m_settled, batch.m_settled, batch.m_settledBase);
+        takeGroup(outbox.m_handedOver, batch.m_handedOver, batch.m_handedOverBase);
+    }
+    if (now >= outbox.m_wantAgainAt && !outbox.m_wanted.empty()) {
+        batch.m_wanted.assign(outbox.m_wanted.begin(), outbox.m_wanted.end());
+        outbox.m_wantAgainAt = now + c_wantInterval;
+    }
+    return batch;
+}
+
+void FlowRouter::confirmBatch(Endpoint peer, const ReplicaBatch& batch, Instant)
+{
+    const auto found = m_outboxes.find(peer);
+    if (found == m_outboxes.end())
+        return;
+    ReplicaOutbox& outbox = found->second;
+    for (const FlowRecord& record : batch.m_records) {
+        FlowState* const state = record.m_ended ? nullptr : m_flows.find(record.m_flow);
+        if (state && state->m_backend == record.m_backend) {
+            state->m_replica = peer;
+            state->m_relays = s_relaysPerReplica;
+        }
+    }
+    const std::size_t told = std::min(outbox.m_offered, outbox.m_flows.size());
+    outbox.m_flows.erase(outbox.m_flows.begin(), outbox.m_flows.begin() + static_cast<std::ptrdiff_t>(told));
+    outbox.m_offered = 0;
+
+    for (const Bucket bucket : batch.m_settled) {
+        BucketState& state = m_buckets[bucket];
+        const auto pending = outbox.m_settled.find(bucket);
+        const bool isCurrent = pending != outbox.m_settled.end() && pending->second == batch.m_settledBase;
+        if (!isCurrent || !owns(bucket) || successor(bucket) != peer)
+            continue;
+        state.m_settledWith = peer;
+        state.m_base = batch.m_settledBase;
+    }
+    eraseTold(outbox.m_settled, batch.m_settled, batch.m_settledBase);
+    for (const Bucket bucket : batch.m_handedOver)
+        m_buckets[bucket].m_owed = false;
+    eraseTold(outbox.m_handedOver, batch.m_handedOver, batch.m_handedOverBase);
+}
+
+bool FlowRouter::acceptBatch(Endpoint peer, const ReplicaBatch& batch, Instant now)
+{
+    if (!m_history.holds(batch.m_settledBase) || !m_history.holds(batch.m_handedOverBase))
+        return false;
+    for (const FlowRecord& record : batch.m_records)
+        acceptFlowRecord(peer, record, now);
+    for (const Bucket bucket : batch.m_settled) {
+        if (!owns(bucket))
+            m_buckets[bucket].m_base = batch.m_settledBase;
+    }
+    for (const Bucket bucket : batch.m_handedOver) {
+        BucketState& state = m_buckets[bucket];
+        m_outboxes[peer].m_wanted.erase(bucket);
+        if (!owns(bucket) || state.m_warmingFrom != peer)
+            continue;
+        if (batch.m_handedOverBase != ConfigVersion {})
+            state.m_base = batch.m_handedOverBase;
+        finishWarming(bucket);
+        requestSettling(bucket);
+    }
+    if (!batch.m_wanted.empty())
+        answerWanted(peer, batch.m_wanted, now);
+    return true;
+}
+
+void FlowRouter::acceptFlowRecord(Endpoint peer, const FlowRecord& record, Instant now)
+{
+    FlowState* const known = m_flows.find(record.m_flow);
+    if (record.m_ended) {
+        // The sender's word ends a copy, never a flow that this VM owns itself.
+        if (known && !owns(bucketOf(record.m_flow)))
+            endFlow(record.m_flow, *known, now);
+        return;
+    }
+    FlowState& state = known ? *known : m_flows.put(record.m_flow, FlowState {});
+    state.m_backend = record.m_backend;
+    state.m_replica = peer;
+    state.m_relays = s_relaysPerReplica;
+    state.m_stage = std::max(state.m_stage, FlowStage::Established);
+    state.m_expires = std::max(state.m_expires, now + c_quietFlow);
+    setException(state, true);
+}
+
+void FlowRouter::answerWanted(Endpoint peer, std::span<const Bucket> wanted, Instant now)
+{
+    ReplicaOutbox& outbox = m_outboxes[peer];
+    const std::vector<bool> isWanted = bucketSet(wanted);
+    std::vector<bool> hasWanted(FlowTable::s_shardCount, false);
+    for (const Bucket bucket : wanted) {
+        hasWanted[FlowTable::shardIndex(bucket)] = true;
+        BucketState& state = m_buckets[bucket];
+        if (owns(bucket)) {
+            state.m_handedTo = peer;
+            state.m_handedUntil = now + c_handoverGrace;
+        }
+        outbox.m_handedOver[bucket] = state.m_beyondCut ? ConfigVersion {} : state.m_base;
+    }
+    for (std::size_t index = 0; index < FlowTable::s_shardCount; ++index) {
+        if (!hasWanted[index])
+            continue;
+        for (const FlowTable::Shard::value_type& entry : m_flows.shard(index)) {
+            const FlowHash hash { entry.first };
+            const Bucket bucket = bucketOf(hash);
+            const bool mustTell = entry.second.m_exception || m_buckets[bucket].m_beyondCut;
+            if (isWanted[bucket] && mustTell)
+                outbox.m_flows.push_back(hash);
+        }
+    }
+}
+
+bool FlowRouter::isReplicated(const FlowState& state, Endpoint replica) const
+{
+    return state.m_replica == replica && state.m_relays >= s_relaysPerReplica;
+}
+
+bool FlowRouter::isReachable(Endpoint peers) const
+{
+    const Member* const member = findMember(m_members, peers);
+    return member && member->m_state != MemberState::Unreachable;
+}
+
+bool FlowRouter::drained() const
+{
+    return m_leaving && m_owners.indexOf(m_self) == c_noMember
+        && std::none_of(m_buckets.begin(), m_buckets.end(), [](const BucketState& state) { return state.m_owed; });
+}
+
+} // namespace cuminrelay
--- a/src/flows/OwnerMap.h
+++ b/src/flows/OwnerMap.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cuminrelay {
@@ -31,6 +32,12 @@
     MemberIndex m_successor = c_noMember;
 };
 
+/// The hash of a zone's name that its rank in each bucket is made of.
+std::uint64_t zoneRankKey(std::string_view zone);
+
+/// The rank of a zone in a bucket; the zone with the highest rank is the bucket's home.
+std::uint64_t zoneRank(std::uint64_t zoneRankKey, Bucket bucket);
+
 /// Which entry VM owns which flows, for one view of the members. Two-level rendezvous hash: a bucket first ranks the
 /// zones, then the members of the zone. A member that comes or goes therefore moves only its own buckets, inside its
 /// zone, and the successor of a bucket is exactly the member that owns it once the owner is gone.
