members: heartbeats as values, with figures for the zone's status

Cause: the zone's reader writes flows and exceptions of each member to the platform, and order of heartbeats needs a number of its own. Change: Heartbeat with its codec; the schema gets sequence, flows, exceptions.

--- /dev/null
+++ b/src/members/HeartbeatMessageTest.cpp
@@ -0,0 +1,49 @@
+#include "members/HeartbeatMessage.h"
+
+#include <capnp/message.h>
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr Instant c_now { std::chrono::seconds { 100 } };
+
+    Heartbeat sampleHeartbeat()
+    {
+        const Member member { { 1, 1 }, { 1, 2 }, { 1, 3 }, "entry-1", "khomas-a", 7, MemberState::Active };
+        return Heartbeat { MemberBeat { member, 12, MemberFigures { ConfigVersion { 3 }, 4, 5 } },
+            { BackendReport { { 9, 80 }, BackendHealth::Unhealthy, false, 1, 2, 3, c_now } },
+            { ZoneSummary { "khomas-a", { member }, ConfigVersion { 2 } } } };
+    }
+
+    TEST(HeartbeatMessage, aHeartbeatSurvivesTheWayThroughAMessage)
+    {
+        const Heartbeat sent = sampleHeartbeat();
+        capnp::MallocMessageBuilder message;
+        writeHeartbeat(sent, c_now, message.initRoot<wire::Heartbeat>());
+        const Outcome<Heartbeat> read = readHeartbeat(message.getRoot<wire::Heartbeat>().asReader(), c_now);
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(read.value().m_beat, sent.m_beat);
+        EXPECT_EQ(read.value().m_summaries, sent.m_summaries);
+        ASSERT_EQ(read.value().m_reports.size(), 1U);
+        EXPECT_EQ(read.value().m_reports[0].m_backend, sent.m_reports[0].m_backend);
+        EXPECT_EQ(read.value().m_reports[0].m_measuredAt, c_now);
+    }
+
+    TEST(HeartbeatMessage, aMalformedPartRefusesTheWhole)
+    {
+        capnp::MallocMessageBuilder message;
+        wire::Heartbeat::Builder builder = message.initRoot<wire::Heartbeat>();
+        writeHeartbeat(sampleHeartbeat(), c_now, builder);
+        builder.getZoneVersions()[0].getMembers()[0].setName("");
+        EXPECT_EQ(readHeartbeat(builder.asReader(), c_now).error().m_kind, ErrorKind::InvalidInput);
+        writeHeartbeat(sampleHeartbeat(), c_now, builder);
+        builder.getReports()[0].setBackend(0);
+        EXPECT_EQ(readHeartbeat(builder.asReader(), c_now).error().m_kind, ErrorKind::InvalidInput);
+        writeHeartbeat(sampleHeartbeat(), c_now, builder);
+        builder.getSender().setState(9);
+        EXPECT_EQ(readHeartbeat(builder.asReader(), c_now).error().m_kind, ErrorKind::InvalidInput);
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/members/Members.capnp
+++ b/src/members/Members.capnp
@@ -19,7 +19,10 @@
   sender @0 :Member;
   configVersion @1 :UInt64; # the highest that the sender's entry process has in force
   reports @2 :List(Backends.BackendReport); # what the sender itself probed since its last heartbeat to this peer
-  zoneVersions @3 :List(ZoneSummary); # only between zones
+  zoneVersions @3 :List(ZoneSummary); # only from zone readers, and only what changed
+  sequence @4 :UInt64; # grows with each heartbeat of the sender
+  flows @5 :UInt64; # held by the sender's entry process
+  exceptions @6 :UInt64;
 }
 
 # What a zone reader says of its zone to readers of other zones.
--- a/src/members/Members.capnp.h
+++ b/src/members/Members.capnp.h
@@ -59,7 +59,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5cc52d4e502319c, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c5cc52d4e502319c, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -308,6 +308,12 @@
   inline bool hasZoneVersions() const;
   inline  ::capnp::List< ::cuminrelay::wire::ZoneSummary,  ::capnp::Kind::STRUCT>::Reader getZoneVersions() const;
 
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getFlows() const;
+
+  inline  ::uint64_t getExceptions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -360,6 +366,15 @@
   inline void adoptZoneVersions(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ZoneSummary,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ZoneSummary,  ::capnp::Kind::STRUCT>> disownZoneVersions();
 
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getFlows();
+  inline void setFlows( ::uint64_t value);
+
+  inline  ::uint64_t getExceptions();
+  inline void setExceptions( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1125,6 +1140,48 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Heartbeat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getFlows() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getFlows() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setFlows( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getExceptions() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getExceptions() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setExceptions( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ZoneSummary::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/members/Membership.cpp
+++ b/src/members/Membership.cpp
@@ -23,9 +23,9 @@
     rebuildView();
 }
 
-void Membership::updateSelf(std::uint64_t incarnation, MemberState state, ConfigVersion configVersion)
+void Membership::updateSelf(std::uint64_t incarnation, MemberState state, const MemberFigures& figures)
 {
-    m_ownConfigVersion = configVersion;
+    m_ownFigures = figures;
     m_self.m_incarnation = incarnation;
     m_entryState = state;
     refreshSelf();
@@ -84,7 +84,7 @@
     const bool changed = !known.m_heard || known.m_member != beat.m_sender;
     known.m_member = beat.m_sender;
     known.m_sequence = beat.m_sequence;
-    known.m_configVersion = beat.m_configVersion;
+    known.m_figures = beat.m_figures;
     known.m_heard = true;
     known.m_silentAt = std::max(known.m_silentAt, now + s_silence);
     known.m_forgetAt = std::max(known.m_forgetAt, now + s_forget);
@@ -236,20 +236,20 @@
 
 ConfigVersion Membership::lowestConfigVersionOfZone() const
 {
-    ConfigVersion lowest = m_ownConfigVersion;
+    ConfigVersion lowest = m_ownFigures.m_configVersion;
     for (const auto& [peers, known] : m_known) {
         if (known.m_heard && known.m_member.m_zone == m_self.m_zone)
-            lowest = std::min(lowest, known.m_configVersion);
+            lowest = std::min(lowest, known.m_figures.m_configVersion);
     }
     return lowest;
 }
 
-ConfigVersion Membership::configVersionOf(Endpoint peers) const
+MemberFigures Membership::figuresOf(Endpoint peers) const
 {
     if (peers == m_self.m_peers)
-        return m_ownConfigVersion;
+        return m_ownFigures;
     const auto found = m_known.find(peers);
-    return found == m_known.end() ? ConfigVersion {} : found->second.m_configVersion;
+    return found == m_known.end() ? MemberFigures {} : found->second.m_figures;
 }
 
 MemberState Membership::effectiveState(const Known& known)
--- a/src/members/Membership.h
+++ b/src/members/Membership.h
@@ -14,12 +14,22 @@
 
 namespace cuminrelay {
 
+/// What a member's entry process last said of itself.
+struct MemberFigures {
+    ConfigVersion m_configVersion; ///< in force; zero when it was not heard of
+    std::uint64_t m_flows = 0;
+    std::uint64_t m_exceptions = 0;
+
+    friend bool operator==(const MemberFigures&, const MemberFigures&) = default;
+};
+
 /// What one heartbeat says of its sender.
 struct MemberBeat {
     Member m_sender;
-    std::uint64_t m_sequence
-        = 0; ///< grows with each heartbeat of the sender, also over restarts of its control process
-    ConfigVersion m_configVersion; ///< in force in the sender's entry process
+    std::uint64_t m_sequence = 0; ///< grows with each heartbeat of the sender, also when its control process restarts
+    MemberFigures m_figures;
+
+    friend bool operator==(const MemberBeat&, const MemberBeat&) = default;
 };
 
 /// Decides which entry VMs this one believes in. Merges the platform's VM list, which lags, heartbeats, which are
@@ -46,7 +56,7 @@
     Membership(Member self, std::size_t beatEverybodyUpTo, Instant now);
 
     /// Takes what the own entry process says of itself.
-    void updateSelf(std::uint64_t incarnation, MemberState state, ConfigVersion configVersion);
+    void updateSelf(std::uint64_t incarnation, MemberState state, const MemberFigures& figures);
 
     /// Takes the platform's VM list. It may lag: it may name dead members and omit new ones. A member that it does not
     /// name stays while it is heard of.
@@ -98,15 +108,18 @@
     /// The lowest configuration version in force among the reachable members of the own zone.
     ConfigVersion lowestConfigVersionOfZone() const;
 
-    /// The configuration version that a member last said to have in force; zero when it was not heard of.
-    ConfigVersion configVersionOf(Endpoint peers) const;
+    /// What a member last said of itself; zeros when it was not heard of.
+    MemberFigures figuresOf(Endpoint peers) const;
+
+    /// Whether heartbeats go to all members, because the fleet is small.
+    bool beatsToEverybody() const { return m_known.size() <= m_beatEverybodyUpTo; }
 
 private:
     /// What is held of another member.
     struct Known {
         Member m_member; ///< m_state: what it said last while heard of; otherwise what a reader says, or Unreachable
         std::uint64_t m_sequence = 0;
-        ConfigVersion m_configVersion;
+        MemberFigures m_figures;
         Deadline m_silentAt {}; ///< when it is Unreachable unless heard of before
         Deadline m_forgetAt {}; ///< when it is dropped unless listed or heard of before
         bool m_heard = false; ///< a heartbeat of it has come, and it has not been silent since
@@ -115,14 +128,13 @@
     };
 
     static MemberState effectiveState(const Known& known);
-    bool beatsToEverybody() const { return m_known.size() <= m_beatEverybodyUpTo; }
     void refreshSelf();
     void rebuildView();
     std::vector<Member> rankedMembers(std::string_view zone) const;
 
     Member m_self;
     std::size_t m_beatEverybodyUpTo;
-    ConfigVersion m_ownConfigVersion;
+    MemberFigures m_ownFigures;
     MemberState m_entryState = MemberState::Unreachable; ///< what the own entry process said last
     bool m_selfListedLeaving = false;
     std::map<Endpoint, Known> m_known;
--- a/src/members/MembershipTest.cpp
+++ b/src/members/MembershipTest.cpp
@@ -16,12 +16,17 @@
             0, MemberState::Active };
     }
 
+    MemberFigures figuresAt(std::uint64_t configVersion)
+    {
+        return MemberFigures { ConfigVersion { configVersion }, 0, 0 };
+    }
+
     MemberBeat beatOf(
         Member member, std::uint64_t sequence, std::uint64_t incarnation = 1, MemberState state = MemberState::Active)
     {
         member.m_incarnation = incarnation;
         member.m_state = state;
-        return MemberBeat { std::move(member), sequence, ConfigVersion { 1 } };
+        return MemberBeat { std::move(member), sequence, figuresAt(1) };
     }
 
     const Member* findMember(const Membership& membership, std::uint32_t number)
@@ -39,7 +44,7 @@
     Membership startedMembership(std::size_t beatEverybodyUpTo = c_everybody)
     {
         Membership membership { memberOf(1, "a"), beatEverybodyUpTo, c_start };
-        membership.updateSelf(1, MemberState::Active, ConfigVersion { 1 });
+        membership.updateSelf(1, MemberState::Active, figuresAt(1));
         return membership;
     }
 
@@ -195,7 +200,7 @@
         std::vector<std::vector<Member>> seen;
         for (const Member& self : all) {
             Membership membership { self, c_everybody, c_start };
-            membership.updateSelf(1, MemberState::Active, ConfigVersion { 1 });
+            membership.updateSelf(1, MemberState::Active, figuresAt(1));
             for (const Member& other : all)
                 membership.applyBeat(beatOf(other, 1), c_start);
             seen.push_back(membership.zoneReaders("a"));
@@ -209,7 +214,7 @@
         }
         const Member survivor = seen[0][1];
         Membership membership { survivor, c_everybody, c_start };
-        membership.updateSelf(1, MemberState::Active, ConfigVersion { 1 });
+        membership.updateSelf(1, MemberState::Active, figuresAt(1));
         membership.applyList(all, c_start);
         EXPECT_TRUE(membership.isFirstReader());
         EXPECT_TRUE(membership.mustReadPlatform());
@@ -221,7 +226,7 @@
         for (std::uint32_t number = 1; number <= 5; ++number)
             all.push_back(memberOf(number, "a"));
         Membership any { all[0], c_everybody, c_start };
-        any.updateSelf(1, MemberState::Active, ConfigVersion { 1 });
+        any.updateSelf(1, MemberState::Active, figuresAt(1));
         for (const Member& other : all)
             any.applyBeat(beatOf(other, 1), c_start);
         const std::vector<Member> readers = any.zoneReaders("a");
@@ -229,7 +234,7 @@
             return member.m_peers != readers[0].m_peers && member.m_peers != readers[1].m_peers;
         });
         Membership membership { *other, c_everybody, c_start };
-        membership.updateSelf(1, MemberState::Active, ConfigVersion { 1 });
+        membership.updateSelf(1, MemberState::Active, figuresAt(1));
         EXPECT_TRUE(membership.mustReadPlatform());
         membership.applyList(all, c_start);
         EXPECT_TRUE(membership.mustReadPlatform());
@@ -249,7 +254,7 @@
         for (std::uint32_t self = 0; self < 4; ++self) {
             for (const std::size_t bound : { std::size_t { 11 }, std::size_t { 10 } }) {
                 Membership membership { all[self], bound, c_start };
-                membership.updateSelf(1, MemberState::Active, ConfigVersion { 1 });
+                membership.updateSelf(1, MemberState::Active, figuresAt(1));
                 for (const Member& member : all)
                     membership.applyBeat(beatOf(member, 1), c_start);
                 const std::vector<Member> peers = membership.peersToBeat();
@@ -301,15 +306,15 @@
     TEST(Membership, theLowestConfigurationVersionOfTheZoneLeavesOutTheSilentAndOtherZones)
     {
         Membership membership = startedMembership();
-        membership.updateSelf(1, MemberState::Active, ConfigVersion { 9 });
+        membership.updateSelf(1, MemberState::Active, figuresAt(9));
         MemberBeat beat = beatOf(memberOf(2, "a"), 1);
-        beat.m_configVersion = ConfigVersion { 7 };
+        beat.m_figures = figuresAt(7);
         membership.applyBeat(beat, c_start);
         beat = beatOf(memberOf(3, "b"), 1);
-        beat.m_configVersion = ConfigVersion { 2 };
+        beat.m_figures = figuresAt(2);
         membership.applyBeat(beat, c_start);
         EXPECT_EQ(membership.lowestConfigVersionOfZone(), ConfigVersion { 7 });
-        EXPECT_EQ(membership.configVersionOf({ 3, 1 }), ConfigVersion { 2 });
+        EXPECT_EQ(membership.figuresOf({ 3, 1 }), figuresAt(2));
         tickUntil(membership, c_start, c_start + Membership::s_silence);
         EXPECT_EQ(membership.lowestConfigVersionOfZone(), ConfigVersion { 9 });
     }
