--- /dev/null
+++ b/src/control/BackoffTest.cpp
@@ -0,0 +1,50 @@
+#include "control/Backoff.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr Instant c_start { std::chrono::seconds { 1000 } };
+    constexpr Backoff::Limits c_limits { std::chrono::milliseconds { 100 }, std::chrono::seconds { 5 }, 20,
+        std::chrono::seconds { 1 } };
+
+    TEST(Backoff, waitsLongerEachTimeUpToTheLongestAndStartsAgainAfterASuccess)
+    {
+        Backoff backoff { c_limits, 1, c_start };
+        Duration full = c_limits.m_shortest;
+        for (unsigned i = 0; i < 10; ++i) {
+            const Duration wait = backoff.failed(c_start) - c_start;
+            EXPECT_GE(wait, full / 2);
+            EXPECT_LE(wait, full);
+            full = std::min(full * 2, c_limits.m_longest);
+        }
+        backoff.succeeded();
+        EXPECT_LE(backoff.failed(c_start) - c_start, c_limits.m_shortest);
+    }
+
+    TEST(Backoff, differentSeedsSpreadOut)
+    {
+        Backoff first { c_limits, 1, c_start };
+        Backoff second { c_limits, 2, c_start };
+        EXPECT_NE(first.failed(c_start), second.failed(c_start));
+    }
+
+    TEST(Backoff, aBudgetBoundsTheRetriesAlsoBetweenSuccesses)
+    {
+        Backoff::Limits limits = c_limits;
+        limits.m_budget = 3;
+        Backoff backoff { limits, 1, c_start };
+        Instant now = c_start;
+        unsigned tries = 0;
+        while (now < c_start + std::chrono::seconds { 10 }) {
+            now = backoff.failed(now);
+            backoff.succeeded();
+            ++tries;
+        }
+        EXPECT_GE(tries, 10U);
+        EXPECT_LE(tries, 3U + 10U + 1U);
+    }
+
+} // namespace
+} // namespace cuminrelay
