configuration: edits with expected values, conflicts that name who and when

Cause: two operators may change the same things, and answers get lost. Change: Change classes carry what they expect to replace; applyEdit rebases disjoint edits, refuses overlapping ones naming author, version and what to run next, recognises an edit by its id, refuses emptied services and shared addresses unless forced.

--- /dev/null
+++ b/src/configuration/Changes.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include "base/Error.h"
+#include "configuration/Model.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cuminrelay {
+
+/// One change to a configuration, with the value that it expects to replace. A change whose expected value is no longer
+/// there is a conflict; one whose new value is there already changes nothing. So the same change can be applied again
+/// on top of what others changed meanwhile.
+class Change {
+public:
+    Change() = default;
+    Change(const Change&) = delete;
+    Change& operator=(const Change&) = delete;
+    virtual ~Change() = default;
+
+    /// What it changes: "host/NAME/label/KEY". A path contains all that begin with it and a slash.
+    virtual std::string path() const = 0;
+
+    /// One line for people: "host k-03: label tier: silver -> gold".
+    virtual std::string describe() const = 0;
+
+    /// Applies it; false when its new value is there already. Errors, which leave the configuration as it was: NotFound
+    /// when the host or service does not exist, Conflict when the value is neither the expected nor the new one.
+    virtual Outcome<bool> apply(Configuration& configuration) const = 0;
+};
+
+using ChangeList = std::vector<std::shared_ptr<const Change>>;
+
+/// What carries a label.
+enum class LabelOwner : std::uint8_t {
+    Host,
+    Service,
+};
+
+/// Sets or removes one label.
+class LabelChange final : public Change {
+public:
+    /// expected, value: nothing stands for an absent label.
+    LabelChange(LabelOwner owner, std::string name, std::string key, std::optional<std::string> expected,
+        std::optional<std::string> value);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    std::string ownerPath() const;
+
+    LabelOwner m_owner;
+    std::string m_name;
+    std::string m_key;
+    std::optional<std::string> m_expected;
+    std::optional<std::string> m_value;
+};
+
+/// Sets the selector of a service.
+class SelectorChange final : public Change {
+public:
+    SelectorChange(std::string service, Selector expected, Selector value);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    std::string m_service;
+    Selector m_expected;
+    Selector m_value;
+};
+
+/// Begins or ends the draining of a backend server.
+class DrainingChange final : public Change {
+public:
+    DrainingChange(std::string host, bool expected, bool value);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    std::string m_host;
+    bool m_expected;
+    bool m_value;
+};
+
+/// Changes the zone, endpoints or limits of a backend server; its labels and draining are left alone.
+class HostFieldsChange final : public Change {
+public:
+    HostFieldsChange(BackendServer expected, BackendServer value);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    BackendServer m_expected;
+    BackendServer m_value;
+};
+
+/// Changes the address and protocol of a service; its selector and labels are left alone.
+class ServiceAddressChange final : public Change {
+public:
+    ServiceAddressChange(Service expected, Service value);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    Service m_expected;
+    Service m_value;
+};
+
+/// Adds a backend server that does not exist.
+class HostAddition final : public Change {
+public:
+    explicit HostAddition(BackendServer value);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    BackendServer m_value;
+};
+
+/// Removes a backend server.
+class HostRemoval final : public Change {
+public:
+    explicit HostRemoval(BackendServer expected);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    BackendServer m_expected;
+};
+
+/// Adds a service that does not exist.
+class ServiceAddition final : public Change {
+public:
+    explicit ServiceAddition(Service value);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    Service m_value;
+};
+
+/// Removes a service.
+class ServiceRemoval final : public Change {
+public:
+    explicit ServiceRemoval(Service expected);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    Service m_expected;
+};
+
+/// Names or drops a zone that has entry VMs.
+class ZoneChange final : public Change {
+public:
+    ZoneChange(std::string zone, bool present);
+
+    std::string path() const override;
+    std::string describe() const override;
+    Outcome<bool> apply(Configuration& configuration) const override;
+
+private:
+    std::string m_zone;
+    bool m_present;
+};
+
+} // namespace cuminrelay
--- a/src/configuration/Check.cpp
+++ b/src/configuration/Check.cpp
@@ -27,9 +27,9 @@
     Outcome<void> checkLabels(const Labels& labels)
     {
         for (const auto& [key, value] : labels) {
-            if (const Outcome<void> checked = checkLabelKey(key); !checked)
+            if (Outcome<void> checked = checkLabelKey(key); !checked)
                 return checked;
-            if (const Outcome<void> checked = checkLabelValue(value); !checked)
+            if (Outcome<void> checked = checkLabelValue(value); !checked)
                 return checked;
         }
         return boost::outcome_v2::success();
@@ -56,12 +56,12 @@
         if (selector.m_requirements.empty())
             return invalid("found an empty selector; allowed: at least one requirement");
         for (const SelectorRequirement& requirement : selector.m_requirements) {
-            if (const Outcome<void> checked = checkLabelKey(requirement.m_key); !checked)
+            if (Outcome<void> checked = checkLabelKey(requirement.m_key); !checked)
                 return checked;
             if (!hasValidValueCount(requirement))
                 return invalid(fmt::format("wrong number of values for label \"{}\" in selector", requirement.m_key));
             for (const std::string& value : requirement.m_values) {
-                if (const Outcome<void> checked = checkLabelValue(value); !checked)
+                if (Outcome<void> checked = checkLabelValue(value); !checked)
                     return checked;
             }
         }
@@ -89,7 +89,7 @@
             return invalid("found no address; allowed: a.b.c.d:port");
         if (service.m_protocol != Protocol::Tcp && service.m_protocol != Protocol::Udp)
             return invalid("found an unknown protocol; allowed: tcp, udp");
-        if (const Outcome<void> checked = checkSelector(service.m_selector); !checked)
+        if (Outcome<void> checked = checkSelector(service.m_selector); !checked)
             return checked;
         return checkLabels(service.m_labels);
     }
@@ -99,7 +99,7 @@
     {
         const std::string* previous = nullptr;
         for (const Element& element : elements) {
-            if (const Outcome<void> checked = checkName(element.m_name); !checked)
+            if (Outcome<void> checked = checkName(element.m_name); !checked)
                 return within(what, checked.error());
             if (previous && element.m_name == *previous)
                 return invalid(fmt::format("{} \"{}\" is declared twice", what, element.m_name));
@@ -113,7 +113,7 @@
     Outcome<void> checkZones(const std::vector<std::string>& zones)
     {
         for (const std::string& zone : zones) {
-            if (const Outcome<void> checked = checkName(zone); !checked)
+            if (Outcome<void> checked = checkName(zone); !checked)
                 return within("zones", checked.error());
         }
         if (std::ranges::adjacent_find(zones, std::greater_equal<> {}) != zones.end())
@@ -171,18 +171,18 @@
 
 Outcome<void> checkConfiguration(const Configuration& configuration)
 {
-    if (const Outcome<void> checked = checkZones(configuration.m_zones); !checked)
+    if (Outcome<void> checked = checkZones(configuration.m_zones); !checked)
         return checked;
-    if (const Outcome<void> checked = checkNames("host", configuration.m_backendServers); !checked)
+    if (Outcome<void> checked = checkNames("host", configuration.m_backendServers); !checked)
         return checked;
-    if (const Outcome<void> checked = checkNames("service", configuration.m_services); !checked)
+    if (Outcome<void> checked = checkNames("service", configuration.m_services); !checked)
         return checked;
     for (const BackendServer& backend : configuration.m_backendServers) {
-        if (const Outcome<void> checked = checkBackendServer(backend, configuration); !checked)
+        if (Outcome<void> checked = checkBackendServer(backend, configuration); !checked)
             return within(fmt::format("host \"{}\"", backend.m_name), checked.error());
     }
     for (const Service& service : configuration.m_services) {
-        if (const Outcome<void> checked = checkService(service); !checked)
+        if (Outcome<void> checked = checkService(service); !checked)
             return within(fmt::format("service \"{}\"", service.m_name), checked.error());
     }
     if (configuration.m_history.size() > c_maximumHistory)
@@ -193,7 +193,7 @@
 Outcome<void> checkChange(const Configuration& before, const Configuration& after)
 {
     for (const Service& service : after.m_services) {
-        if (const Outcome<void> checked = checkNotEmptied(service, before, after); !checked)
+        if (Outcome<void> checked = checkNotEmptied(service, before, after); !checked)
             return checked;
     }
     const ServiceNamesByAddress namesBefore = namesByAddress(before);
--- /dev/null
+++ b/src/configuration/Edit.cpp
@@ -0,0 +1,144 @@
+#include "configuration/Edit.h"
+
+#include "configuration/Check.h"
+#include "configuration/Lookup.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::size_t c_maximumTouched = 32;
+    constexpr std::size_t c_maximumSummaryBytes = 200;
+    constexpr std::string_view c_everything = "*";
+
+    bool contains(std::string_view outer, std::string_view inner)
+    {
+        return outer == c_everything || outer == inner
+            || (inner.starts_with(outer) && inner.substr(outer.size()).starts_with('/'));
+    }
+
+    bool touches(const EditRecord& record, std::string_view path)
+    {
+        return std::ranges::any_of(record.m_touched,
+            [path](const std::string& touched) { return contains(touched, path) || contains(path, touched); });
+    }
+
+    /// "host kanteisha-03" for "host/kanteisha-03/label/tier", as the command line takes it.
+    std::string ownerOf(std::string_view path)
+    {
+        const std::size_t kindEnd = path.find('/');
+        const std::size_t nameEnd = path.find('/', kindEnd + 1);
+        return fmt::format("{} {}", path.substr(0, kindEnd), path.substr(kindEnd + 1, nameEnd - kindEnd - 1));
+    }
+
+    std::string whoChanged(const EditRecord* record)
+    {
+        if (!record)
+            return {};
+        return fmt::format(
+            "; changed by {} at version {} ({})", record->m_author, record->m_version.m_number, record->m_summary);
+    }
+
+    std::string whatToRun(std::string_view path)
+    {
+        return fmt::format("; run \"cuminrelayctl get {}\" and repeat the edit if it is still wanted", ownerOf(path));
+    }
+
+    /// Whether the history reaches back to the version, so that a missing record means that nothing was changed.
+    bool reachesBackTo(const Configuration& configuration, ConfigVersion version)
+    {
+        return configuration.m_history.size() < c_maximumHistory
+            || configuration.m_history.front().m_version.m_number <= version.m_number + 1;
+    }
+
+    /// Refuses a change of something that others changed after the operator looked at it.
+    Outcome<void> checkUntouched(const Configuration& current, const Edit& edit, const Change& change)
+    {
+        const std::string path = change.path();
+        const EditRecord* const record = lastEditTouching(current, path, edit.m_base);
+        if (record) {
+            return Error { ErrorKind::Conflict,
+                fmt::format("{} was changed after version {}, which this edit is based on{}{}", path,
+                    edit.m_base.m_number, whoChanged(record), whatToRun(path)) };
+        }
+        if (!reachesBackTo(current, edit.m_base)) {
+            return Error { ErrorKind::Conflict,
+                fmt::format("{}: version {}, which this edit is based on, is older than the history{}", path,
+                    edit.m_base.m_number, whatToRun(path)) };
+        }
+        return boost::outcome_v2::success();
+    }
+
+    Error explain(const Configuration& current, const Change& change, Error error)
+    {
+        if (error.m_kind != ErrorKind::Conflict && error.m_kind != ErrorKind::NotFound)
+            return error;
+        const std::string path = change.path();
+        error.m_message += whoChanged(lastEditTouching(current, path, {}));
+        if (error.m_kind == ErrorKind::Conflict)
+            error.m_message += whatToRun(path);
+        return error;
+    }
+
+    void appendHistory(Configuration& configuration, const Edit& edit, std::vector<std::string> touched)
+    {
+        if (touched.size() > c_maximumTouched)
+            touched = { std::string { c_everything } };
+        configuration.m_history.push_back({
+            .m_id = edit.m_id,
+            .m_author = edit.m_author,
+            .m_summary = edit.m_summary.substr(0, c_maximumSummaryBytes),
+            .m_version = configuration.m_version,
+            .m_unixSeconds = edit.m_unixSeconds,
+            .m_touched = std::move(touched),
+        });
+        if (configuration.m_history.size() > c_maximumHistory)
+            configuration.m_history.erase(configuration.m_history.begin());
+    }
+
+} // namespace
+
+Outcome<EditResult> applyEdit(const Configuration& current, const Edit& edit)
+{
+    if (const EditRecord* const record = findEdit(current.m_history, edit.m_id))
+        return EditResult { EditResult::Kind::AlreadyApplied, current, record->m_version };
+
+    Configuration next = current;
+    std::vector<std::string> touched;
+    for (const std::shared_ptr<const Change>& change : edit.m_changes) {
+        const Outcome<bool> changed = change->apply(next);
+        if (!changed)
+            return explain(current, *change, changed.error());
+        if (!changed.value())
+            continue;
+        if (const Outcome<void> checked = checkUntouched(current, edit, *change); !checked)
+            return checked.error();
+        touched.push_back(change->path());
+    }
+    if (touched.empty())
+        return EditResult { EditResult::Kind::Unchanged, current, current.m_version };
+
+    if (const Outcome<void> checked = checkConfiguration(next); !checked)
+        return checked.error();
+    if (!edit.m_forced) {
+        if (const Outcome<void> checked = checkChange(current, next); !checked)
+            return checked.error();
+    }
+    ++next.m_version.m_number;
+    appendHistory(next, edit, std::move(touched));
+    const ConfigVersion version = next.m_version;
+    return EditResult { EditResult::Kind::Changed, std::move(next), version };
+}
+
+const EditRecord* lastEditTouching(const Configuration& configuration, std::string_view path, ConfigVersion after)
+{
+    const auto found = std::find_if(configuration.m_history.rbegin(), configuration.m_history.rend(),
+        [path](const EditRecord& record) { return touches(record, path); });
+    return found != configuration.m_history.rend() && found->m_version > after ? &*found : nullptr;
+}
+
+} // namespace cuminrelay
--- a/src/configuration/GeneratorsTest.h
+++ b/src/configuration/GeneratorsTest.h
@@ -42,8 +42,8 @@
     case SelectorOperator::NotIn: {
         requirement.m_values = *rc::gen::nonEmpty(rc::gen::container<std::vector<std::string>>(labelValue()));
         std::ranges::sort(requirement.m_values);
-        const auto [first, last] = std::ranges::unique(requirement.m_values);
-        requirement.m_values.erase(first, last);
+        requirement.m_values.erase(
+            std::unique(requirement.m_values.begin(), requirement.m_values.end()), requirement.m_values.end());
         break;
     }
     case SelectorOperator::Exists:
--- a/src/configuration/Selector.cpp
+++ b/src/configuration/Selector.cpp
@@ -120,8 +120,8 @@
                 return unexpected("\",\" or \")\"");
             requirement.m_operator = op;
             std::ranges::sort(requirement.m_values);
-            const auto [first, last] = std::ranges::unique(requirement.m_values);
-            requirement.m_values.erase(first, last);
+            requirement.m_values.erase(
+                std::unique(requirement.m_values.begin(), requirement.m_values.end()), requirement.m_values.end());
             return requirement;
         }
 
--- a/src/settings/JsonFields.cpp
+++ b/src/settings/JsonFields.cpp
@@ -13,14 +13,14 @@
 
     const boost::json::object& emptyObject()
     {
-        static const boost::json::object object;
-        return object;
+        static const boost::json::object s_object;
+        return s_object;
     }
 
     const boost::json::array& emptyArray()
     {
-        static const boost::json::array array;
-        return array;
+        static const boost::json::array s_array;
+        return s_array;
     }
 
 } // namespace
