--- a/src/control/ReportBook.cpp
+++ b/src/control/ReportBook.cpp
@@ -64,8 +64,8 @@
 {
     const std::set<Endpoint> kept { probers.begin(), probers.end() };
     for (auto& [backend, entry] : m_entries) {
-        const std::size_t removed = std::erase_if(entry.m_byProber,
-            [&](const auto& held) { return held.first != m_self && !kept.contains(held.first); });
+        const std::size_t removed = std::erase_if(
+            entry.m_byProber, [&](const auto& held) { return held.first != m_self && !kept.contains(held.first); });
         entry.m_changed |= removed > 0;
     }
 }
