--- /dev/null
+++ b/src/packets/PeerFrontEnd.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "packets/PeerFilter.h"
+#include "packets/UdpFrontEnd.h"
+
+namespace cuminrelay {
+
+/// Receives callers' packets that other entry VMs hand over, as peer packets in UDP datagrams.
+class PeerFrontEnd final : public UdpFrontEnd {
+public:
+    /// filter: who may hand packets over; datagrams from others are dropped as NotMember. It must outlive the front
+    /// end.
+    PeerFrontEnd(boost::asio::ip::udp::socket& socket, VerdictSender& sender, const PeerFilter& filter,
+        Metrics& metrics, Log& log);
+
+private:
+    Unwrapped unwrap(const Datagram& datagram) override;
+
+    const PeerFilter& m_filter;
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/packets/UdpFrontEnd.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+#include "packets/DatagramBatch.h"
+#include "packets/PacketFrontEnd.h"
+#include "packets/ReasonCounters.h"
+#include "packets/VerdictSender.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/outcome/result.hpp>
+#include <cstddef>
+#include <span>
+#include <string_view>
+
+namespace cuminrelay {
+
+/// A front end that receives from one UDP socket. What a datagram means is up to the derived class.
+class UdpFrontEnd : public PacketFrontEnd {
+public:
+    boost::asio::awaitable<std::span<const PacketSummary>> receive() final;
+    void send(std::span<const Verdict> verdicts) final;
+
+protected:
+    /// A caller's packet that a datagram carried; the bytes lie inside the datagram.
+    struct CarriedPacket {
+        PacketSummary m_summary;
+        std::span<const std::byte> m_bytes;
+    };
+    using Unwrapped = boost::outcome_v2::basic_result<CarriedPacket, Reason, boost::outcome_v2::policy::all_narrow>;
+
+    /// name: "fabric" or "peer"; counters and logs carry it. The references must outlive the front end.
+    UdpFrontEnd(
+        boost::asio::ip::udp::socket& socket, VerdictSender& sender, std::string_view name, Metrics& metrics, Log& log);
+
+    /// Takes the caller's packet out of a datagram, or says why it is dropped.
+    virtual Unwrapped unwrap(const Datagram& datagram) = 0;
+
+private:
+    void take(const Datagram& datagram);
+
+    boost::asio::ip::udp::socket& m_socket;
+    VerdictSender& m_sender;
+    std::string_view m_name;
+    Log& m_log;
+    Counter& m_received;
+    Counter& m_receiveFailures;
+    ReasonCounters m_drops;
+    ReceiveBatch m_datagrams;
+    std::size_t m_count = 0; ///< packets of the last batch
+    std::array<PacketSummary, c_maximumBatch> m_summaries {};
+    std::array<std::span<const std::byte>, c_maximumBatch> m_packets {};
+};
+
+} // namespace cuminrelay
