entry: the entry process serves packets, RPC and metrics

Cause: the decisions had no process that feeds them packets, tables, members and reports. Change: PacketPath runs a task for each front end and the ticks on one thread; RpcThread serves EntryControl and FlowReplica with KJ fibers and holds a paced link to each peer; SIGTERM hands over first, a second one stops at once. Measured: started by hand, it serves /metrics, counts a bad datagram as truncated, ends with status 0 on SIGTERM and with status 1 and one line when its port is in use. No test of the RPC yet. Conclusion: thin but whole; tests of the RPC and of peers come next.

--- /dev/null
+++ b/src/base/Listener.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/Endpoint.h"
+#include "base/Error.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <string_view>
+
+namespace cuminrelay {
+
+/// Binds a TCP endpoint and listens; port 0 takes any free one. purpose names it in the message, as in "cannot serve
+/// PURPOSE on a.b.c.d:port: Address already in use". Errors: Unavailable.
+Outcome<boost::asio::ip::tcp::acceptor> openListener(
+    const boost::asio::any_io_executor& executor, Endpoint endpoint, std::string_view purpose);
+
+/// Where a listener is bound.
+Endpoint localEndpoint(const boost::asio::ip::tcp::acceptor& listener);
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/EntrySettings.cpp
@@ -0,0 +1,72 @@
+#include "entry/EntrySettings.h"
+
+#include <array>
+#include <chrono>
+#include <string_view>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::uint64_t c_minimumFlows = 1'000;
+    constexpr std::uint64_t c_maximumFlows = 50'000'000;
+    constexpr std::uint64_t c_minimumReplicaBytesPerSecond = 1'000;
+    constexpr std::uint64_t c_maximumReplicaBytesPerSecond = 100'000'000;
+    constexpr std::uint64_t c_minimumLeaveMs = 100;
+    constexpr std::uint64_t c_maximumLeaveMs = 3'600'000;
+
+    constexpr std::array<std::string_view, 4> c_levelNames { "debug", "info", "warning", "error" };
+
+    LogLevel readLogLevel(SettingsReader& reader)
+    {
+        const std::string name = reader.choice("log_level", "info", c_levelNames);
+        for (std::size_t i = 0; i < c_levelNames.size(); ++i) {
+            if (name == c_levelNames[i])
+                return static_cast<LogLevel>(i);
+        }
+        return LogLevel::Info;
+    }
+
+    std::vector<std::uint32_t> readAddresses(SettingsReader& reader, std::string_view key)
+    {
+        std::vector<std::uint32_t> addresses;
+        for (const std::string& text : reader.texts(key)) {
+            const Outcome<std::uint32_t> address = parseAddress(text);
+            if (address)
+                addresses.push_back(address.value());
+            else
+                reader.addProblem(key, address.error().m_message);
+        }
+        if (addresses.empty())
+            reader.addProblem(key, "names no address; packets are taken only from the fabric's addresses");
+        return addresses;
+    }
+
+} // namespace
+
+EntrySettings readEntrySettings(SettingsReader& reader)
+{
+    EntrySettings settings;
+    settings.m_name = reader.requiredText("name");
+    settings.m_zone = reader.requiredText("zone");
+    settings.m_packets = reader.requiredEndpoint("packets");
+    settings.m_peers = reader.requiredEndpoint("peers");
+    settings.m_replica = reader.requiredEndpoint("replica");
+    settings.m_entryRpc = reader.requiredEndpoint("entry_rpc");
+    settings.m_metrics = reader.requiredEndpoint("metrics");
+    settings.m_answers = reader.requiredEndpoint("answers");
+    settings.m_fabricSources = readAddresses(reader, "fabric_sources");
+    settings.m_flowLimit = reader.integer("flow_limit", settings.m_flowLimit, c_minimumFlows, c_maximumFlows);
+    settings.m_replicaBytesPerSecond = reader.integer("replica_bytes_per_second", settings.m_replicaBytesPerSecond,
+        c_minimumReplicaBytesPerSecond, c_maximumReplicaBytesPerSecond);
+    const std::chrono::milliseconds defaultAllowance
+        = std::chrono::duration_cast<std::chrono::milliseconds>(settings.m_leaveAllowance);
+    settings.m_leaveAllowance = std::chrono::milliseconds { reader.integer("leave_deadline_ms",
+        static_cast<std::uint64_t>(defaultAllowance.count()), c_minimumLeaveMs, c_maximumLeaveMs) };
+    settings.m_logLevel = readLogLevel(reader);
+    if (settings.m_packets == settings.m_peers && settings.m_packets.m_port != 0)
+        reader.addProblem("peers", "is the same as packets; both are UDP and need endpoints of their own");
+    return settings;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/PacketPath.cpp
@@ -0,0 +1,201 @@
+#include "entry/PacketPath.h"
+
+#include "entry/ReplicaMessage.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace cuminrelay {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using asio::ip::udp;
+
+    constexpr auto c_asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr std::chrono::milliseconds c_tickInterval { 50 };
+    constexpr std::size_t c_recordsPerBatch = 256;
+
+    /// Tells this process from the one before on the same endpoints; never zero.
+    std::uint64_t drawIncarnation()
+    {
+        std::random_device device;
+        const std::uint64_t drawn = (std::uint64_t { device() } << 32) | device();
+        return drawn == 0 ? 1 : drawn;
+    }
+
+} // namespace
+
+Outcome<std::unique_ptr<PacketPath>> PacketPath::open(
+    asio::io_context& context, const EntrySettings& settings, const Parts& parts)
+{
+    Outcome<udp::socket> fabric = openUdpSocket(context.get_executor(), settings.m_packets, "packets");
+    if (!fabric)
+        return fabric.error();
+    Outcome<udp::socket> peers = openUdpSocket(context.get_executor(), settings.m_peers, "peer packets");
+    if (!peers)
+        return peers.error();
+    return std::make_unique<PacketPath>(std::move(fabric.value()), std::move(peers.value()), settings, parts);
+}
+
+PacketPath::PacketPath(udp::socket fabric, udp::socket peers, const EntrySettings& settings, const Parts& parts)
+    : m_fabricSocket(std::move(fabric))
+    , m_peersSocket(std::move(peers))
+    , m_self(localEndpoint(m_peersSocket))
+    , m_metrics(parts.m_metrics)
+    , m_log(parts.m_log)
+    , m_clock(parts.m_clock)
+    , m_incarnation(drawIncarnation())
+    , m_startedAt(parts.m_clock.now())
+    , m_leaveAllowance(settings.m_leaveAllowance)
+    , m_sender(m_fabricSocket, m_peersSocket, settings.m_answers, parts.m_metrics)
+    , m_fabric(m_fabricSocket, m_sender, settings.m_fabricSources, parts.m_metrics, parts.m_log)
+    , m_peers(m_peersSocket, m_sender, m_filter, parts.m_metrics, parts.m_log)
+    , m_router(m_self, parts.m_placement, parts.m_admission, { settings.m_flowLimit })
+    , m_pacer(settings.m_replicaBytesPerSecond)
+    , m_leaveDeadline(m_fabricSocket.get_executor())
+{
+}
+
+void PacketPath::start()
+{
+    const asio::any_io_executor executor = m_fabricSocket.get_executor();
+    asio::co_spawn(executor, runFrontEnd(m_fabric), asio::detached);
+    asio::co_spawn(executor, runFrontEnd(m_peers), asio::detached);
+    asio::co_spawn(executor, runTicks(), asio::detached);
+}
+
+Endpoint PacketPath::packets() const
+{
+    return localEndpoint(m_fabricSocket);
+}
+
+asio::awaitable<void> PacketPath::runFrontEnd(PacketFrontEnd& frontEnd)
+{
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    std::vector<Verdict> verdicts(c_maximumBatch);
+    for (;;) {
+        const std::span<const PacketSummary> packets = co_await frontEnd.receive();
+        if (packets.empty())
+            co_return;
+        const std::span<Verdict> decided = std::span { verdicts }.first(packets.size());
+        m_router.decide(packets, decided, m_clock.now());
+        frontEnd.send(decided);
+        co_await asio::post(executor, asio::use_awaitable); // other tasks have their turn under a flood, too
+    }
+}
+
+asio::awaitable<void> PacketPath::runTicks()
+{
+    asio::steady_timer timer { m_fabricSocket.get_executor() };
+    for (;;) {
+        timer.expires_after(c_tickInterval);
+        const auto [error] = co_await timer.async_wait(c_asTuple);
+        if (error)
+            co_return;
+        const Instant now = m_clock.now();
+        m_router.tick(now);
+        serveTakers(now);
+        if (m_leaving && m_router.drained())
+            m_leaveDeadline.cancel();
+    }
+}
+
+void PacketPath::serveTakers(Instant now)
+{
+    // One turn over the peers that wait, beginning behind the one that was served last.
+    std::vector<Endpoint> turn;
+    for (auto it = m_takers.upper_bound(m_lastServed); it != m_takers.end(); ++it)
+        turn.push_back(it->first);
+    for (auto it = m_takers.begin(); it != m_takers.upper_bound(m_lastServed); ++it)
+        turn.push_back(it->first);
+    for (const Endpoint peer : turn) {
+        if (!m_pacer.mayStart(now))
+            return;
+        if (serveTaker(peer, now))
+            m_lastServed = peer;
+    }
+}
+
+bool PacketPath::serveTaker(Endpoint peer, Instant now)
+{
+    ReplicaBatch batch = m_router.nextBatch(peer, c_recordsPerBatch, now);
+    if (batch.empty())
+        return false;
+    m_pacer.charge(exchangeBytes(batch), now);
+    const auto found = m_takers.find(peer);
+    const std::unique_ptr<BatchTaker> taker = std::move(found->second);
+    m_takers.erase(found);
+    taker->take(std::move(batch));
+    return true;
+}
+
+ConfigVersion PacketPath::install(std::shared_ptr<const ServiceTables> tables, const Configuration& configuration)
+{
+    if (m_router.installTables(std::move(tables), configuration.m_backendServers, m_clock.now()))
+        m_log.info("entry", "configuration_in_force",
+            { { "version", configuration.m_version.m_number }, { "services", configuration.m_services.size() },
+                { "backend_servers", configuration.m_backendServers.size() } });
+    return m_router.configVersion();
+}
+
+void PacketPath::installMembers(const MemberView& view)
+{
+    m_filter.install(view.m_members);
+    m_router.installMembers(view, m_clock.now());
+}
+
+void PacketPath::applyReports(std::span<const BackendReport> reports)
+{
+    m_router.applyReports(reports);
+}
+
+void PacketPath::awaitBatch(Endpoint peer, std::unique_ptr<BatchTaker> taker)
+{
+    m_takers[peer] = std::move(taker);
+}
+
+void PacketPath::confirmBatch(Endpoint peer, const ReplicaBatch& batch)
+{
+    m_router.confirmBatch(peer, batch, m_clock.now());
+}
+
+bool PacketPath::acceptBatch(Endpoint peer, const ReplicaBatch& batch)
+{
+    return m_router.acceptBatch(peer, batch, m_clock.now());
+}
+
+PacketPathStatus PacketPath::status() const
+{
+    PacketPathStatus status;
+    status.m_configVersion = m_router.configVersion();
+    status.m_flows = m_router.flowCount();
+    status.m_exceptions = m_router.exceptionCount();
+    status.m_drained = m_router.drained();
+    status.m_leaving = m_leaving;
+    status.m_incarnation = m_incarnation;
+    status.m_uptime = m_clock.now() - m_startedAt;
+    return status;
+}
+
+void PacketPath::beginLeaving()
+{
+    m_leaving = true;
+    m_router.beginLeaving();
+    m_leaveDeadline.expires_after(m_leaveAllowance);
+}
+
+asio::awaitable<bool> PacketPath::left()
+{
+    co_await m_leaveDeadline.async_wait(c_asTuple);
+    co_return m_router.drained();
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/PacketThread.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "entry/PacketPath.h"
+#include "flows/FlowRecord.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <kj/async.h>
+#include <type_traits>
+#include <utility>
+
+namespace cuminrelay {
+
+/// The way from the RPC thread to the packet path: work is posted to the packet thread, and its result comes back as a
+/// promise. Neither thread waits for the other. The context and the path must outlive the RPC thread's event loop.
+class PacketThread {
+public:
+    PacketThread(boost::asio::io_context& context, PacketPath& path)
+        : m_context(context)
+        , m_path(path)
+    {
+    }
+
+    /// Runs work(PacketPath&) on the packet thread. Calls run in their order.
+    template <typename Work> kj::Promise<std::invoke_result_t<Work&, PacketPath&>> call(Work work)
+    {
+        using Result = std::invoke_result_t<Work&, PacketPath&>;
+        auto crossing = kj::newPromiseAndCrossThreadFulfiller<Result>();
+        boost::asio::post(
+            m_context, [&path = m_path, fulfiller = kj::mv(crossing.fulfiller), work = std::move(work)]() mutable {
+                if constexpr (std::is_void_v<Result>) {
+                    work(path);
+                    fulfiller->fulfill();
+                } else {
+                    fulfiller->fulfill(work(path));
+                }
+            });
+        return kj::mv(crossing.promise);
+    }
+
+    /// The next batch that a peer should be told, once there is one and the budget allows it.
+    kj::Promise<ReplicaBatch> nextBatch(Endpoint peer);
+
+private:
+    boost::asio::io_context& m_context;
+    PacketPath& m_path;
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/ReplicaLink.cpp
@@ -0,0 +1,111 @@
+#include "entry/ReplicaLink.h"
+
+#include "entry/ReplicaMessage.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+#include <kj/io.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr kj::Duration c_exchangeTimeout = 2 * kj::SECONDS; // also for a connection to come about
+    constexpr kj::Duration c_firstPause = 100 * kj::MILLISECONDS; // doubles with each failure in a row
+    constexpr unsigned c_maximumDoublings = 4;
+
+    sockaddr_in systemAddress(Endpoint endpoint)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(endpoint.m_address);
+        address.sin_port = htons(endpoint.m_port);
+        return address;
+    }
+
+} // namespace
+
+ReplicaLink::ReplicaLink(const Member& peer, const ReplicaLinkParts& parts)
+    : m_peer(peer.m_peers)
+    , m_replica(peer.m_replica)
+    , m_name(peer.m_name)
+    , m_parts(parts)
+{
+}
+
+void ReplicaLink::run(kj::WaitScope& scope)
+{
+    for (;;) {
+        const ExchangeResult result = exchangeUntilFailure(scope);
+        pause(result, scope);
+    }
+}
+
+ReplicaLink::ExchangeResult ReplicaLink::exchangeUntilFailure(kj::WaitScope& scope)
+{
+    ReplicaBatch batch = m_parts.m_packets.nextBatch(m_peer).wait(scope);
+    try {
+        kj::Own<kj::AsyncIoStream> stream = connect(scope);
+        capnp::TwoPartyClient client { *stream };
+        wire::FlowReplica::Client replica = client.bootstrap().castAs<wire::FlowReplica>();
+        while (exchange(replica, batch, scope)) {
+            m_failures = 0;
+            m_parts.m_packets
+                .call([peer = m_peer, batch = std::move(batch)](PacketPath& path) { path.confirmBatch(peer, batch); })
+                .wait(scope);
+            batch = m_parts.m_packets.nextBatch(m_peer).wait(scope);
+        }
+        return ExchangeResult::NotAccepted;
+    } catch (const kj::Exception& exception) {
+        m_parts.m_log.debug(
+            "entry", "replica_unreachable", { { "peer", m_name }, { "error", exception.getDescription().cStr() } });
+        return ExchangeResult::Unreachable;
+    }
+}
+
+kj::Own<kj::AsyncIoStream> ReplicaLink::connect(kj::WaitScope& scope)
+{
+    int descriptor = -1;
+    KJ_SYSCALL(descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    kj::AutoCloseFd socket { descriptor };
+    const sockaddr_in local = systemAddress({ m_parts.m_localAddress, 0 });
+    KJ_SYSCALL(bind(socket.get(), reinterpret_cast<const sockaddr*>(&local), sizeof local));
+    const sockaddr_in remote = systemAddress(m_replica);
+    return m_parts.m_timer
+        .timeoutAfter(c_exchangeTimeout,
+            m_parts.m_sockets.wrapConnectingSocketFd(
+                kj::mv(socket), reinterpret_cast<const sockaddr*>(&remote), sizeof remote))
+        .wait(scope);
+}
+
+bool ReplicaLink::exchange(wire::FlowReplica::Client& replica, const ReplicaBatch& batch, kj::WaitScope& scope)
+{
+    capnp::Request<wire::FlowReplica::ExchangeParams, wire::FlowReplica::ExchangeResults> request
+        = replica.exchangeRequest();
+    request.setSender(m_parts.m_self.packed());
+    writeReplicaBatch(batch, request.initBatch());
+    m_parts.m_metrics.counter("cuminrelay_replica_exchanges_total").add();
+    m_parts.m_metrics.counter("cuminrelay_replica_bytes_total").add(exchangeBytes(batch));
+    const capnp::Response<wire::FlowReplica::ExchangeResults> response
+        = m_parts.m_timer.timeoutAfter(c_exchangeTimeout, request.send()).wait(scope);
+    return response.getAccepted();
+}
+
+void ReplicaLink::pause(ExchangeResult reason, kj::WaitScope& scope)
+{
+    m_parts.m_metrics
+        .counter("cuminrelay_retries_total",
+            reason == ExchangeResult::NotAccepted ? "replica_not_accepted" : "replica_unreachable")
+        .add();
+    const unsigned doublings = std::min(m_failures, c_maximumDoublings);
+    ++m_failures;
+    m_parts.m_timer.afterDelay(c_firstPause * (1 << doublings)).wait(scope);
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/ReplicaPacer.cpp
@@ -0,0 +1,19 @@
+#include "entry/ReplicaPacer.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::uint64_t c_microsecondsPerSecond = 1'000'000;
+
+} // namespace
+
+void ReplicaPacer::charge(std::size_t bytes, Instant now)
+{
+    const std::uint64_t microseconds = bytes * c_microsecondsPerSecond / m_bytesPerSecond;
+    m_paidOffAt = std::max(m_paidOffAt, now) + Duration { static_cast<std::int64_t>(microseconds) };
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/ReplicaPacer.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace cuminrelay {
+
+/// Keeps exchanges of flow replicas under a budget of bytes a second, over all peers. An exchange may start whenever
+/// the bytes of those before it are paid off; it is never split.
+class ReplicaPacer {
+public:
+    explicit ReplicaPacer(std::uint64_t bytesPerSecond)
+        : m_bytesPerSecond(bytesPerSecond)
+    {
+    }
+
+    bool mayStart(Instant now) const { return now >= m_paidOffAt; }
+
+    /// Notes that an exchange of this size started.
+    void charge(std::size_t bytes, Instant now);
+
+private:
+    std::uint64_t m_bytesPerSecond;
+    Deadline m_paidOffAt {};
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/RpcServices.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "entry/EntryControlServer.h"
+#include "entry/PacketThread.h"
+#include "entry/ReplicaLink.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+#include "packets/PeerFilter.h"
+
+#include <capnp/capability.h>
+#include <capnp/message.h>
+#include <kj/async-io.h>
+#include <map>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace cuminrelay {
+
+/// Everything that lives on the RPC thread's event loop: a fiber for each listener, for each accepted connection and
+/// for each peer.
+class RpcServices final : private MemberListener, private kj::TaskSet::ErrorHandler {
+public:
+    struct Listeners {
+        int m_entryRpc = -1; ///< owned
+        int m_replica = -1; ///< owned
+        Endpoint m_entryRpcEndpoint;
+        Endpoint m_replicaEndpoint;
+    };
+
+    RpcServices(kj::AsyncIoContext& io, const Listeners& listeners, Endpoint self, PacketThread& packets,
+        const Clock& clock, Metrics& metrics, Log& log);
+    RpcServices(const RpcServices&) = delete;
+    RpcServices& operator=(const RpcServices&) = delete;
+    ~RpcServices() noexcept override;
+
+private:
+    /// What serves one kind of connection: who is let in, and the object that they call.
+    class Service {
+    public:
+        Service() = default;
+        Service(const Service&) = delete;
+        Service& operator=(const Service&) = delete;
+        virtual ~Service() = default;
+
+        virtual bool admits(std::uint32_t address) const = 0;
+        virtual capnp::Capability::Client serve(std::uint32_t address) = 0;
+        virtual capnp::ReaderOptions readerOptions() const = 0;
+    };
+    class ControlService;
+    class ReplicaService;
+
+    /// A link and the fiber that runs it.
+    struct RunningLink {
+        std::unique_ptr<ReplicaLink> m_link;
+        kj::Promise<void> m_fiber;
+    };
+
+    void listen(int descriptor, Service& service);
+    void acceptConnections(kj::ConnectionReceiver& listener, Service& service, kj::WaitScope& scope);
+    void serveConnection(kj::AsyncIoStream& stream, Service& service, std::uint32_t address, kj::WaitScope& scope);
+    void membersInstalled(std::span<const Member> members) override;
+    RunningLink startLink(const Member& member);
+    void taskFailed(kj::Exception&& exception) override;
+
+    kj::AsyncIoContext& m_io;
+    Metrics& m_metrics;
+    Log& m_log;
+    PeerFilter m_filter;
+    ReplicaLinkParts m_linkParts;
+    std::unique_ptr<ControlService> m_controlService;
+    std::unique_ptr<ReplicaService> m_replicaService;
+    std::size_t m_connections = 0;
+    std::map<Endpoint, RunningLink> m_links; ///< by the peer's name among the members
+    kj::TaskSet m_tasks; ///< last, so that the fibers end before what they refer to
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/RpcThread.cpp
@@ -0,0 +1,75 @@
+#include "entry/RpcThread.h"
+
+#include "base/Listener.h"
+#include "entry/RpcServices.h"
+
+#include <future>
+#include <kj/async-io.h>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
+
+} // namespace
+
+Outcome<std::unique_ptr<RpcThread>> RpcThread::open(
+    const asio::any_io_executor& executor, const EntrySettings& settings, Endpoint self, const Parts& parts)
+{
+    Outcome<tcp::acceptor> entryRpc = openListener(executor, settings.m_entryRpc, "entry RPC");
+    if (!entryRpc)
+        return entryRpc.error();
+    Outcome<tcp::acceptor> replica = openListener(executor, settings.m_replica, "flow replicas");
+    if (!replica)
+        return replica.error();
+    return std::make_unique<RpcThread>(std::move(entryRpc.value()), std::move(replica.value()), self, parts);
+}
+
+RpcThread::RpcThread(tcp::acceptor entryRpc, tcp::acceptor replica, Endpoint self, Parts parts)
+    : m_entryRpc(std::move(entryRpc))
+    , m_replica(std::move(replica))
+    , m_entryRpcEndpoint(localEndpoint(m_entryRpc))
+    , m_replicaEndpoint(localEndpoint(m_replica))
+    , m_self(self)
+    , m_parts(parts)
+{
+}
+
+RpcThread::~RpcThread()
+{
+    stop();
+}
+
+void RpcThread::start()
+{
+    using Stopper = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
+    std::promise<Stopper> stopper;
+    std::future<Stopper> ready = stopper.get_future();
+    m_thread = std::thread { [this, stopper = std::move(stopper)]() mutable { run(stopper); } };
+    m_stopper = ready.get();
+}
+
+void RpcThread::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    m_stopper->fulfill();
+    m_thread.join();
+}
+
+void RpcThread::run(std::promise<kj::Own<kj::CrossThreadPromiseFulfiller<void>>>& stopper)
+{
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
+    stopper.set_value(kj::mv(stop.fulfiller));
+    const RpcServices::Listeners listeners { m_entryRpc.release(), m_replica.release(), m_entryRpcEndpoint,
+        m_replicaEndpoint };
+    RpcServices services { io, listeners, m_self, m_parts.m_packets, m_parts.m_clock, m_parts.m_metrics,
+        m_parts.m_log };
+    stop.promise.wait(io.waitScope);
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/entry/RpcThread.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/Endpoint.h"
+#include "base/Error.h"
+#include "base/Time.h"
+#include "entry/EntrySettings.h"
+#include "entry/PacketThread.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <future>
+#include <kj/async.h>
+#include <memory>
+#include <thread>
+
+namespace cuminrelay {
+
+/// The thread of the entry process that speaks Cap'n Proto: it serves EntryControl and FlowReplica and holds a link to
+/// each peer. Its KJ event loop waits for sockets; to the packet path it crosses by posting.
+class RpcThread {
+public:
+    /// The references must outlive the thread.
+    struct Parts {
+        PacketThread& m_packets;
+        const Clock& m_clock;
+        Metrics& m_metrics;
+        Log& m_log;
+    };
+
+    /// Binds the listeners. Errors: Unavailable, naming the endpoint that is in use.
+    static Outcome<std::unique_ptr<RpcThread>> open(
+        const boost::asio::any_io_executor& executor, const EntrySettings& settings, Endpoint self, const Parts& parts);
+
+    RpcThread(
+        boost::asio::ip::tcp::acceptor entryRpc, boost::asio::ip::tcp::acceptor replica, Endpoint self, Parts parts);
+    RpcThread(const RpcThread&) = delete;
+    RpcThread& operator=(const RpcThread&) = delete;
+    ~RpcThread();
+
+    void start();
+
+    /// Ends all connections and the thread, and waits for its end. May be called more than once.
+    void stop();
+
+    Endpoint entryRpc() const { return m_entryRpcEndpoint; }
+    Endpoint replica() const { return m_replicaEndpoint; }
+
+private:
+    /// The thread: hands out what stops it, then serves until it is stopped.
+    void run(std::promise<kj::Own<kj::CrossThreadPromiseFulfiller<void>>>& stopper);
+
+    boost::asio::ip::tcp::acceptor m_entryRpc;
+    boost::asio::ip::tcp::acceptor m_replica;
+    Endpoint m_entryRpcEndpoint;
+    Endpoint m_replicaEndpoint;
+    Endpoint m_self;
+    Parts m_parts;
+    kj::Own<kj::CrossThreadPromiseFulfiller<void>> m_stopper; ///< ends the event loop
+    std::thread m_thread;
+};
+
+} // namespace cuminrelay
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -45,6 +45,16 @@
     return sum;
 }
 
+std::vector<CounterSample> Metrics::samples() const
+{
+    const std::lock_guard<std::mutex> lock { m_mutex };
+    std::vector<CounterSample> samples;
+    samples.reserve(m_counters.size());
+    for (const auto& [key, counter] : m_counters)
+        samples.push_back({ key.m_name, key.m_reason, counter.value() });
+    return samples;
+}
+
 std::string Metrics::prometheusText() const
 {
     const std::lock_guard<std::mutex> lock { m_mutex };
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cuminrelay {
 
@@ -21,6 +22,13 @@
     std::atomic<std::uint64_t> m_value { 0 };
 };
 
+/// One counter at one moment.
+struct CounterSample {
+    std::string m_name;
+    std::string m_reason;
+    std::uint64_t m_value = 0;
+};
+
 /// The counters and histograms of one process, served as Prometheus text. References that it hands out stay valid as
 /// long as it lives. Names are snake_case; a reason is a label value, so that each refusal, retry and drop reason has a
 /// counter of its own: cuminrelay_drops_total{reason="hop_limit"}.
@@ -34,6 +42,9 @@
     /// The sum of a counter over its reasons; 0 for an unknown name.
     std::uint64_t total(std::string_view name) const;
 
+    /// All counters, sorted by name and reason.
+    std::vector<CounterSample> samples() const;
+
     std::string prometheusText() const;
 
 private:
--- a/src/observe/MetricsServer.cpp
+++ b/src/observe/MetricsServer.cpp
@@ -1,9 +1,10 @@
 #include "observe/MetricsServer.h"
 
+#include "base/Listener.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_static_buffer.hpp>
@@ -13,7 +14,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <fmt/format.h>
 #include <utility>
 
 namespace cuminrelay {
@@ -59,26 +59,17 @@
 
 Outcome<void> MetricsServer::start(Endpoint endpoint)
 {
-    const tcp::endpoint bindTo { asio::ip::address_v4 { endpoint.m_address }, endpoint.m_port };
-    boost::system::error_code error;
-    m_acceptor.open(bindTo.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(bindTo, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Error { ErrorKind::Unavailable,
-            fmt::format("cannot serve metrics on {}: {}", formatEndpoint(endpoint), error.message()) };
+    Outcome<tcp::acceptor> listener = openListener(m_acceptor.get_executor(), endpoint, "metrics");
+    if (!listener)
+        return listener.error();
+    m_acceptor = std::move(listener.value());
     asio::co_spawn(m_acceptor.get_executor(), acceptConnections(), asio::detached);
     return boost::outcome_v2::success();
 }
 
 Endpoint MetricsServer::localEndpoint() const
 {
-    const tcp::endpoint local = m_acceptor.local_endpoint();
-    return { local.address().to_v4().to_uint(), local.port() };
+    return cuminrelay::localEndpoint(m_acceptor);
 }
 
 void MetricsServer::stop()
