standins: platform over HTTP, a backend server's work model, TCP for tests

Cause: tests and the demo need a platform, backend servers and callers to run against. Change: PlatformStandin speaks the object protocol of DESIGN.md with its switches; HostWork models slots, queue, shedding, deadlines, cancellation; TcpConnection is one end of a connection without socket or clock.

--- /dev/null
+++ b/src/standins/HttpServer.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/Endpoint.h"
+#include "base/Error.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cuminrelay::standins {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// What a stand-in answers to HTTP calls.
+class HttpHandler {
+public:
+    HttpHandler() = default;
+    HttpHandler(const HttpHandler&) = delete;
+    HttpHandler& operator=(const HttpHandler&) = delete;
+    virtual ~HttpHandler() = default;
+
+    /// Answers one call; nullopt closes the connection without an answer.
+    virtual boost::asio::awaitable<std::optional<HttpResponse>> handle(const HttpRequest& request) = 0;
+};
+
+/// The path of a request target and its query.
+struct HttpTarget {
+    std::string m_path;
+    std::map<std::string, std::string, std::less<>> m_query;
+};
+
+HttpTarget parseTarget(std::string_view target);
+
+HttpResponse jsonResponse(boost::beast::http::status status, std::string body);
+
+/// A response with the body {"error": message}.
+HttpResponse errorResponse(boost::beast::http::status status, std::string_view message);
+
+/// Listens at the endpoint (port 0: any free one) and serves each connection in a task of its own, for as long as the
+/// context runs. Returns where it listens. Errors: Unavailable when the address is in use or not ours.
+Outcome<Endpoint> serveHttp(boost::asio::io_context& context, Endpoint listen, std::shared_ptr<HttpHandler> handler);
+
+} // namespace cuminrelay::standins
--- /dev/null
+++ b/src/standins/PlatformStandin.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "base/Time.h"
+#include "standins/HttpServer.h"
+#include "standins/Signal.h"
+
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace cuminrelay::standins {
+
+/// What the platform counts: each call, a waiting watch as one.
+struct PlatformCalls {
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_watches = 0;
+    std::uint64_t m_vmLists = 0;
+    std::uint64_t m_refusedByRate = 0;
+    std::uint64_t m_refusedByOutage = 0;
+    std::uint64_t m_conflicts = 0;
+    std::uint64_t m_lostAnswers = 0;
+};
+
+/// What tests make the platform do wrong.
+struct PlatformSwitches {
+    bool m_outage = false; ///< 503 to every call
+    bool m_staleReads = false; ///< reads answer with the version before the current one
+    Duration m_slow {}; ///< each call takes this much longer
+    Duration m_vmListLag {}; ///< changes of the VM list show this much later
+    std::uint64_t m_loseAnswers = 0; ///< so many next writes take effect, but the connection closes unanswered
+};
+
+struct PlatformOptions {
+    std::string m_token;
+    std::uint64_t m_writesPerSecond = 400;
+    std::uint64_t m_readsPerSecond = 2000;
+    PlatformSwitches m_switches {};
+};
+
+/// The platform's object API and VM list over HTTP, as docs/DESIGN.md describes the protocol, with the switches above.
+/// Admin calls (/standin/...) need no token and are not counted. Give it to serveHttp(); all on one thread.
+class PlatformStandin final : public HttpHandler {
+public:
+    explicit PlatformStandin(PlatformOptions options);
+
+    boost::asio::awaitable<std::optional<HttpResponse>> handle(const HttpRequest& request) override;
+
+    const PlatformCalls& calls() const { return m_calls; }
+
+    /// Writes an object unconditionally, as an operator would before the test starts.
+    void seedObject(std::string_view kind, std::string_view name, std::string body);
+
+private:
+    /// An object with the body of the version before, for stale reads.
+    struct Object {
+        std::uint64_t m_version = 0;
+        std::string m_body;
+        std::string m_previousBody;
+        Signal m_changed;
+    };
+
+    /// A change of the VM list that is not visible yet; a null entry removes the VM.
+    struct VmChange {
+        Instant m_visibleFrom {};
+        std::string m_name;
+        boost::json::value m_vm;
+    };
+
+    /// Counts the calls of the current second against a limit.
+    struct RateWindow {
+        Deadline m_ends {};
+        std::uint64_t m_calls = 0;
+
+        bool take(std::uint64_t limit, Instant now);
+    };
+
+    boost::asio::awaitable<std::optional<HttpResponse>> handleObject(const HttpRequest& request, HttpTarget target);
+    boost::asio::awaitable<HttpResponse> watch(Object& object, std::uint64_t above, Deadline deadline);
+    std::optional<HttpResponse> write(const HttpRequest& request, Object& object);
+    HttpResponse handleAdmin(const HttpRequest& request, std::string_view path);
+    HttpResponse setSwitches(std::string_view body);
+    HttpResponse read(const Object& object) const;
+    HttpResponse listVms();
+    std::uint64_t visibleVersion(const Object& object) const;
+    std::string callsText() const;
+
+    PlatformOptions m_options;
+    PlatformSwitches m_switches;
+    PlatformCalls m_calls;
+    RateWindow m_readWindow;
+    RateWindow m_writeWindow;
+    std::map<std::string, Object, std::less<>> m_objects;
+    std::map<std::string, boost::json::value, std::less<>> m_vms;
+    std::deque<VmChange> m_vmChanges;
+};
+
+} // namespace cuminrelay::standins
--- /dev/null
+++ b/src/standins/TcpConnectionTest.cpp
@@ -0,0 +1,177 @@
+#include "standins/TcpConnection.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <random>
+#include <rapidcheck/gtest.h>
+
+namespace cuminrelay::standins {
+namespace {
+
+    /// A network that loses, doubles and reorders by a seed; it delivers on a clock that only the test moves.
+    class FaultyNetwork {
+    public:
+        FaultyNetwork(std::uint64_t seed, unsigned lossPercent, unsigned doublePercent)
+            : m_random(seed)
+            , m_lossPercent(lossPercent)
+            , m_doublePercent(doublePercent)
+        {
+        }
+
+        void send(const Segment& segment, bool toServer, Instant now)
+        {
+            if (draw(100) < m_lossPercent)
+                return;
+            const unsigned copies = draw(100) < m_doublePercent ? 2 : 1;
+            for (unsigned copy = 0; copy < copies; ++copy)
+                m_flying.emplace(now + std::chrono::microseconds { 200 + draw(3000) }, Flying { segment, toServer });
+        }
+
+        struct Flying {
+            Segment m_segment;
+            bool m_toServer = false;
+        };
+
+        std::optional<Flying> take(Instant now)
+        {
+            if (m_flying.empty() || m_flying.begin()->first > now)
+                return std::nullopt;
+            Flying first = std::move(m_flying.begin()->second);
+            m_flying.erase(m_flying.begin());
+            return first;
+        }
+
+        Instant next() const { return m_flying.empty() ? Instant::max() : m_flying.begin()->first; }
+
+    private:
+        unsigned draw(unsigned below) { return static_cast<unsigned>(m_random() % below); }
+
+        std::mt19937_64 m_random;
+        unsigned m_lossPercent;
+        unsigned m_doublePercent;
+        std::multimap<Instant, Flying> m_flying;
+    };
+
+    std::string pattern(std::size_t bytes, unsigned salt)
+    {
+        std::string text;
+        for (std::size_t i = 0; i < bytes; ++i)
+            text += static_cast<char>('a' + (i * 7 + i / 251 + salt) % 26);
+        return text;
+    }
+
+    /// Runs both ends until they are closed, failed or the steps are used up.
+    struct Exchange {
+        TcpConnection m_client;
+        std::optional<TcpConnection> m_server;
+        Instant m_now { std::chrono::seconds { 1 } };
+
+        void run(FaultyNetwork& network, std::string_view answer, unsigned steps)
+        {
+            for (unsigned step = 0; step < steps; ++step) {
+                for (const Segment& segment : m_client.takeSegments(m_now))
+                    network.send(segment, true, m_now);
+                if (m_server) {
+                    for (const Segment& segment : m_server->takeSegments(m_now))
+                        network.send(segment, false, m_now);
+                }
+                const std::optional<FaultyNetwork::Flying> arrived = network.take(m_now);
+                if (arrived) {
+                    deliver(*arrived, answer);
+                    continue;
+                }
+                Instant next = std::min(network.next(), m_client.nextDeadline());
+                if (m_server)
+                    next = std::min(next, m_server->nextDeadline());
+                if (next == Instant::max())
+                    return;
+                m_now = std::max(next, m_now);
+            }
+        }
+
+        void deliver(const FaultyNetwork::Flying& arrived, std::string_view answer)
+        {
+            if (!arrived.m_toServer) {
+                m_client.receive(arrived.m_segment, m_now);
+                return;
+            }
+            if (!m_server) {
+                if (!arrived.m_segment.m_syn)
+                    return;
+                m_server = TcpConnection::passive(0xfffffff0U, arrived.m_segment);
+                m_server->write(answer);
+                m_server->finish();
+                return;
+            }
+            m_server->receive(arrived.m_segment, m_now);
+        }
+    };
+
+    RC_GTEST_PROP(TcpConnection, bothStreamsArriveWholeUnderLossDuplicationAndReordering,
+        (std::uint64_t seed, std::uint32_t initialSequence))
+    {
+        const unsigned loss = *rc::gen::inRange(0U, 15U);
+        const unsigned doubled = *rc::gen::inRange(0U, 30U);
+        const std::string request = pattern(*rc::gen::inRange<std::size_t>(0, 60'000), 1);
+        const std::string answer = pattern(*rc::gen::inRange<std::size_t>(0, 60'000), 2);
+        FaultyNetwork network { seed, loss, doubled };
+        Exchange exchange { TcpConnection::active(initialSequence), std::nullopt };
+        exchange.m_client.write(request);
+        exchange.m_client.finish();
+        exchange.run(network, answer, 200'000);
+        RC_ASSERT(exchange.m_server.has_value());
+        RC_ASSERT(exchange.m_server->readable() == request);
+        RC_ASSERT(exchange.m_client.readable() == answer);
+        RC_ASSERT(exchange.m_client.state() == TcpState::Closed);
+        RC_ASSERT(exchange.m_server->peerFinished());
+    }
+
+    TEST(TcpConnection, unansweredOpeningTimesOut)
+    {
+        FaultyNetwork network { 1, 100, 0 };
+        Exchange exchange { TcpConnection::active(7), std::nullopt };
+        exchange.run(network, "", 1000);
+        EXPECT_EQ(exchange.m_client.state(), TcpState::TimedOut);
+    }
+
+    TEST(TcpConnection, resetForAnOpeningRefusesIt)
+    {
+        TcpConnection client = TcpConnection::active(7);
+        const Instant start { std::chrono::seconds { 1 } };
+        const std::vector<Segment> syn = client.takeSegments(start);
+        ASSERT_EQ(syn.size(), 1U);
+        client.receive(resetFor(syn.front()), start);
+        EXPECT_EQ(client.state(), TcpState::Reset);
+    }
+
+    TEST(TcpConnection, resetOutsideTheWindowIsIgnored)
+    {
+        const Instant start { std::chrono::seconds { 1 } };
+        Segment syn;
+        syn.m_syn = true;
+        syn.m_sequence = 100;
+        TcpConnection server = TcpConnection::passive(5, syn);
+        Segment reset;
+        reset.m_reset = true;
+        reset.m_sequence = 99;
+        server.receive(reset, start);
+        EXPECT_EQ(server.state(), TcpState::Opening);
+        reset.m_sequence = 101;
+        server.receive(reset, start);
+        EXPECT_EQ(server.state(), TcpState::Reset);
+    }
+
+    TEST(TcpConnection, unknownSegmentIsAnsweredAsAKernelDoes)
+    {
+        Segment data;
+        data.m_ack = true;
+        data.m_sequence = 10;
+        data.m_acknowledgment = 77;
+        const Segment reset = resetFor(data);
+        EXPECT_TRUE(reset.m_reset);
+        EXPECT_FALSE(reset.m_ack);
+        EXPECT_EQ(reset.m_sequence, 77U);
+    }
+
+} // namespace
+} // namespace cuminrelay::standins
