standins: a backend server that speaks TCP and UDP

Cause: the demo and tests need hosts behind the entry VMs. Change: HostStandin unwraps packets, answers by the fabric and runs work; InnerPacket, Tunnel and TcpStream are its small parts.

--- /dev/null
+++ b/src/standins/HostStandin.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "standins/HostWork.h"
+#include "standins/HttpServer.h"
+#include "standins/InnerPacket.h"
+#include "standins/TcpStream.h"
+#include "standins/Tunnel.h"
+
+#include <boost/asio/io_context.hpp>
+#include <compare>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cuminrelay::standins {
+
+struct HostOptions {
+    std::string m_name;
+    std::string m_service; ///< the only service that it answers for
+    Endpoint m_tunnel;
+    Endpoint m_report;
+    Endpoint m_answers; ///< where the fabric takes answers to callers
+    std::uint64_t m_connectionLimit = 2000;
+    Duration m_coldStart {}; ///< work is slower for so long after the start
+    HostWorkOptions m_work {};
+};
+
+/// What the host's report says.
+enum class ReportMode : std::uint8_t {
+    True,
+    Idle, ///< lies: healthy and without load
+    Unhealthy, ///< lies: 503
+};
+
+struct HostSwitches {
+    ReportMode m_report = ReportMode::True;
+    Duration m_reportLag {}; ///< the load is reported as it was so long ago
+    bool m_drain = false; ///< refuses work of connections that open from now on, with proof
+    bool m_silent = false; ///< answers no packet and no report, like a dead VM
+};
+
+/// A backend server: unwraps packets, speaks TCP and UDP as a kernel would, and runs the work that callers ask for.
+/// One task for each connection, and one for each piece of work.
+class HostStandin final : public HttpHandler, public DatagramHandler {
+public:
+    /// Binds its endpoints and starts its tasks. Errors: Unavailable.
+    static Outcome<std::shared_ptr<HostStandin>> start(boost::asio::io_context& context, HostOptions options);
+
+    HostStandin(boost::asio::io_context& context, HostOptions options);
+
+    boost::asio::awaitable<std::optional<HttpResponse>> handle(const HttpRequest& request) override;
+    void takeDatagram(std::span<const std::byte> datagram, Endpoint from) override;
+
+    Endpoint tunnel() const { return m_options.m_tunnel; }
+    Endpoint report() const { return m_options.m_report; }
+    const HostWork& work() const { return m_work; }
+
+private:
+    struct ConnectionKey {
+        Endpoint m_caller;
+        Endpoint m_service;
+
+        friend auto operator<=>(const ConnectionKey&, const ConnectionKey&) = default;
+    };
+
+    /// One open connection and the pieces of work that it waits for.
+    struct Connection {
+        std::shared_ptr<TcpStream> m_stream;
+        bool m_openedDraining = false;
+        std::uint64_t m_pending = 0;
+        Signal m_changed;
+    };
+
+    struct LoadSample {
+        Instant m_at {};
+        std::uint64_t m_connections = 0;
+        std::uint64_t m_busySlots = 0;
+        std::uint64_t m_queued = 0;
+        bool m_shedding = false;
+    };
+
+    void takeSegment(const InnerPacket& packet);
+    void openConnection(const ConnectionKey& key, const Segment& syn);
+    boost::asio::awaitable<void> serveConnection(ConnectionKey key, std::shared_ptr<Connection> connection);
+    boost::asio::awaitable<void> readRequests(std::shared_ptr<Connection> connection);
+    boost::asio::awaitable<void> runRequest(
+        std::shared_ptr<Connection> connection, WorkRequest request, std::string bodyHash);
+    boost::asio::awaitable<void> pushFeed(std::shared_ptr<Connection> connection, WorkRequest request);
+    boost::asio::awaitable<void> answerDatagram(InnerPacket packet);
+    boost::asio::awaitable<void> sampleLoad();
+    WorkAnswer answerTo(const WorkRequest& request, WorkStatus status) const;
+    std::optional<HttpResponse> load() const;
+    HttpResponse setSwitches(std::string_view body);
+    std::string workText() const;
+
+    boost::asio::io_context& m_context;
+    HostOptions m_options;
+    HostSwitches m_switches;
+    HostWork m_work;
+    std::shared_ptr<Tunnel> m_tunnel;
+    std::map<ConnectionKey, std::shared_ptr<Connection>> m_connections;
+    std::deque<LoadSample> m_samples;
+    std::uint64_t m_openedConnections = 0;
+    std::uint64_t m_resets = 0;
+    std::uint64_t m_foreignRequests = 0; ///< asked for another service
+    std::int64_t m_lastOpenedUnixMs = 0;
+    std::uint32_t m_nextInitialSequence = 1;
+};
+
+} // namespace cuminrelay::standins
--- a/src/standins/HostWork.h
+++ b/src/standins/HostWork.h
@@ -43,6 +43,9 @@
     /// Cancels queued or running work; false when there is none with this id.
     bool cancel(std::string_view id);
 
+    /// Work that starts before this takes longer: a cold start.
+    void setWarmFrom(Deadline warmFrom) { m_options.m_warmFrom = warmFrom; }
+
     /// Refuses all new work, with proof.
     void setShedding(bool shedding) { m_shedding = shedding; }
 
--- /dev/null
+++ b/src/standins/InnerPacket.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/Endpoint.h"
+#include "standins/TcpConnection.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace cuminrelay::standins {
+
+enum class InnerKind : std::uint8_t {
+    Tcp,
+    Udp,
+    Unreachable, ///< ICMP: the quoted datagram was refused
+};
+
+/// One IPv4 packet as the kernel of a caller or backend server sees it. Unlike packets/PacketParser.h, which knows only
+/// what callers send, it also takes the answers: SYN-ACK and ICMP.
+struct InnerPacket {
+    InnerKind m_kind = InnerKind::Tcp;
+    Endpoint m_source; ///< of the quoted datagram for Unreachable
+    Endpoint m_destination; ///< likewise
+    Segment m_segment; ///< Tcp only
+    std::string m_payload; ///< Udp only
+};
+
+/// Parses a packet and verifies its checksums, as a kernel does; nullopt for anything else.
+std::optional<InnerPacket> decodeInner(std::span<const std::byte> packet);
+
+/// Room for any packet that the stand-ins send.
+inline constexpr std::size_t c_maximumInnerBytes = 2048;
+
+/// Both write one packet to the front of out and return the part written, which is empty when out is too small.
+std::span<std::byte> encodeSegment(
+    Endpoint source, Endpoint destination, const Segment& segment, std::span<std::byte> out);
+std::span<std::byte> encodeDatagram(
+    Endpoint source, Endpoint destination, std::string_view payload, std::span<std::byte> out);
+
+} // namespace cuminrelay::standins
--- /dev/null
+++ b/src/standins/TcpStream.cpp
@@ -0,0 +1,112 @@
+#include "standins/TcpStream.h"
+
+namespace cuminrelay::standins {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    /// How long a closed connection goes on acknowledging retransmissions of the other side.
+    constexpr Duration c_linger = std::chrono::seconds { 2 };
+
+} // namespace
+
+TcpStream::TcpStream(TcpConnection connection, std::unique_ptr<SegmentSink> sink)
+    : m_connection(std::move(connection))
+    , m_sink(std::move(sink))
+{
+}
+
+void TcpStream::deliver(const Segment& segment)
+{
+    m_connection.receive(segment, now());
+    pump();
+    m_changed.notify();
+}
+
+void TcpStream::pump()
+{
+    for (const Segment& segment : m_connection.takeSegments(now()))
+        m_sink->send(segment);
+}
+
+asio::awaitable<void> TcpStream::run()
+{
+    while (!hasFailed() && state() != TcpState::Closed) {
+        pump();
+        co_await m_changed.waitUntil(m_connection.nextDeadline());
+    }
+    m_changed.notify();
+    if (state() == TcpState::Closed)
+        co_await sleepUntil(now() + c_linger);
+}
+
+asio::awaitable<Outcome<std::string>> TcpStream::readLine(Deadline deadline)
+{
+    while (true) {
+        const std::size_t end = m_connection.readable().find('\n');
+        if (end != std::string_view::npos)
+            co_return take(end, 1);
+        if (hasEnded())
+            co_return endError();
+        if (now() >= deadline)
+            co_return Error { ErrorKind::Exhausted, "no line before the deadline" };
+        co_await m_changed.waitUntil(deadline);
+    }
+}
+
+asio::awaitable<Outcome<std::string>> TcpStream::readBytes(std::size_t bytes, Deadline deadline)
+{
+    while (m_connection.readable().size() < bytes) {
+        if (hasEnded())
+            co_return endError();
+        if (now() >= deadline)
+            co_return Error { ErrorKind::Exhausted, "not all bytes before the deadline" };
+        co_await m_changed.waitUntil(deadline);
+    }
+    co_return take(bytes, 0);
+}
+
+Outcome<std::string> TcpStream::take(std::size_t bytes, std::size_t skipped)
+{
+    std::string taken { m_connection.readable().substr(0, bytes) };
+    m_connection.consume(bytes + skipped);
+    return taken;
+}
+
+Error TcpStream::endError() const
+{
+    if (state() == TcpState::Reset)
+        return { ErrorKind::Unavailable, "the connection was reset" };
+    if (state() == TcpState::TimedOut)
+        return { ErrorKind::Unavailable, "the connection timed out" };
+    return { ErrorKind::Unavailable, "the other side finished" };
+}
+
+asio::awaitable<void> TcpStream::waitOpened(Deadline deadline)
+{
+    while (state() == TcpState::Opening && now() < deadline)
+        co_await m_changed.waitUntil(deadline);
+}
+
+asio::awaitable<void> TcpStream::waitPeerFinished(Deadline deadline)
+{
+    while (!hasEnded() && now() < deadline)
+        co_await m_changed.waitUntil(deadline);
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    m_connection.write(bytes);
+    pump();
+    m_changed.notify();
+}
+
+void TcpStream::finish()
+{
+    m_connection.finish();
+    pump();
+    m_changed.notify();
+}
+
+} // namespace cuminrelay::standins
