platform: client over HTTP that tells not sent from unknown, retries by budget

Cause: control and operators had only the interface of the platform. Change: HttpPlatformClient (reads share a kept connection, each write has its own; refused or unsent is Unavailable, unanswered is OutcomeUnknown), the VM list, BudgetedRetryPolicy and RetryingPlatformClient, counters by reason.

--- a/cmake/Slices.cmake
+++ b/cmake/Slices.cmake
@@ -1,7 +1,7 @@
 # A slice is a static library made of every .cpp in its folder, plus one test program made of the
-# *Test.cpp files in the same folder. Generated Cap'n Proto code (*.capnp.cc) is committed beside its schema.
+# *Test.cpp files in the same folder, which may link further slices (TEST_LINK). Generated Cap'n Proto code (*.capnp.cc) is committed beside its schema.
 function(cuminrelay_slice name)
-  cmake_parse_arguments(SLICE "" "" "LINK" ${ARGN})
+  cmake_parse_arguments(SLICE "" "" "LINK;TEST_LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
   file(GLOB generated CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.capnp.cc)
   set(tests ${sources})
@@ -21,7 +21,7 @@
   endif()
   if(tests)
     add_executable(${name}_test ${tests})
-    target_link_libraries(${name}_test PRIVATE ${name} rapidcheck GTest::gtest_main)
+    target_link_libraries(${name}_test PRIVATE ${name} ${SLICE_TEST_LINK} rapidcheck GTest::gtest_main)
     add_test(NAME ${name} COMMAND ${name}_test)
   endif()
 endfunction()
--- a/src/bench/BaselineDesigns.cpp
+++ b/src/bench/BaselineDesigns.cpp
@@ -17,9 +17,7 @@
     m_vms[vm] = Vm {};
 }
 
-void LocalDesign::beginLeaving(VmIndex)
-{
-}
+void LocalDesign::beginLeaving(VmIndex) { }
 
 bool LocalDesign::drained(VmIndex) const
 {
@@ -36,13 +34,9 @@
     m_vms[vm].m_tables = m_newestTables;
 }
 
-void LocalDesign::installMembers(VmIndex, const MemberView&, Instant)
-{
-}
+void LocalDesign::installMembers(VmIndex, const MemberView&, Instant) { }
 
-void LocalDesign::applyReports(VmIndex, std::span<const BackendReport>)
-{
-}
+void LocalDesign::applyReports(VmIndex, std::span<const BackendReport>) { }
 
 FleetOutcome LocalDesign::route(VmIndex vm, const PacketSummary& packet, Instant)
 {
@@ -58,9 +52,7 @@
     return outcome;
 }
 
-void LocalDesign::tick(VmIndex, Instant)
-{
-}
+void LocalDesign::tick(VmIndex, Instant) { }
 
 std::size_t LocalDesign::heldFlows() const
 {
--- a/src/bench/FleetDesign.h
+++ b/src/bench/FleetDesign.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "base/Time.h"
 #include "backends/BackendBoard.h"
+#include "base/Time.h"
 #include "configuration/Model.h"
 #include "flows/Packet.h"
 #include "members/Member.h"
--- a/src/bench/FlowExperiment.cpp
+++ b/src/bench/FlowExperiment.cpp
@@ -410,8 +410,8 @@
     const auto found = m_backends.find(outcome.m_backend);
     CR_ASSERT(found != m_backends.end(), "a design forwards to declared backend servers only");
     Backend& backend = found->second;
-    const bool cutOff = m_now < m_cutEnds
-        && (m_vms[outcome.m_lastVm].m_member.m_zone == m_cutZone) != (backend.m_zone == m_cutZone);
+    const bool cutOff
+        = m_now < m_cutEnds && (m_vms[outcome.m_lastVm].m_member.m_zone == m_cutZone) != (backend.m_zone == m_cutZone);
     if (backend.m_dead || cutOff)
         return;
     const bool isFirst = flow.m_key.m_service == m_configuration.m_services[0].m_address;
@@ -673,8 +673,8 @@
             continue;
         std::vector<BackendReport> reports;
         for (const auto& [tunnel, backend] : m_backends) {
-            const bool beyondCut = m_now < m_cutEnds
-                && (backend.m_zone == m_cutZone) != (m_vms[index].m_member.m_zone == m_cutZone);
+            const bool beyondCut
+                = m_now < m_cutEnds && (backend.m_zone == m_cutZone) != (m_vms[index].m_member.m_zone == m_cutZone);
             BackendReport report;
             report.m_backend = tunnel;
             report.m_connections = static_cast<std::uint32_t>(backend.m_flows.size());
--- a/src/bench/FlowExperiment.h
+++ b/src/bench/FlowExperiment.h
@@ -100,7 +100,8 @@
 /// flows whose opening they saw and reset all others.
 class FlowExperiment final : private FleetNetwork {
 public:
-    using DesignFactory = std::function<std::unique_ptr<FleetDesign>(std::span<const Endpoint> vms, FleetNetwork& network)>;
+    using DesignFactory
+        = std::function<std::unique_ptr<FleetDesign>(std::span<const Endpoint> vms, FleetNetwork& network)>;
 
     FlowExperiment(FlowExperimentSettings settings, const DesignFactory& makeDesign);
     ~FlowExperiment() override;
--- a/src/bench/Random.h
+++ b/src/bench/Random.h
@@ -22,7 +22,10 @@
     bool chance(double probability) { return fraction() < probability; }
 
     /// A time between events that come at a mean rate, in seconds.
-    double exponentialSeconds(double perSecond) { return std::exponential_distribution<double> { perSecond }(m_engine); }
+    double exponentialSeconds(double perSecond)
+    {
+        return std::exponential_distribution<double> { perSecond }(m_engine);
+    }
 
 private:
     std::mt19937_64 m_engine;
--- /dev/null
+++ b/src/platform/HttpPlatformClient.cpp
@@ -0,0 +1,321 @@
+#include "platform/HttpPlatformClient.h"
+
+#include "platform/VmList.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <fstream>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::uint64_t c_maximumResponseBytes = 4'000'000;
+    constexpr std::size_t c_maximumTokenBytes = 4096;
+    constexpr std::size_t c_maximumQuotedBytes = 200;
+    constexpr std::chrono::milliseconds c_maximumWatch { 60'000 };
+    constexpr Duration c_watchGrace = std::chrono::seconds { 2 }; ///< for the answer after the watch has ended
+    constexpr unsigned c_httpVersion = 11;
+    constexpr const char* c_versionHeader = "Object-Version";
+    constexpr const char* c_expectedHeader = "If-Version";
+
+    bool isPathWord(std::string_view word)
+    {
+        return !word.empty() && word != "." && word != ".." && std::ranges::all_of(word, [](char c) {
+            return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_'
+                || c == '.';
+        });
+    }
+
+    Outcome<std::string> objectTarget(std::string_view kind, std::string_view name)
+    {
+        if (!isPathWord(kind) || !isPathWord(name)) {
+            return Error { ErrorKind::InvalidInput,
+                fmt::format("found object \"{}/{}\"; allowed: letters, digits, '-', '_', '.'", kind, name) };
+        }
+        return fmt::format("/v1/objects/{}/{}", kind, name);
+    }
+
+    Outcome<std::string> readToken(const std::string& path)
+    {
+        std::ifstream file { path };
+        std::string token;
+        if (!file || !std::getline(file, token) || token.empty() || token.size() > c_maximumTokenBytes)
+            return Error { ErrorKind::Unauthorized, fmt::format("token file {}: no token in it", path) };
+        return token;
+    }
+
+    std::optional<std::uint64_t> objectVersion(const http::response<http::string_body>& response)
+    {
+        const beast::string_view text = response[c_versionHeader];
+        std::uint64_t version = 0;
+        const char* const end = text.data() + text.size();
+        const std::from_chars_result parsed = std::from_chars(text.data(), end, version);
+        if (text.empty() || parsed.ec != std::errc {} || parsed.ptr != end)
+            return std::nullopt;
+        return version;
+    }
+
+    /// The text of {"error": "..."}, or the beginning of whatever else the body is.
+    std::string errorText(const std::string& body)
+    {
+        boost::system::error_code failure;
+        const boost::json::value parsed = boost::json::parse(body, failure);
+        const boost::json::value* const text
+            = !failure && parsed.is_object() ? parsed.get_object().if_contains("error") : nullptr;
+        if (text && text->is_string())
+            return std::string { std::string_view { text->get_string() }.substr(0, c_maximumQuotedBytes) };
+        return body.substr(0, c_maximumQuotedBytes);
+    }
+
+    bool isRefusedBeforeItRan(http::status status)
+    {
+        return status == http::status::service_unavailable || status == http::status::too_many_requests;
+    }
+
+    /// A read that may have been sent can be repeated all the same.
+    Error asReadFailure(Error error)
+    {
+        if (error.m_kind == ErrorKind::OutcomeUnknown)
+            error.m_kind = ErrorKind::Unavailable;
+        return error;
+    }
+
+} // namespace
+
+HttpPlatformClient::HttpPlatformClient(
+    asio::any_io_executor executor, PlatformSettings settings, const Clock& clock, Metrics& metrics)
+    : m_executor(std::move(executor))
+    , m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_metrics(metrics)
+{
+}
+
+asio::awaitable<Outcome<StoredObject>> HttpPlatformClient::read(std::string kind, std::string name, Deadline deadline)
+{
+    m_metrics.counter("cuminrelay_platform_calls_total", "read").add();
+    Outcome<std::string> target = objectTarget(kind, name);
+    if (!target)
+        co_return target.error();
+    co_return co_await readObject(std::move(target.value()), deadline);
+}
+
+asio::awaitable<Outcome<StoredObject>> HttpPlatformClient::watch(
+    std::string kind, std::string name, std::uint64_t known, Deadline deadline)
+{
+    m_metrics.counter("cuminrelay_platform_calls_total", "watch").add();
+    const Outcome<std::string> target = objectTarget(kind, name);
+    if (!target)
+        co_return target.error();
+    const Duration left = std::max(deadline - m_clock.now(), Duration::zero());
+    const std::chrono::milliseconds timeout
+        = std::min(std::chrono::duration_cast<std::chrono::milliseconds>(left), c_maximumWatch);
+    std::string query = fmt::format("{}?above={}&timeout_ms={}", target.value(), known, timeout.count());
+    co_return co_await readObject(std::move(query), deadline + c_watchGrace);
+}
+
+asio::awaitable<Outcome<std::uint64_t>> HttpPlatformClient::write(
+    std::string kind, std::string name, std::uint64_t expected, std::string body, Deadline deadline)
+{
+    m_metrics.counter("cuminrelay_platform_calls_total", "write").add();
+    const Outcome<std::string> target = objectTarget(kind, name);
+    if (!target)
+        co_return target.error();
+    if (body.size() > c_maximumObjectBytes) {
+        co_return Error { ErrorKind::InvalidInput,
+            fmt::format("{}/{}: found {} bytes; allowed: at most {}", kind, name, body.size(), c_maximumObjectBytes) };
+    }
+    Outcome<Request> request = makeRequest(http::verb::put, target.value());
+    if (!request)
+        co_return countFailure("token", request.error());
+    request.value().set(c_expectedHeader, fmt::format("{}", expected));
+    request.value().body() = std::move(body);
+    request.value().prepare_payload();
+
+    Outcome<Stream> stream = co_await connect(deadline);
+    if (!stream)
+        co_return stream.error();
+    const Outcome<Response> response = co_await exchange(stream.value(), request.value(), deadline);
+    if (!response)
+        co_return response.error();
+    if (response.value().result() != http::status::ok)
+        co_return refusal(response.value(), target.value());
+    const std::optional<std::uint64_t> version = objectVersion(response.value());
+    if (!version) {
+        co_return countFailure(
+            "malformed", { ErrorKind::OutcomeUnknown, "the platform answered a write without a valid Object-Version" });
+    }
+    co_return *version;
+}
+
+asio::awaitable<Outcome<std::vector<Member>>> HttpPlatformClient::listMembers(Deadline deadline)
+{
+    m_metrics.counter("cuminrelay_platform_calls_total", "list").add();
+    const Outcome<Response> response = co_await get("/v1/vms", deadline);
+    if (!response)
+        co_return response.error();
+    if (response.value().result() != http::status::ok)
+        co_return asReadFailure(refusal(response.value(), "/v1/vms"));
+    Outcome<VmList> list = parseVmList(response.value().body());
+    if (!list)
+        co_return countFailure("malformed", { ErrorKind::Unavailable, list.error().m_message });
+    m_metrics.counter("cuminrelay_platform_failures_total", "malformed_vm").add(list.value().m_malformed);
+    co_return std::move(list.value().m_members);
+}
+
+asio::awaitable<Outcome<StoredObject>> HttpPlatformClient::readObject(std::string target, Deadline deadline)
+{
+    Outcome<Response> response = co_await get(target, deadline);
+    if (!response)
+        co_return response.error();
+    if (response.value().result() != http::status::ok)
+        co_return asReadFailure(refusal(response.value(), target));
+    const std::optional<std::uint64_t> version = objectVersion(response.value());
+    if (!version) {
+        co_return countFailure("malformed",
+            { ErrorKind::Unavailable, fmt::format("the platform answered {} without a valid Object-Version", target) });
+    }
+    co_return StoredObject { *version, std::move(response.value().body()) };
+}
+
+/// One read call. A kept-alive connection that has died meanwhile is replaced by a new one, once.
+asio::awaitable<Outcome<HttpPlatformClient::Response>> HttpPlatformClient::get(std::string target, Deadline deadline)
+{
+    const Outcome<Request> request = makeRequest(http::verb::get, target);
+    if (!request)
+        co_return countFailure("token", request.error());
+
+    std::optional<Stream> kept = takeIdle();
+    if (kept) {
+        Outcome<Response> response = co_await exchange(*kept, request.value(), deadline);
+        if (response) {
+            if (response.value().keep_alive())
+                m_idle.emplace(std::move(*kept));
+            co_return response;
+        }
+        if (m_clock.now() >= deadline)
+            co_return asReadFailure(response.error());
+    }
+
+    Outcome<Stream> stream = co_await connect(deadline);
+    if (!stream)
+        co_return stream.error();
+    Outcome<Response> response = co_await exchange(stream.value(), request.value(), deadline);
+    if (!response)
+        co_return asReadFailure(response.error());
+    if (response.value().keep_alive())
+        m_idle.emplace(std::move(stream.value()));
+    co_return response;
+}
+
+asio::awaitable<Outcome<HttpPlatformClient::Stream>> HttpPlatformClient::connect(Deadline deadline)
+{
+    Stream stream { m_executor };
+    stream.expires_at(toSteady(deadline));
+    const asio::ip::tcp::endpoint endpoint { asio::ip::address_v4 { m_settings.m_endpoint.m_address },
+        m_settings.m_endpoint.m_port };
+    boost::system::error_code failure;
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_return countFailure("connect",
+            { ErrorKind::Unavailable,
+                fmt::format(
+                    "platform {} cannot be reached: {}", formatEndpoint(m_settings.m_endpoint), failure.message()) });
+    }
+    co_return std::move(stream);
+}
+
+/// Sends a request and reads its response. Errors: Unavailable when the request was not sent whole, so that the
+/// platform cannot have run it; OutcomeUnknown when no whole response came.
+asio::awaitable<Outcome<HttpPlatformClient::Response>> HttpPlatformClient::exchange(
+    Stream& stream, const Request& request, Deadline deadline)
+{
+    stream.expires_at(toSteady(deadline));
+    boost::system::error_code failure;
+    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_return countFailure(
+            "send", { ErrorKind::Unavailable, fmt::format("the request could not be sent: {}", failure.message()) });
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(c_maximumResponseBytes);
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        const bool timedOut = failure == beast::error::timeout;
+        co_return countFailure(timedOut ? "timeout" : "answer_lost",
+            { ErrorKind::OutcomeUnknown, fmt::format("no answer from the platform: {}", failure.message()) });
+    }
+    co_return parser.release();
+}
+
+std::optional<HttpPlatformClient::Stream> HttpPlatformClient::takeIdle()
+{
+    std::optional<Stream> taken;
+    if (m_idle)
+        taken.emplace(std::move(*m_idle));
+    m_idle.reset();
+    return taken;
+}
+
+Outcome<HttpPlatformClient::Request> HttpPlatformClient::makeRequest(http::verb method, std::string_view target) const
+{
+    const Outcome<std::string> token = readToken(m_settings.m_tokenFile);
+    if (!token)
+        return token.error();
+    Request request { method, beast::string_view { target.data(), target.size() }, c_httpVersion };
+    request.set(http::field::host, formatEndpoint(m_settings.m_endpoint));
+    request.set(http::field::authorization, fmt::format("Bearer {}", token.value()));
+    if (method == http::verb::put)
+        request.set(http::field::content_type, "application/json");
+    return request;
+}
+
+Error HttpPlatformClient::countFailure(std::string_view reason, Error error)
+{
+    m_metrics.counter("cuminrelay_platform_failures_total", reason).add();
+    return error;
+}
+
+/// The error that a response with another status than 200 means.
+Error HttpPlatformClient::refusal(const Response& response, std::string_view what)
+{
+    const http::status status = response.result();
+    const std::string message
+        = fmt::format("platform answered {} with {}: {}", what, response.result_int(), errorText(response.body()));
+    if (status == http::status::not_found)
+        return { ErrorKind::NotFound, message };
+    const std::string reason = fmt::format("status_{}", response.result_int());
+    if (status == http::status::conflict)
+        return countFailure(reason, { ErrorKind::Conflict, message });
+    if (status == http::status::unauthorized || status == http::status::forbidden)
+        return countFailure(reason, { ErrorKind::Unauthorized, message });
+    if (status == http::status::bad_request || status == http::status::payload_too_large)
+        return countFailure(reason, { ErrorKind::InvalidInput, message });
+    if (isRefusedBeforeItRan(status))
+        return countFailure(reason, { ErrorKind::Unavailable, message });
+    return countFailure(reason, { ErrorKind::OutcomeUnknown, message });
+}
+
+std::chrono::steady_clock::time_point HttpPlatformClient::toSteady(Deadline deadline) const
+{
+    return std::chrono::steady_clock::now() + (deadline - m_clock.now());
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/platform/HttpPlatformClient.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/Time.h"
+#include "observe/Metrics.h"
+#include "platform/PlatformClient.h"
+#include "platform/PlatformSettings.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+
+namespace cuminrelay {
+
+/// Speaks the platform's protocol over HTTP/1.1 and JSON. Each call is one coroutine; reads share a kept-alive
+/// connection when it is free, each write has a connection of its own, so that a connection that turns out to be dead
+/// proves that the write was not sent. Never repeats a write. All calls run on one executor, which must not run on
+/// several threads at once; clock and metrics must outlive the client, the client its calls.
+///
+/// Counters: cuminrelay_platform_calls_total by kind of call, cuminrelay_platform_failures_total by reason.
+class HttpPlatformClient final : public PlatformClient {
+public:
+    HttpPlatformClient(
+        boost::asio::any_io_executor executor, PlatformSettings settings, const Clock& clock, Metrics& metrics);
+
+    boost::asio::awaitable<Outcome<StoredObject>> read(std::string kind, std::string name, Deadline deadline) override;
+    boost::asio::awaitable<Outcome<StoredObject>> watch(
+        std::string kind, std::string name, std::uint64_t known, Deadline deadline) override;
+    boost::asio::awaitable<Outcome<std::uint64_t>> write(
+        std::string kind, std::string name, std::uint64_t expected, std::string body, Deadline deadline) override;
+    boost::asio::awaitable<Outcome<std::vector<Member>>> listMembers(Deadline deadline) override;
+
+private:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
+    using Stream = boost::beast::tcp_stream;
+
+    boost::asio::awaitable<Outcome<StoredObject>> readObject(std::string target, Deadline deadline);
+    boost::asio::awaitable<Outcome<Response>> get(std::string target, Deadline deadline);
+    boost::asio::awaitable<Outcome<Stream>> connect(Deadline deadline);
+    boost::asio::awaitable<Outcome<Response>> exchange(Stream& stream, const Request& request, Deadline deadline);
+    std::optional<Stream> takeIdle();
+    Outcome<Request> makeRequest(boost::beast::http::verb method, std::string_view target) const;
+    Error countFailure(std::string_view reason, Error error);
+    Error refusal(const Response& response, std::string_view what);
+    std::chrono::steady_clock::time_point toSteady(Deadline deadline) const;
+
+    boost::asio::any_io_executor m_executor;
+    PlatformSettings m_settings;
+    const Clock& m_clock;
+    Metrics& m_metrics;
+    std::optional<Stream> m_idle; ///< kept alive after a read
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/platform/RetryPolicy.cpp
@@ -0,0 +1,56 @@
+#include "platform/RetryPolicy.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr Duration c_firstBackoff = std::chrono::milliseconds { 50 };
+    constexpr Duration c_maximumBackoff = std::chrono::seconds { 2 };
+    constexpr unsigned c_maximumDoublings = 10;
+
+} // namespace
+
+BudgetedRetryPolicy::BudgetedRetryPolicy(Limits limits, std::uint64_t seed)
+    : m_limits(limits)
+    , m_seed(seed)
+    , m_earned(std::uint64_t { limits.m_savedRetries } * limits.m_callsPerRetry)
+{
+}
+
+void BudgetedRetryPolicy::noteCall()
+{
+    const std::uint64_t most = std::uint64_t { m_limits.m_savedRetries } * m_limits.m_callsPerRetry;
+    m_earned = std::min(m_earned + 1, most);
+}
+
+RetryDecision BudgetedRetryPolicy::decide(const FailedCall& call, Instant now)
+{
+    if (call.m_error == ErrorKind::OutcomeUnknown)
+        return { std::nullopt, "outcome_unknown" };
+    if (call.m_error != ErrorKind::Unavailable)
+        return {};
+    if (call.m_attempts >= m_limits.m_attempts)
+        return { std::nullopt, "attempts" };
+    const Instant at = now + backoff(call.m_attempts);
+    if (at >= call.m_deadline)
+        return { std::nullopt, "deadline" };
+    if (m_earned < m_limits.m_callsPerRetry)
+        return { std::nullopt, "budget" };
+    m_earned -= m_limits.m_callsPerRetry;
+    return { at, "unavailable" };
+}
+
+/// Between half of the doubled backoff and all of it.
+Duration BudgetedRetryPolicy::backoff(unsigned attempts)
+{
+    const Duration doubled = c_firstBackoff * (1U << std::min(attempts - 1, c_maximumDoublings));
+    const Duration full = std::min(doubled, c_maximumBackoff);
+    const std::uint64_t jitter = hashPair(m_seed, ++m_draws) % static_cast<std::uint64_t>(full.count() / 2 + 1);
+    return full / 2 + Duration { static_cast<std::int64_t>(jitter) };
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/platform/RetryPolicyTest.cpp
@@ -0,0 +1,56 @@
+#include "platform/RetryPolicy.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr Instant c_start { std::chrono::seconds { 100 } };
+    constexpr Deadline c_farAway = c_start + std::chrono::hours { 1 };
+
+    TEST(RetryPolicy, onlyWhatProvablyDidNotRunIsRetried)
+    {
+        BudgetedRetryPolicy policy { {}, 1 };
+        for (const ErrorKind kind : { ErrorKind::InvalidInput, ErrorKind::NotFound, ErrorKind::Conflict,
+                 ErrorKind::Unauthorized, ErrorKind::OutcomeUnknown, ErrorKind::Stale, ErrorKind::Exhausted })
+            EXPECT_FALSE(policy.decide({ kind, 1, c_farAway }, c_start).m_at.has_value());
+        EXPECT_TRUE(policy.decide({ ErrorKind::Unavailable, 1, c_farAway }, c_start).m_at.has_value());
+        EXPECT_EQ(policy.decide({ ErrorKind::OutcomeUnknown, 1, c_farAway }, c_start).m_reason, "outcome_unknown");
+    }
+
+    TEST(RetryPolicy, attemptsAndDeadlineEndIt)
+    {
+        BudgetedRetryPolicy policy { { .m_attempts = 3 }, 1 };
+        EXPECT_EQ(policy.decide({ ErrorKind::Unavailable, 3, c_farAway }, c_start).m_reason, "attempts");
+        const Deadline near = c_start + std::chrono::milliseconds { 1 };
+        EXPECT_EQ(policy.decide({ ErrorKind::Unavailable, 1, near }, c_start).m_reason, "deadline");
+    }
+
+    TEST(RetryPolicy, anOutageIsNotAnsweredWithAMultipleOfTheLoad)
+    {
+        BudgetedRetryPolicy policy { { .m_attempts = 100, .m_callsPerRetry = 5, .m_savedRetries = 10 }, 1 };
+        std::size_t retries = 0;
+        for (int call = 0; call < 1000; ++call) {
+            policy.noteCall();
+            while (policy.decide({ ErrorKind::Unavailable, 1, c_farAway }, c_start).m_at)
+                ++retries;
+        }
+        EXPECT_EQ(retries, 10U + 1000U / 5U - 1U) << "the first calls find the budget full";
+    }
+
+    RC_GTEST_PROP(RetryPolicy, backoffGrowsWithinBoundsAndDiffersBySeed, (std::uint64_t seed))
+    {
+        BudgetedRetryPolicy policy { { .m_attempts = 9 }, seed };
+        Duration most = std::chrono::milliseconds { 50 };
+        for (unsigned attempts = 1; attempts < 9; ++attempts) {
+            const RetryDecision decision = policy.decide({ ErrorKind::Unavailable, attempts, c_farAway }, c_start);
+            RC_ASSERT(decision.m_at.has_value());
+            RC_ASSERT(*decision.m_at - c_start >= most / 2);
+            RC_ASSERT(*decision.m_at - c_start <= most);
+            most = std::min<Duration>(most * 2, std::chrono::seconds { 2 });
+        }
+    }
+
+} // namespace
+} // namespace cuminrelay
--- /dev/null
+++ b/src/platform/RetryingPlatformClient.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/Time.h"
+#include "observe/Metrics.h"
+#include "platform/PlatformClient.h"
+#include "platform/RetryPolicy.h"
+
+#include <string_view>
+
+namespace cuminrelay {
+
+/// Repeats calls of another client as a retry policy says. Watches are passed on unchanged: whoever watches loops
+/// already. Everything handed in must outlive the client.
+///
+/// Counters: cuminrelay_platform_retries_total{reason="unavailable"} for each repeated call,
+/// cuminrelay_platform_gave_up_total by reason for each that was not repeated.
+class RetryingPlatformClient final : public PlatformClient {
+public:
+    RetryingPlatformClient(PlatformClient& client, RetryPolicy& policy, const Clock& clock, Metrics& metrics);
+
+    boost::asio::awaitable<Outcome<StoredObject>> read(std::string kind, std::string name, Deadline deadline) override;
+    boost::asio::awaitable<Outcome<StoredObject>> watch(
+        std::string kind, std::string name, std::uint64_t known, Deadline deadline) override;
+    boost::asio::awaitable<Outcome<std::uint64_t>> write(
+        std::string kind, std::string name, std::uint64_t expected, std::string body, Deadline deadline) override;
+    boost::asio::awaitable<Outcome<std::vector<Member>>> listMembers(Deadline deadline) override;
+
+private:
+    boost::asio::awaitable<bool> waitForRetry(ErrorKind error, unsigned attempts, Deadline deadline);
+
+    PlatformClient& m_client;
+    RetryPolicy& m_policy;
+    const Clock& m_clock;
+    Metrics& m_metrics;
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/platform/VmList.cpp
@@ -0,0 +1,57 @@
+#include "platform/VmList.h"
+
+#include "settings/JsonFields.h"
+#include "settings/JsonText.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::string_view c_place = "/v1/vms";
+
+    Outcome<Member> parseMember(const boost::json::value& value)
+    {
+        JsonFields fields { value, c_place, JsonFields::UnknownMembers::Ignore };
+        Member member;
+        member.m_name = fields.requiredText("name");
+        member.m_zone = fields.requiredText("zone");
+        member.m_peers = fields.requiredEndpoint("peers");
+        member.m_replica = fields.requiredEndpoint("replica");
+        member.m_control = fields.requiredEndpoint("control");
+        const std::string state = fields.requiredText("state");
+        if (state == "leaving")
+            member.m_state = MemberState::Leaving;
+        else if (state != "active")
+            fields.fail("state", fmt::format("found \"{}\"; allowed: active, leaving", state));
+        if (const Outcome<void> finished = fields.finish(); !finished)
+            return finished.error();
+        return member;
+    }
+
+} // namespace
+
+Outcome<VmList> parseVmList(std::string_view text)
+{
+    const Outcome<boost::json::value> parsed = parseJsonText(c_place, text);
+    if (!parsed)
+        return parsed.error();
+    if (!parsed.value().is_array())
+        return Error { ErrorKind::InvalidInput, fmt::format("{}: found no array", c_place) };
+    VmList list;
+    for (const boost::json::value& value : parsed.value().get_array()) {
+        Outcome<Member> member = parseMember(value);
+        if (member)
+            list.m_members.push_back(std::move(member.value()));
+        else
+            ++list.m_malformed;
+    }
+    std::ranges::sort(list.m_members, {}, &Member::m_peers);
+    return list;
+}
+
+} // namespace cuminrelay
