--- /dev/null
+++ b/src/standins/CallersReport.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "standins/WorkMessage.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+
+namespace cuminrelay::standins {
+
+/// What a host's record says of one piece of work that it began to run.
+struct RunRecord {
+    std::string m_id;
+    bool m_idempotent = false;
+};
+
+/// What the callers saw, and which promises of the system were broken.
+struct CallersReport {
+    std::uint64_t m_flows = 0;
+    std::uint64_t m_brokenByReset = 0;
+    std::uint64_t m_brokenByTimeout = 0;
+    std::uint64_t m_brokenByEarlyEnd = 0; ///< the other side finished before it had answered
+    std::uint64_t m_refused = 0; ///< flows refused by a reset or ICMP before they opened
+    std::uint64_t m_shed = 0; ///< requests answered as not run
+    std::uint64_t m_answers = 0;
+    std::uint64_t m_pushes = 0;
+    std::uint64_t m_misrouted = 0; ///< answers of the wrong service, or of another host than the flow's first
+    std::uint64_t m_incompleteAnswers = 0; ///< not whole, or not the request's own
+    std::uint64_t m_runTwice = 0;
+    std::uint64_t m_refusedButRun = 0;
+    std::set<std::string, std::less<>> m_notRun; ///< ids of requests that were refused as not run
+    std::map<std::string, std::uint64_t, std::less<>> m_hostFlows; ///< flows by the host that answered
+
+    std::uint64_t broken() const { return m_brokenByReset + m_brokenByTimeout + m_brokenByEarlyEnd; }
+
+    /// Checks what the hosts ran against what the callers were told.
+    void compareWith(std::span<const RunRecord> records);
+
+    std::string json() const;
+};
+
+} // namespace cuminrelay::standins
--- /dev/null
+++ b/src/standins/FabricStandin.cpp
@@ -0,0 +1,171 @@
+#include "standins/FabricStandin.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+namespace cuminrelay::standins {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::string_view c_entriesPath = "/standin/entries/";
+    constexpr Duration c_longestHold = std::chrono::milliseconds { 5 };
+    constexpr std::int64_t c_wholePercent = 100;
+
+} // namespace
+
+Outcome<std::shared_ptr<FabricStandin>> FabricStandin::start(asio::io_context& context, FabricOptions options)
+{
+    std::shared_ptr<FabricStandin> fabric = std::make_shared<FabricStandin>(context, std::move(options));
+    const Outcome<std::shared_ptr<Tunnel>> callers = Tunnel::open(context, fabric->m_options.m_callers);
+    if (!callers)
+        return callers.error();
+    const Outcome<std::shared_ptr<Tunnel>> answers = Tunnel::open(context, fabric->m_options.m_answers);
+    if (!answers)
+        return answers.error();
+    const Outcome<Endpoint> admin = serveHttp(context, fabric->m_options.m_admin, fabric);
+    if (!admin)
+        return admin.error();
+    fabric->m_callersTunnel = callers.value();
+    fabric->m_answersTunnel = answers.value();
+    fabric->m_options.m_callers = callers.value()->endpoint();
+    fabric->m_options.m_answers = answers.value()->endpoint();
+    fabric->m_options.m_admin = admin.value();
+    fabric->m_callersTunnel->receiveFor(fabric->m_towardsEntries);
+    fabric->m_answersTunnel->receiveFor(fabric->m_towardsCallers);
+    return fabric;
+}
+
+FabricStandin::FabricStandin(asio::io_context& context, FabricOptions options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_switches(m_options.m_switches)
+    , m_random(m_options.m_seed)
+{
+}
+
+void FabricStandin::Direction::takeDatagram(std::span<const std::byte> datagram, Endpoint)
+{
+    m_fabric.carry(datagram, m_towardsEntries);
+}
+
+bool FabricStandin::chance(std::uint64_t percent)
+{
+    return percent > 0 && m_random() % c_wholePercent < percent;
+}
+
+void FabricStandin::carry(std::span<const std::byte> datagram, bool towardsEntries)
+{
+    if (towardsEntries && m_options.m_entries.empty()) {
+        ++m_withoutEntry;
+        return;
+    }
+    const Endpoint target
+        = towardsEntries ? m_options.m_entries[m_random() % m_options.m_entries.size()] : m_options.m_callersTunnel;
+    ++m_carried;
+    if (chance(m_switches.m_lossPercent)) {
+        ++m_lost;
+        return;
+    }
+    if (!m_held && chance(m_switches.m_reorderPercent)) {
+        ++m_reordered;
+        m_held = HeldPacket { { datagram.begin(), datagram.end() }, target };
+        asio::co_spawn(m_context, releaseLate(), asio::detached);
+        return;
+    }
+    forward(datagram, target);
+    if (chance(m_switches.m_doublePercent)) {
+        ++m_doubled;
+        forward(datagram, target);
+    }
+    releaseHeld();
+}
+
+void FabricStandin::forward(std::span<const std::byte> datagram, Endpoint target)
+{
+    m_answersTunnel->send(datagram, target);
+}
+
+void FabricStandin::releaseHeld()
+{
+    if (!m_held)
+        return;
+    const HeldPacket held = std::move(*m_held);
+    m_held.reset();
+    forward(held.m_datagram, held.m_target);
+}
+
+asio::awaitable<void> FabricStandin::releaseLate()
+{
+    co_await sleepUntil(now() + c_longestHold);
+    releaseHeld();
+}
+
+asio::awaitable<std::optional<HttpResponse>> FabricStandin::handle(const HttpRequest& request)
+{
+    const HttpTarget target = parseTarget({ request.target().data(), request.target().size() });
+    if (target.m_path.starts_with(c_entriesPath))
+        co_return changeEntry(request, target.m_path.substr(c_entriesPath.size()));
+    if (target.m_path == "/standin/switches" && request.method() == http::verb::post)
+        co_return setSwitches(request.body());
+    if (target.m_path == "/standin/counts" && request.method() == http::verb::get) {
+        co_return jsonResponse(http::status::ok,
+            json::serialize(json::object {
+                { "carried", m_carried },
+                { "lost", m_lost },
+                { "doubled", m_doubled },
+                { "reordered", m_reordered },
+                { "without_entry", m_withoutEntry },
+                { "entries", m_options.m_entries.size() },
+            }));
+    }
+    co_return errorResponse(http::status::not_found, "no such path");
+}
+
+HttpResponse FabricStandin::changeEntry(const HttpRequest& request, std::string_view text)
+{
+    const Outcome<Endpoint> entry = parseEndpoint(text);
+    if (!entry)
+        return errorResponse(http::status::bad_request, entry.error().m_message);
+    std::erase(m_options.m_entries, entry.value());
+    if (request.method() == http::verb::put)
+        m_options.m_entries.push_back(entry.value());
+    else if (request.method() != http::verb::delete_)
+        return errorResponse(http::status::method_not_allowed, "expected PUT or DELETE");
+    return jsonResponse(http::status::ok, "{}");
+}
+
+HttpResponse FabricStandin::setSwitches(std::string_view body)
+{
+    json::error_code error;
+    const json::value parsed = json::parse({ body.data(), body.size() }, error);
+    if (error || !parsed.is_object())
+        return errorResponse(http::status::bad_request, "expected a JSON object");
+    FabricSwitches switches = m_switches;
+    for (const json::key_value_pair& entry : parsed.as_object()) {
+        const std::string_view key { entry.key().data(), entry.key().size() };
+        const std::int64_t percent = entry.value().is_int64() ? entry.value().as_int64() : -1;
+        if (percent < 0 || percent > c_wholePercent)
+            return errorResponse(http::status::bad_request, fmt::format("\"{}\" must be 0 to 100", key));
+        if (key == "lose_percent")
+            switches.m_lossPercent = static_cast<std::uint64_t>(percent);
+        else if (key == "double_percent")
+            switches.m_doublePercent = static_cast<std::uint64_t>(percent);
+        else if (key == "reorder_percent")
+            switches.m_reorderPercent = static_cast<std::uint64_t>(percent);
+        else
+            return errorResponse(http::status::bad_request, fmt::format("\"{}\" is no switch", key));
+    }
+    m_switches = switches;
+    return jsonResponse(http::status::ok, "{}");
+}
+
+} // namespace cuminrelay::standins
--- /dev/null
+++ b/src/standins/FabricStandin.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "standins/HttpServer.h"
+#include "standins/Signal.h"
+#include "standins/Tunnel.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace cuminrelay::standins {
+
+/// What the network does to packets, in percent of them.
+struct FabricSwitches {
+    std::uint64_t m_lossPercent = 0;
+    std::uint64_t m_doublePercent = 0;
+    std::uint64_t m_reorderPercent = 0; ///< held back until the next packet, or for some ms
+};
+
+struct FabricOptions {
+    Endpoint m_callers; ///< where callers hand in their packets
+    Endpoint m_answers; ///< where entry VMs and backend servers hand in answers
+    Endpoint m_callersTunnel; ///< where the answers go
+    Endpoint m_admin;
+    std::vector<Endpoint> m_entries; ///< `packets` endpoints of the live entry VMs
+    std::uint64_t m_seed = 1;
+    FabricSwitches m_switches {};
+};
+
+/// The platform's packet fabric: each packet goes to an entry VM that a seeded random choice picks, so the packets of
+/// one flow reach all of them.
+class FabricStandin final : public HttpHandler {
+public:
+    /// Binds its endpoints and starts its tasks. Errors: Unavailable.
+    static Outcome<std::shared_ptr<FabricStandin>> start(boost::asio::io_context& context, FabricOptions options);
+
+    FabricStandin(boost::asio::io_context& context, FabricOptions options);
+
+    boost::asio::awaitable<std::optional<HttpResponse>> handle(const HttpRequest& request) override;
+
+    Endpoint callers() const { return m_options.m_callers; }
+    Endpoint answers() const { return m_options.m_answers; }
+    Endpoint admin() const { return m_options.m_admin; }
+
+    /// Answers go here from now on; for callers that bind port 0.
+    void setCallersTunnel(Endpoint tunnel) { m_options.m_callersTunnel = tunnel; }
+
+private:
+    /// One of the two directions.
+    class Direction final : public DatagramHandler {
+    public:
+        Direction(FabricStandin& fabric, bool towardsEntries)
+            : m_fabric(fabric)
+            , m_towardsEntries(towardsEntries)
+        {
+        }
+
+        void takeDatagram(std::span<const std::byte> datagram, Endpoint from) override;
+
+    private:
+        FabricStandin& m_fabric;
+        bool m_towardsEntries;
+    };
+
+    /// A packet that waits to be overtaken.
+    struct HeldPacket {
+        std::vector<std::byte> m_datagram;
+        Endpoint m_target;
+    };
+
+    void carry(std::span<const std::byte> datagram, bool towardsEntries);
+    void forward(std::span<const std::byte> datagram, Endpoint target);
+    void releaseHeld();
+    boost::asio::awaitable<void> releaseLate();
+    bool chance(std::uint64_t percent);
+    HttpResponse changeEntry(const HttpRequest& request, std::string_view text);
+    HttpResponse setSwitches(std::string_view body);
+
+    boost::asio::io_context& m_context;
+    FabricOptions m_options;
+    FabricSwitches m_switches;
+    std::mt19937_64 m_random;
+    std::shared_ptr<Tunnel> m_callersTunnel;
+    std::shared_ptr<Tunnel> m_answersTunnel;
+    Direction m_towardsEntries { *this, true };
+    Direction m_towardsCallers { *this, false };
+    std::optional<HeldPacket> m_held;
+    std::uint64_t m_carried = 0;
+    std::uint64_t m_lost = 0;
+    std::uint64_t m_doubled = 0;
+    std::uint64_t m_reordered = 0;
+    std::uint64_t m_withoutEntry = 0;
+};
+
+} // namespace cuminrelay::standins
--- a/src/standins/InnerPacketTest.cpp
+++ b/src/standins/InnerPacketTest.cpp
@@ -32,7 +32,7 @@
         RC_ASSERT(packet->m_segment.m_payload == segment.m_payload);
     }
 
-    RC_GTEST_PROP(InnerPacket, anyFlippedByteIsDropped, (std::string payload))
+    RC_GTEST_PROP(InnerPacket, anyFlippedByteIsDropped, (const std::string& payload))
     {
         Buffer buffer;
         const std::span<std::byte> packet = encodeDatagram(c_caller, c_service, payload, buffer);
