--- a/src/standins/CallersStandin.cpp
+++ b/src/standins/CallersStandin.cpp
@@ -70,7 +70,8 @@
     callers->m_options.m_tunnel = tunnel.value()->endpoint();
     callers->m_options.m_admin = admin.value();
     callers->m_tunnel->receiveFor(*callers);
-    callers->startLoads();
+    if (!callers->m_options.m_paused)
+        callers->startLoads();
     return callers;
 }
 
@@ -83,6 +84,8 @@
 
 void CallersStandin::startLoads()
 {
+    if (std::exchange(m_started, true))
+        return;
     for (const ServiceLoad& service : m_options.m_services) {
         for (std::uint64_t feed = 0; feed < service.m_feeds; ++feed)
             asio::co_spawn(m_context, holdFeed(service), asio::detached);
@@ -374,6 +377,10 @@
     const HttpTarget target = parseTarget({ request.target().data(), request.target().size() });
     if (target.m_path == "/standin/report" && request.method() == http::verb::get)
         co_return jsonResponse(http::status::ok, m_report.json());
+    if (target.m_path == "/standin/start" && request.method() == http::verb::post) {
+        startLoads();
+        co_return jsonResponse(http::status::ok, "{}");
+    }
     if (target.m_path == "/standin/finish" && request.method() == http::verb::post)
         co_return co_await finish();
     co_return errorResponse(http::status::not_found, "no such path");
--- a/src/standins/CallersStandin.h
+++ b/src/standins/CallersStandin.h
@@ -37,6 +37,7 @@
     Endpoint m_fabric;
     Endpoint m_admin;
     std::uint64_t m_seed = 1;
+    bool m_paused = false; ///< calls begin only with POST /standin/start
     std::vector<Endpoint> m_hostReports; ///< asked at the end for what ran
     std::vector<ServiceLoad> m_services;
 };
@@ -44,13 +45,13 @@
 /// The callers of all services: opens flows through the fabric and checks every answer. One task for each flow.
 class CallersStandin final : public HttpHandler, public DatagramHandler {
 public:
-    /// Binds its endpoints and starts its tasks; calls begin at once. Errors: Unavailable.
+    /// Binds its endpoints and starts its tasks; calls begin at once unless paused. Errors: Unavailable.
     static Outcome<std::shared_ptr<CallersStandin>> start(boost::asio::io_context& context, CallersOptions options);
 
     CallersStandin(boost::asio::io_context& context, CallersOptions options);
 
-    /// GET /standin/report: what was seen so far. POST /standin/finish: no new flows, waits for the open ones, compares
-    /// with the hosts' records and answers the final report.
+    /// POST /standin/start: begins to call. GET /standin/report: what was seen so far. POST /standin/finish: no new
+    /// flows, waits for the open ones, compares with the hosts' records and answers the final report.
     boost::asio::awaitable<std::optional<HttpResponse>> handle(const HttpRequest& request) override;
     void takeDatagram(std::span<const std::byte> datagram, Endpoint from) override;
 
@@ -112,6 +113,7 @@
     std::uint64_t m_callers = 0;
     std::uint64_t m_requests = 0;
     std::uint64_t m_active = 0; ///< flows that have not ended
+    bool m_started = false;
     bool m_stopping = false;
     Signal m_changed;
 };
--- a/src/standins/StandinSettings.cpp
+++ b/src/standins/StandinSettings.cpp
@@ -105,6 +105,7 @@
     options.m_fabric = reader.requiredEndpoint("fabric");
     options.m_admin = reader.requiredEndpoint("admin");
     options.m_seed = reader.integer("seed", options.m_seed, 0, std::numeric_limits<std::uint32_t>::max());
+    options.m_paused = reader.boolean("paused", false);
     options.m_hostReports = reader.endpoints("host_reports");
     for (SettingsReader& service : reader.sections("services"))
         options.m_services.push_back(readServiceLoad(service));
