--- a/src/standins/StandinSettings.cpp
+++ b/src/standins/StandinSettings.cpp
@@ -61,9 +61,9 @@
 
 } // namespace
 
-PlatformSettings readPlatformSettings(SettingsReader& reader)
+PlatformStandinSettings readPlatformSettings(SettingsReader& reader)
 {
-    PlatformSettings settings;
+    PlatformStandinSettings settings;
     settings.m_listen = reader.requiredEndpoint("listen");
     settings.m_tokenFile = reader.requiredText("token_file");
     settings.m_configurationFile = reader.text("configuration_file", "");
@@ -113,7 +113,7 @@
 }
 
 Outcome<std::shared_ptr<PlatformStandin>> startPlatform(
-    boost::asio::io_context& context, const PlatformSettings& settings)
+    boost::asio::io_context& context, const PlatformStandinSettings& settings)
 {
     Outcome<std::string> token = readFile(settings.m_tokenFile);
     if (!token)
--- a/src/standins/StandinSettings.h
+++ b/src/standins/StandinSettings.h
@@ -15,7 +15,7 @@
 namespace cuminrelay::standins {
 
 /// The platform's options with what the settings say beyond them.
-struct PlatformSettings {
+struct PlatformStandinSettings {
     PlatformOptions m_options;
     Endpoint m_listen;
     std::string m_tokenFile;
@@ -24,19 +24,19 @@
 
 /// The settings of all stand-ins that one process runs.
 struct StandinSettings {
-    std::optional<PlatformSettings> m_platform;
+    std::optional<PlatformStandinSettings> m_platform;
     std::vector<HostOptions> m_hosts;
     std::optional<FabricOptions> m_fabric;
     std::optional<CallersOptions> m_callers;
 };
 
-PlatformSettings readPlatformSettings(SettingsReader& reader);
+PlatformStandinSettings readPlatformSettings(SettingsReader& reader);
 std::vector<HostOptions> readHostSettings(SettingsReader& reader);
 FabricOptions readFabricSettings(SettingsReader& reader);
 CallersOptions readCallersSettings(SettingsReader& reader);
 
 /// Reads the token and the first configuration and listens. Errors: NotFound, InvalidInput, Unavailable.
 Outcome<std::shared_ptr<PlatformStandin>> startPlatform(
-    boost::asio::io_context& context, const PlatformSettings& settings);
+    boost::asio::io_context& context, const PlatformStandinSettings& settings);
 
 } // namespace cuminrelay::standins
