operators: cuminrelayctl with its verbs

Cause: operators had no command line. Change: label, select, drain, undrain, diff, apply, get, history, status, wait and explain, each a Command with help, example and stable exit statuses; edits read, apply, write under a version check and recognise a lost answer by id.

--- /dev/null
+++ b/src/operators/EditCommands.cpp
@@ -0,0 +1,317 @@
+#include "operators/EditCommands.h"
+
+#include "configuration/Lookup.h"
+#include "configuration/Selector.h"
+#include "operators/Declarations.h"
+#include "operators/EditSession.h"
+#include "operators/Fleet.h"
+#include "settings/NearestName.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace cuminrelay::operators {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    Error badInput(std::string message)
+    {
+        return { ErrorKind::InvalidInput, std::move(message) };
+    }
+
+    template <typename Element>
+    Error noSuch(std::string_view what, std::string_view name, const std::vector<Element>& elements)
+    {
+        std::vector<std::string> names;
+        names.reserve(elements.size());
+        for (const Element& element : elements)
+            names.push_back(element.m_name);
+        const std::string_view nearest = nearestName(name, names);
+        const std::string hint = nearest.empty() ? std::string { "run \"cuminrelayctl get\" for the list" }
+                                                 : fmt::format("did you mean \"{}\"?", nearest);
+        return { ErrorKind::NotFound, fmt::format("there is no {} \"{}\"; {}", what, name, hint) };
+    }
+
+    /// One "key=value" or "key-" of the command line.
+    struct LabelWord {
+        std::string m_key;
+        std::optional<std::string> m_value;
+    };
+
+    Outcome<LabelWord> parseLabelWord(std::string_view word)
+    {
+        const std::size_t equals = word.find('=');
+        LabelWord result;
+        if (equals != std::string_view::npos) {
+            result.m_key = word.substr(0, equals);
+            result.m_value = word.substr(equals + 1);
+        } else if (word.ends_with('-')) {
+            result.m_key = word.substr(0, word.size() - 1);
+        } else {
+            return badInput(fmt::format("found \"{}\"; allowed: key=value to set a label, key- to remove it", word));
+        }
+        if (const Outcome<void> checked = checkLabelKey(result.m_key); !checked)
+            return checked.error();
+        if (const Outcome<void> checked = checkLabelValue(result.m_value.value_or("")); !checked)
+            return checked.error();
+        return result;
+    }
+
+    /// Sets labels of one host or service.
+    class LabelPlan final : public ChangePlan {
+    public:
+        LabelPlan(LabelOwner owner, std::string name, std::vector<LabelWord> words)
+            : m_owner(owner)
+            , m_name(std::move(name))
+            , m_words(std::move(words))
+        {
+        }
+
+        Outcome<ChangeList> plan(const Configuration& configuration) const override
+        {
+            const BackendServer* const host = findBackendServer(configuration.m_backendServers, m_name);
+            const Service* const service = findService(configuration.m_services, m_name);
+            if (m_owner == LabelOwner::Host && !host)
+                return noSuch("host", m_name, configuration.m_backendServers);
+            if (m_owner == LabelOwner::Service && !service)
+                return noSuch("service", m_name, configuration.m_services);
+            const Labels& labels = m_owner == LabelOwner::Host ? host->m_labels : service->m_labels;
+            ChangeList changes;
+            for (const LabelWord& word : m_words) {
+                const auto found = labels.find(word.m_key);
+                const std::optional<std::string> before
+                    = found != labels.end() ? std::optional { found->second } : std::nullopt;
+                if (before != word.m_value) {
+                    changes.push_back(std::make_shared<LabelChange>(m_owner, m_name, word.m_key, before, word.m_value));
+                }
+            }
+            return changes;
+        }
+
+    private:
+        LabelOwner m_owner;
+        std::string m_name;
+        std::vector<LabelWord> m_words;
+    };
+
+    /// Sets the selector of one service.
+    class SelectPlan final : public ChangePlan {
+    public:
+        SelectPlan(std::string service, Selector selector)
+            : m_service(std::move(service))
+            , m_selector(std::move(selector))
+        {
+        }
+
+        Outcome<ChangeList> plan(const Configuration& configuration) const override
+        {
+            const Service* const service = findService(configuration.m_services, m_service);
+            if (!service)
+                return noSuch("service", m_service, configuration.m_services);
+            if (service->m_selector == m_selector)
+                return ChangeList {};
+            return ChangeList { std::make_shared<SelectorChange>(m_service, service->m_selector, m_selector) };
+        }
+
+    private:
+        std::string m_service;
+        Selector m_selector;
+    };
+
+    /// Begins or ends the draining of hosts.
+    class DrainPlan final : public ChangePlan {
+    public:
+        DrainPlan(std::vector<std::string> hosts, bool draining)
+            : m_hosts(std::move(hosts))
+            , m_draining(draining)
+        {
+        }
+
+        Outcome<ChangeList> plan(const Configuration& configuration) const override
+        {
+            ChangeList changes;
+            for (const std::string& name : m_hosts) {
+                const BackendServer* const host = findBackendServer(configuration.m_backendServers, name);
+                if (!host)
+                    return noSuch("host", name, configuration.m_backendServers);
+                if (host->m_draining != m_draining)
+                    changes.push_back(std::make_shared<DrainingChange>(name, host->m_draining, m_draining));
+            }
+            return changes;
+        }
+
+    private:
+        std::vector<std::string> m_hosts;
+        bool m_draining;
+    };
+
+    /// Makes the configuration state what a file declares.
+    class ApplyPlan final : public ChangePlan {
+    public:
+        explicit ApplyPlan(Declarations declarations)
+            : m_declarations(std::move(declarations))
+        {
+        }
+
+        Outcome<ChangeList> plan(const Configuration& configuration) const override
+        {
+            return changesTo(m_declarations, configuration);
+        }
+
+    private:
+        Declarations m_declarations;
+    };
+
+    boost::json::array describe(const ChangeList& changes)
+    {
+        boost::json::array lines;
+        for (const std::shared_ptr<const Change>& change : changes)
+            lines.emplace_back(change->describe());
+        return lines;
+    }
+
+    std::string changeLines(const ChangeList& changes)
+    {
+        std::string text;
+        for (const std::shared_ptr<const Change>& change : changes)
+            text += change->describe() + '\n';
+        return text;
+    }
+
+    CommandResult report(const CommandContext& context, const EditOutcome& outcome)
+    {
+        const std::uint64_t version = outcome.m_version.m_number;
+        boost::json::object object;
+        object["changed"] = outcome.m_changed;
+        object["version"] = version;
+        object["edit_id"] = context.m_editId;
+        object["changes"] = describe(outcome.m_changes);
+        if (!outcome.m_changed) {
+            return { CommandStatus::Success, std::move(object),
+                fmt::format("nothing to change; version {} says so already\n", version) };
+        }
+        return { CommandStatus::Success, std::move(object),
+            fmt::format("{}accepted as version {}; run \"cuminrelayctl wait {}\" to see it in force\n",
+                changeLines(outcome.m_changes), version, version) };
+    }
+
+    asio::awaitable<Outcome<CommandResult>> runAndReport(CommandContext& context, const ChangePlan& plan)
+    {
+        const Outcome<EditOutcome> outcome = co_await runEdit(context, plan);
+        if (!outcome)
+            co_return outcome.error();
+        co_return report(context, outcome.value());
+    }
+
+} // namespace
+
+VerbHelp LabelCommand::help() const
+{
+    return { "label", "host|service NAME KEY=VALUE... KEY-...", "set labels, or remove them with a trailing '-'",
+        "cuminrelayctl label host kanteisha-03 tier=gold canary-", { VerbOption::Force, VerbOption::Base } };
+}
+
+asio::awaitable<Outcome<CommandResult>> LabelCommand::run(CommandContext& context) const
+{
+    const std::vector<std::string>& words = context.m_options.m_words;
+    if (words.size() < 3 || (words[0] != "host" && words[0] != "service"))
+        co_return badInput("label: expected host|service, a name, and at least one KEY=VALUE or KEY-");
+    std::vector<LabelWord> labels;
+    for (std::size_t i = 2; i < words.size(); ++i) {
+        Outcome<LabelWord> label = parseLabelWord(words[i]);
+        if (!label)
+            co_return label.error();
+        labels.push_back(std::move(label.value()));
+    }
+    const LabelOwner owner = words[0] == "host" ? LabelOwner::Host : LabelOwner::Service;
+    const LabelPlan plan { owner, words[1], std::move(labels) };
+    co_return co_await runAndReport(context, plan);
+}
+
+VerbHelp SelectCommand::help() const
+{
+    return { "select", "SERVICE SELECTOR", "set which hosts answer for a service, by their labels",
+        "cuminrelayctl select agenda 'app=agenda,tier in (gold,silver),!canary'",
+        { VerbOption::Force, VerbOption::Base } };
+}
+
+asio::awaitable<Outcome<CommandResult>> SelectCommand::run(CommandContext& context) const
+{
+    const std::vector<std::string>& words = context.m_options.m_words;
+    if (words.size() != 2)
+        co_return badInput("select: expected a service and a selector (quoted, if it has spaces)");
+    Outcome<Selector> selector = parseSelector(words[1]);
+    if (!selector)
+        co_return selector.error();
+    const SelectPlan plan { words[0], std::move(selector.value()) };
+    co_return co_await runAndReport(context, plan);
+}
+
+VerbHelp DrainCommand::help() const
+{
+    if (m_draining) {
+        return { "drain", "HOST...", "give hosts no new flows; established flows stay",
+            "cuminrelayctl drain kanteisha-03", { VerbOption::Force, VerbOption::Base } };
+    }
+    return { "undrain", "HOST...", "give drained hosts new flows again", "cuminrelayctl undrain kanteisha-03",
+        { VerbOption::Base } };
+}
+
+asio::awaitable<Outcome<CommandResult>> DrainCommand::run(CommandContext& context) const
+{
+    if (context.m_options.m_words.empty())
+        co_return badInput(fmt::format("{}: expected at least one host", help().m_name));
+    const DrainPlan plan { context.m_options.m_words, m_draining };
+    co_return co_await runAndReport(context, plan);
+}
+
+VerbHelp DiffCommand::help() const
+{
+    return { "diff", "-f FILE", "show what apply would change; exit status 1 when there is something",
+        "cuminrelayctl diff -f shirakaba.json", { VerbOption::File } };
+}
+
+asio::awaitable<Outcome<CommandResult>> DiffCommand::run(CommandContext& context) const
+{
+    const Outcome<Declarations> declarations = loadDeclarations(context.m_options.m_file);
+    if (!declarations)
+        co_return declarations.error();
+    Outcome<Configuration> configuration = co_await readConfiguration(context.m_platform, context.m_deadline);
+    if (!configuration && configuration.error().m_kind == ErrorKind::NotFound)
+        configuration = Configuration {};
+    if (!configuration)
+        co_return configuration.error();
+    const std::uint64_t version = configuration.value().m_version.m_number;
+    const ChangeList changes = changesTo(declarations.value(), configuration.value());
+    boost::json::object object;
+    object["version"] = version;
+    object["changes"] = describe(changes);
+    if (changes.empty()) {
+        co_return CommandResult { CommandStatus::Success, std::move(object),
+            fmt::format("no difference from version {}\n", version) };
+    }
+    co_return CommandResult { CommandStatus::NotAchieved, std::move(object),
+        fmt::format("{}{} changes to version {}; run \"cuminrelayctl apply -f {} --base {}\" to make exactly these\n",
+            changeLines(changes), changes.size(), version, context.m_options.m_file, version) };
+}
+
+VerbHelp ApplyCommand::help() const
+{
+    return { "apply", "-f FILE", "make the configuration state what the file declares; nothing else is touched",
+        "cuminrelayctl apply -f shirakaba.json --base 41", { VerbOption::File, VerbOption::Force, VerbOption::Base } };
+}
+
+asio::awaitable<Outcome<CommandResult>> ApplyCommand::run(CommandContext& context) const
+{
+    Outcome<Declarations> declarations = loadDeclarations(context.m_options.m_file);
+    if (!declarations)
+        co_return declarations.error();
+    const ApplyPlan plan { std::move(declarations.value()) };
+    co_return co_await runAndReport(context, plan);
+}
+
+} // namespace cuminrelay::operators
--- /dev/null
+++ b/src/operators/EditSession.cpp
@@ -0,0 +1,118 @@
+#include "operators/EditSession.h"
+
+#include "configuration/ConfigurationJson.h"
+#include "operators/Fleet.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace cuminrelay::operators {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr unsigned c_maximumWrites = 20;
+    constexpr Duration c_pauseAfterConflict = std::chrono::milliseconds { 20 };
+    constexpr std::int64_t c_msPerSecond = 1000;
+
+    /// As readConfiguration; an object that does not exist yet is an empty configuration.
+    asio::awaitable<Outcome<Configuration>> readOrEmpty(PlatformClient& platform, Deadline deadline)
+    {
+        Outcome<Configuration> configuration = co_await readConfiguration(platform, deadline);
+        if (!configuration && configuration.error().m_kind == ErrorKind::NotFound)
+            co_return Configuration {};
+        co_return configuration;
+    }
+
+    /// Lets the other writer finish; the store may also answer with an older version for a moment.
+    asio::awaitable<void> pause(unsigned attempt)
+    {
+        asio::steady_timer timer { co_await asio::this_coro::executor };
+        timer.expires_after(c_pauseAfterConflict * attempt);
+        boost::system::error_code canceled;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, canceled));
+    }
+
+    /// A later failure does not make the outcome of an earlier write known.
+    Error finalError(Error error, bool outcomeUnknown, const Edit& edit)
+    {
+        if (!outcomeUnknown)
+            return error;
+        return { ErrorKind::OutcomeUnknown,
+            fmt::format(
+                "it is unknown whether the edit took effect: {}; run \"cuminrelayctl history --id {}\" once the "
+                "platform answers",
+                error.m_message, edit.m_id) };
+    }
+
+    Edit makeEdit(const CommandContext& context, const Configuration& base, ChangeList changes)
+    {
+        return {
+            .m_id = context.m_editId,
+            .m_author = context.m_author,
+            .m_summary = context.m_commandLine,
+            .m_unixSeconds = context.m_unixMs / c_msPerSecond,
+            .m_base = { context.m_options.m_base.value_or(base.m_version.m_number) },
+            .m_forced = context.m_options.m_forced,
+            .m_changes = std::move(changes),
+        };
+    }
+
+    /// One conditional write of an edit's result. Errors: as PlatformClient::write, InvalidInput when it is too large.
+    asio::awaitable<Outcome<std::uint64_t>> writeResult(CommandContext& context, const Configuration& next)
+    {
+        std::string text = formatConfiguration(next);
+        if (text.size() > c_maximumConfigurationBytes) {
+            co_return Error { ErrorKind::InvalidInput,
+                fmt::format("the configuration would have {} bytes; allowed: at most {}", text.size(),
+                    c_maximumConfigurationBytes) };
+        }
+        const std::uint64_t expected = next.m_version.m_number - 1;
+        co_return co_await context.m_platform.write("config", "current", expected, std::move(text), context.m_deadline);
+    }
+
+} // namespace
+
+asio::awaitable<Outcome<EditOutcome>> runEdit(CommandContext& context, const ChangePlan& plan)
+{
+    Outcome<Configuration> current = co_await readOrEmpty(context.m_platform, context.m_deadline);
+    if (!current)
+        co_return current.error();
+    Outcome<ChangeList> changes = plan.plan(current.value());
+    if (!changes)
+        co_return changes.error();
+    const Edit edit = makeEdit(context, current.value(), std::move(changes.value()));
+
+    Error lastError;
+    bool outcomeUnknown = false;
+    for (unsigned attempt = 1; attempt <= c_maximumWrites; ++attempt) {
+        const Outcome<EditResult> result = applyEdit(current.value(), edit);
+        if (!result)
+            co_return result.error();
+        if (result.value().m_kind != EditResult::Kind::Changed) {
+            const bool changed = result.value().m_kind == EditResult::Kind::AlreadyApplied;
+            co_return EditOutcome { changed, result.value().m_version, edit.m_changes };
+        }
+        const Outcome<std::uint64_t> written = co_await writeResult(context, result.value().m_configuration);
+        if (written)
+            co_return EditOutcome { true, { written.value() }, edit.m_changes };
+        lastError = written.error();
+        outcomeUnknown = outcomeUnknown || lastError.m_kind == ErrorKind::OutcomeUnknown;
+        if (lastError.m_kind != ErrorKind::Conflict && lastError.m_kind != ErrorKind::OutcomeUnknown)
+            break;
+        co_await pause(attempt);
+        if (context.m_clock.now() >= context.m_deadline)
+            break;
+        current = co_await readOrEmpty(context.m_platform, context.m_deadline);
+        if (!current)
+            co_return finalError(current.error(), outcomeUnknown, edit);
+    }
+    co_return finalError(std::move(lastError), outcomeUnknown, edit);
+}
+
+} // namespace cuminrelay::operators
--- /dev/null
+++ b/src/operators/ExplainCommand.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "operators/Command.h"
+
+namespace cuminrelay::operators {
+
+/// Explains why a host does or does not get work, or where the packets of a flow go.
+class ExplainCommand final : public Command {
+public:
+    VerbHelp help() const override;
+    boost::asio::awaitable<Outcome<CommandResult>> run(CommandContext& context) const override;
+};
+
+} // namespace cuminrelay::operators
--- /dev/null
+++ b/src/operators/WaitCommand.cpp
@@ -0,0 +1,121 @@
+#include "operators/WaitCommand.h"
+
+#include "operators/Fleet.h"
+#include "operators/Table.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <utility>
+
+namespace cuminrelay::operators {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Duration c_longestWatch = std::chrono::seconds { 5 }; ///< the VM list and other zones change, too
+    constexpr Duration c_pauseAfterFailure = std::chrono::milliseconds { 500 };
+
+    constexpr Duration c_lastRead = std::chrono::seconds { 2 }; ///< to say who is missing once the time is up
+
+    Outcome<std::optional<std::uint64_t>> parseVersion(const std::vector<std::string>& words)
+    {
+        if (words.empty())
+            return std::optional<std::uint64_t> {};
+        std::uint64_t version = 0;
+        const char* const end = words[0].data() + words[0].size();
+        const std::from_chars_result parsed = std::from_chars(words[0].data(), end, version);
+        if (words.size() > 1 || parsed.ec != std::errc {} || parsed.ptr != end) {
+            return Error { ErrorKind::InvalidInput,
+                fmt::format("wait: found \"{}\"; allowed: one version number, or nothing for the newest", words[0]) };
+        }
+        return std::optional { version };
+    }
+
+    /// Suspends until the status of a lagging zone is written again, or for a while.
+    asio::awaitable<void> waitForNews(CommandContext& context, const Fleet& fleet, std::string zone)
+    {
+        const auto known = std::ranges::find(fleet.m_zones, zone, &ZoneStatus::m_zone);
+        const std::uint64_t version = known != fleet.m_zones.end() ? known->m_objectVersion : 0;
+        const Deadline until = std::min(context.m_deadline, context.m_clock.now() + c_longestWatch);
+        const Outcome<StoredObject> news = co_await context.m_platform.watch("status", std::move(zone), version, until);
+        if (news)
+            co_return;
+        asio::steady_timer timer { co_await asio::this_coro::executor };
+        timer.expires_after(c_pauseAfterFailure);
+        boost::system::error_code canceled;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, canceled));
+    }
+
+    CommandResult inForce(const Fleet& fleet, ConfigVersion version)
+    {
+        const std::ptrdiff_t live = std::ranges::count(fleet.m_vms, MemberState::Active, &Member::m_state);
+        if (live == 0) {
+            boost::json::object nobody { { "version", version.m_number }, { "in_force", false },
+                { "missing", boost::json::array {} } };
+            return { CommandStatus::NotAchieved, std::move(nobody), "the VM list names no live entry VM\n" };
+        }
+        boost::json::object object { { "version", version.m_number }, { "in_force", true },
+            { "missing", boost::json::array {} } };
+        return { CommandStatus::Success, std::move(object),
+            fmt::format("version {} is in force on all {} live entry VMs\n", version.m_number, live) };
+    }
+
+    CommandResult notInForce(std::span<const LaggingMember> lagging, ConfigVersion version)
+    {
+        Table table { { "MISSING", "ZONE", "REASON" } };
+        boost::json::array missing;
+        for (const LaggingMember& member : lagging) {
+            table.addRow({ member.m_name, member.m_zone, member.m_reason });
+            missing.emplace_back(boost::json::object {
+                { "name", member.m_name }, { "zone", member.m_zone }, { "reason", member.m_reason } });
+        }
+        boost::json::object object { { "version", version.m_number }, { "in_force", false },
+            { "missing", std::move(missing) } };
+        return { CommandStatus::NotAchieved, std::move(object),
+            fmt::format(
+                "version {} is not in force on {} entry VMs\n{}", version.m_number, lagging.size(), table.text()) };
+    }
+
+} // namespace
+
+VerbHelp WaitCommand::help() const
+{
+    return { "wait", "[VERSION]", "wait until a version is in force on every live entry VM; names those missing",
+        "cuminrelayctl wait 42 --timeout 30", {} };
+}
+
+asio::awaitable<Outcome<CommandResult>> WaitCommand::run(CommandContext& context) const
+{
+    const Outcome<std::optional<std::uint64_t>> wanted = parseVersion(context.m_options.m_words);
+    if (!wanted)
+        co_return wanted.error();
+    std::optional<ConfigVersion> version;
+    if (wanted.value())
+        version = ConfigVersion { *wanted.value() };
+    std::vector<LaggingMember> lagging;
+    while (true) {
+        const Outcome<Fleet> fleet = co_await readFleet(context.m_platform, context.m_deadline + c_lastRead);
+        if (!fleet && (fleet.error().m_kind != ErrorKind::Unavailable || lagging.empty()))
+            co_return fleet.error();
+        if (!fleet)
+            co_return notInForce(lagging, *version);
+        if (!version)
+            version = fleet.value().m_configuration.m_version;
+        lagging = laggingMembers(fleet.value(), *version);
+        if (lagging.empty())
+            co_return inForce(fleet.value(), *version);
+        if (context.m_clock.now() >= context.m_deadline)
+            co_return notInForce(lagging, *version);
+        co_await waitForNews(context, fleet.value(), lagging.front().m_zone);
+    }
+}
+
+} // namespace cuminrelay::operators
--- /dev/null
+++ b/src/operators/ZoneStatus.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/Endpoint.h"
+#include "base/Error.h"
+#include "configuration/Model.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cuminrelay::operators {
+
+/// An entry VM as its zone's reader last saw it.
+struct MemberStatus {
+    std::string m_name;
+    std::string m_state; ///< "active", "leaving", "unreachable"
+    ConfigVersion m_configVersion; ///< in force there
+    std::uint64_t m_flows = 0;
+    std::uint64_t m_exceptions = 0;
+    std::uint64_t m_incarnation = 0;
+};
+
+/// A backend server as its zone's reader last saw it.
+struct HostStatus {
+    Endpoint m_tunnel;
+    std::string m_health; ///< "healthy", "unhealthy", "beyond_cut"
+    std::uint64_t m_connections = 0;
+    std::uint64_t m_busySlots = 0;
+    std::uint64_t m_queued = 0;
+};
+
+/// The object status/ZONE.
+struct ZoneStatus {
+    std::string m_zone;
+    std::string m_reader;
+    std::uint64_t m_objectVersion = 0;
+    std::int64_t m_unixMs = 0; ///< when it was written
+    std::vector<MemberStatus> m_members;
+    std::vector<HostStatus> m_hosts;
+    std::vector<std::string> m_cutOffZones;
+};
+
+/// Parses the object status/ZONE. Members that are unknown here are ignored. Errors: InvalidInput.
+Outcome<ZoneStatus> parseZoneStatus(std::string_view zone, std::string_view text, std::uint64_t objectVersion);
+
+} // namespace cuminrelay::operators
--- a/src/settings/JsonFields.h
+++ b/src/settings/JsonFields.h
@@ -50,6 +50,9 @@
     /// The elements of an array; none when it is absent.
     const boost::json::array& array(std::string_view key);
 
+    /// Any value, or nullptr when it is absent.
+    const boost::json::value* value(std::string_view key) { return take(key); }
+
     /// Records a fault that only the caller can see; the first one counts.
     void fail(std::string_view key, std::string_view message);
 
