control: the RPC thread, with one fiber for each peer and the entry process

Cause: control processes have to hear of each other and hand configuration, members and reports to their entry process. Change: ControlRpc runs heartbeats, configuration updates between peers and the entry process's task as KJ fibers; other threads post to it. Of two peers, one opens the connection and either may call. Messages between peers are packed; their bytes are counted. Connections of strangers are dropped and counted.

--- /dev/null
+++ b/src/control/ControlRpc.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "control/ControlOptions.h"
+#include "control/FleetListener.h"
+#include "control/RpcMailbox.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+
+#include <future>
+#include <thread>
+#include <vector>
+
+namespace cuminrelay {
+
+/// The RPC thread of a control process: heartbeats with peers and the entry process of the same VM, one fiber each.
+/// Inputs are posted to it, what it finds out goes to the listener.
+class ControlRpc {
+public:
+    ControlRpc(ControlOptions options, const Clock& clock, Metrics& metrics, Log& log, FleetListener& listener);
+
+    /// Stops.
+    ~ControlRpc();
+
+    ControlRpc(const ControlRpc&) = delete;
+    ControlRpc& operator=(const ControlRpc&) = delete;
+
+    /// Listens on the own control endpoint and starts the thread. Returns the port. Errors: Unavailable, naming the
+    /// endpoint.
+    Outcome<std::uint16_t> start();
+
+    /// Ends the thread and all conversations; the entry process goes on with what it has.
+    void stop();
+
+    void offerConfiguration(Configuration configuration);
+    void applyList(std::vector<Member> listed);
+    void applyOwnReports(std::vector<BackendReport> reports);
+
+private:
+    void run(std::promise<Outcome<std::uint16_t>> started);
+
+    ControlOptions m_options;
+    const Clock& m_clock;
+    Metrics& m_metrics;
+    Log& m_log;
+    FleetListener& m_listener;
+    RpcMailbox m_mailbox;
+    class ControlHub* m_hub = nullptr; ///< used on the RPC thread only
+    std::thread m_thread;
+};
+
+} // namespace cuminrelay
--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -4,7 +4,7 @@
 
 namespace cuminrelay {
 
-ControlState::ControlState(Member self, std::size_t beatEverybodyUpTo, std::uint64_t firstSequence, Instant now)
+ControlState::ControlState(const Member& self, std::size_t beatEverybodyUpTo, std::uint64_t firstSequence, Instant now)
     : m_membership(self, beatEverybodyUpTo, now)
     , m_reports(self.m_peers)
     , m_sequence(firstSequence)
--- a/src/control/ControlState.h
+++ b/src/control/ControlState.h
@@ -44,7 +44,7 @@
     static constexpr Duration s_fetchPatience = std::chrono::seconds { 3 };
 
     /// firstSequence: above the sequence of all heartbeats that earlier control processes of this VM sent.
-    ControlState(Member self, std::size_t beatEverybodyUpTo, std::uint64_t firstSequence, Instant now);
+    ControlState(const Member& self, std::size_t beatEverybodyUpTo, std::uint64_t firstSequence, Instant now);
 
     void applyList(std::span<const Member> listed, Instant now);
     void applyOwnReports(std::span<const BackendReport> reports, Instant now);
--- /dev/null
+++ b/src/control/EntryTask.cpp
@@ -0,0 +1,145 @@
+#include "control/EntryTask.h"
+
+#include "backends/BackendMessage.h"
+#include "configuration/ConfigurationMessage.h"
+#include "control/Backoff.h"
+#include "members/MemberMessage.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <netinet/in.h>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr Backoff::Limits c_reconnect { std::chrono::milliseconds { 50 }, std::chrono::seconds { 1 } };
+    constexpr Duration c_connectTimeout = std::chrono::seconds { 1 };
+    constexpr Duration c_callTimeout = std::chrono::seconds { 5 };
+
+    /// How often the entry process is asked how it is when there is nothing to give to it.
+    constexpr Duration c_statusInterval = std::chrono::milliseconds { 250 };
+
+    kj::Promise<kj::Own<kj::AsyncIoStream>> connectTo(kj::AsyncIoContext& io, Endpoint remote)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(remote.m_address);
+        address.sin_port = htons(remote.m_port);
+        kj::Own<kj::NetworkAddress> target = io.provider->getNetwork().getSockaddr(&address, sizeof address);
+        kj::Promise<kj::Own<kj::AsyncIoStream>> connecting = target->connect();
+        return connecting.attach(kj::mv(target));
+    }
+
+} // namespace
+
+EntryTask::EntryTask(ControlHub& hub, kj::AsyncIoContext& io)
+    : m_hub(hub)
+    , m_io(io)
+{
+}
+
+void EntryTask::run(kj::WaitScope& scope)
+{
+    Backoff backoff { c_reconnect, m_hub.options().m_entryRpc.packed(), m_hub.now() };
+    while (true) {
+        const Instant started = m_hub.now();
+        const kj::Maybe<kj::Exception> failed = kj::runCatchingExceptions([&] { serveConnection(scope); });
+        KJ_IF_MAYBE (failure, failed) {
+            m_hub.count("cuminrelay_entry_retries_total",
+                failure->getType() == kj::Exception::Type::OVERLOADED ? "timeout" : "disconnected");
+            m_hub.log().warning("control", "entry_lost",
+                { { "entry", formatEndpoint(m_hub.options().m_entryRpc) },
+                    { "reason", failure->getDescription().cStr() } });
+        }
+        m_hub.entryLost();
+        if (m_hub.now() - started > c_reconnect.m_longest)
+            backoff.succeeded();
+        m_hub.at(backoff.failed(m_hub.now())).wait(scope);
+    }
+}
+
+void EntryTask::serveConnection(kj::WaitScope& scope)
+{
+    const kj::Own<kj::AsyncIoStream> stream
+        = m_hub.within(c_connectTimeout, connectTo(m_io, m_hub.options().m_entryRpc)).wait(scope);
+    capnp::TwoPartyClient client { const_cast<kj::AsyncIoStream&>(*stream) };
+    wire::EntryControl::Client entry = client.bootstrap().castAs<wire::EntryControl>();
+    Given given;
+    while (true) {
+        const std::uint64_t seen = m_hub.entryWork().revision();
+        askStatus(entry, given, scope);
+        const bool installed = installConfiguration(entry, given, scope);
+        installMembers(entry, given, scope);
+        applyReports(entry, scope);
+        if (installed)
+            continue;
+        m_hub.at(m_hub.now() + c_statusInterval).exclusiveJoin(m_hub.entryWork().wait(seen)).wait(scope);
+    }
+}
+
+void EntryTask::askStatus(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope)
+{
+    kj::Promise<capnp::Response<wire::EntryControl::StatusResults>> sent = entry.statusRequest().send();
+    const capnp::Response<wire::EntryControl::StatusResults> response
+        = m_hub.within(c_callTimeout, kj::mv(sent)).wait(scope);
+    const wire::EntryStatus::Reader status = response.getStatus();
+    if (given.m_incarnation != status.getIncarnation()) {
+        m_hub.log().info("control", "entry_found",
+            { { "incarnation", status.getIncarnation() }, { "config_version", status.getConfigVersion() } });
+        given = Given { status.getIncarnation(), {}, 0 };
+        m_hub.state().forgetEntryReports();
+    }
+    given.m_configVersion = ConfigVersion { status.getConfigVersion() };
+    m_hub.applyEntryStatus(EntryProcessStatus { status.getIncarnation(), status.getLeaving(),
+        MemberFigures { given.m_configVersion, status.getFlows(), status.getExceptions() } });
+}
+
+bool EntryTask::installConfiguration(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope)
+{
+    const ConfigurationHolder& holder = m_hub.state().configuration();
+    if (holder.version() <= given.m_configVersion)
+        return false;
+    const SharedConfiguration target = holder.current();
+    const SharedConfiguration base = holder.find(given.m_configVersion);
+    capnp::Request<wire::EntryControl::InstallConfigurationParams, wire::EntryControl::InstallConfigurationResults>
+        request = entry.installConfigurationRequest();
+    writeUpdate(base ? *base : Configuration {}, *target, request.initUpdate());
+    kj::Promise<capnp::Response<wire::EntryControl::InstallConfigurationResults>> sent = request.send();
+    const capnp::Response<wire::EntryControl::InstallConfigurationResults> response
+        = m_hub.within(c_callTimeout, kj::mv(sent)).wait(scope);
+    const ConfigVersion inForce { response.getVersion() };
+    if (inForce >= target->m_version)
+        return true;
+    m_hub.count("cuminrelay_entry_refusals_total", "configuration");
+    m_hub.log().warning("control", "entry_kept_configuration",
+        { { "in_force", inForce.m_number }, { "offered", target->m_version.m_number } });
+    return false;
+}
+
+void EntryTask::installMembers(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope)
+{
+    Membership& membership = m_hub.state().membership();
+    const MemberView view = membership.view();
+    if (view.m_epoch == given.m_viewEpoch || !membership.settled(m_hub.now()))
+        return;
+    capnp::Request<wire::EntryControl::InstallMembersParams, wire::EntryControl::InstallMembersResults> request
+        = entry.installMembersRequest();
+    writeMembers(view.m_members, request.initMembers(static_cast<unsigned>(view.m_members.size())));
+    kj::Promise<capnp::Response<wire::EntryControl::InstallMembersResults>> sent = request.send();
+    m_hub.within(c_callTimeout, kj::mv(sent)).wait(scope);
+    given.m_viewEpoch = view.m_epoch;
+}
+
+void EntryTask::applyReports(wire::EntryControl::Client& entry, kj::WaitScope& scope)
+{
+    const std::vector<BackendReport> reports = m_hub.state().takeReportsForEntry(m_hub.now());
+    if (reports.empty())
+        return;
+    capnp::Request<wire::EntryControl::ApplyReportsParams, wire::EntryControl::ApplyReportsResults> request
+        = entry.applyReportsRequest();
+    writeBackendReports(reports, m_hub.now(), request.initReports(static_cast<unsigned>(reports.size())));
+    kj::Promise<capnp::Response<wire::EntryControl::ApplyReportsResults>> sent = request.send();
+    m_hub.within(c_callTimeout, kj::mv(sent)).wait(scope);
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/control/PeerConversation.cpp
@@ -0,0 +1,152 @@
+#include "control/PeerConversation.h"
+
+#include "configuration/ConfigurationMessage.h"
+
+namespace cuminrelay {
+
+namespace {
+
+    using capnp::rpc::twoparty::Side;
+
+    /// A call that takes longer says that the peer or the way to it is gone.
+    constexpr Duration c_callTimeout = std::chrono::milliseconds { 1500 };
+    constexpr Duration c_firstHeartbeatTimeout = std::chrono::seconds { 5 };
+
+    constexpr std::string_view c_refusalCounter = "cuminrelay_control_refusals_total";
+
+    std::shared_ptr<PeerLink> makeLink(kj::AsyncIoStream& stream, bool accepted, Instant now)
+    {
+        std::shared_ptr<PeerLink> link = std::make_shared<PeerLink>();
+        link->m_address = remoteAddress(stream);
+        link->m_accepted = accepted;
+        link->m_silentAt = now + c_firstHeartbeatTimeout;
+        return link;
+    }
+
+    kj::Exception refusal(const Error& error)
+    {
+        return KJ_EXCEPTION(FAILED, "refused", error.m_message.c_str());
+    }
+
+} // namespace
+
+PeerService::PeerService(ControlHub& hub, std::shared_ptr<PeerLink> link)
+    : m_hub(hub)
+    , m_link(std::move(link))
+{
+}
+
+kj::Promise<void> PeerService::beat(BeatContext context)
+{
+    const Outcome<Heartbeat> heartbeat = readHeartbeat(context.getParams().getBeat(), m_hub.now());
+    if (!heartbeat) {
+        m_hub.count(c_refusalCounter, "malformed");
+        return refusal(heartbeat.error());
+    }
+    const Outcome<void> applied = m_hub.applyHeartbeat(*m_link, heartbeat.value());
+    if (!applied) {
+        m_hub.count(c_refusalCounter, "other_sender");
+        return refusal(applied.error());
+    }
+    const Heartbeat answer = m_hub.state().heartbeatFor(m_link->m_zone, m_link->m_cursor, m_hub.now());
+    writeHeartbeat(answer, m_hub.now(), context.getResults().initBeat());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::fetchConfiguration(FetchConfigurationContext context)
+{
+    const ConfigurationHolder& holder = m_hub.state().configuration();
+    const SharedConfiguration known = holder.find(ConfigVersion { context.getParams().getKnown() });
+    writeUpdate(known ? *known : Configuration {}, *holder.current(), context.getResults().initUpdate());
+    m_hub.count("cuminrelay_configuration_updates_total", known ? "changes" : "whole");
+    return kj::READY_NOW;
+}
+
+PeerConversation::PeerConversation(ControlHub& hub, kj::Own<kj::AsyncIoStream> stream, bool accepted)
+    : m_hub(hub)
+    , m_link(makeLink(*stream, accepted, hub.now()))
+    , m_connection(
+          kj::mv(stream), accepted ? Side::SERVER : Side::CLIENT, kj::heap<PeerService>(hub, m_link), hub.metrics())
+    , m_remote(m_connection.remote())
+{
+}
+
+PeerConversation::~PeerConversation()
+{
+    m_hub.linkEnded(*m_link);
+}
+
+void PeerConversation::run(kj::WaitScope& scope)
+{
+    kj::ForkedPromise<void> disconnected = m_connection.onDisconnect().fork();
+    bool connected = true;
+    Deadline nextBeat = m_link->m_accepted ? Deadline::max() : m_hub.now();
+    std::uint64_t urgentSeen = m_hub.urgent().revision();
+    while (connected && m_hub.now() < m_link->m_silentAt && !isSuperseded()) {
+        if (m_hub.now() >= nextBeat || m_hub.urgent().revision() > urgentSeen) {
+            urgentSeen = m_hub.urgent().revision();
+            beat(scope);
+            if (!m_link->m_accepted)
+                nextBeat = m_hub.now() + m_hub.options().m_heartbeatInterval;
+        }
+        const std::uint64_t heardSeen = m_link->m_heard.revision();
+        if (m_hub.state().startFetch(m_link->m_offered, m_hub.now()))
+            fetchConfiguration(scope);
+        m_hub.at(std::min(nextBeat, m_link->m_silentAt))
+            .exclusiveJoin(m_hub.urgent().wait(urgentSeen))
+            .exclusiveJoin(m_link->m_heard.wait(heardSeen))
+            .exclusiveJoin(disconnected.addBranch().then([&connected] { connected = false; }))
+            .wait(scope);
+    }
+}
+
+bool PeerConversation::isSuperseded() const
+{
+    const bool preferred = m_hub.options().m_self.m_control < m_link->m_control;
+    return !m_link->m_accepted && m_link->m_control != Endpoint {} && !preferred
+        && m_hub.hasAcceptedLink(m_link->m_control);
+}
+
+void PeerConversation::beat(kj::WaitScope& scope)
+{
+    const Heartbeat heartbeat = m_hub.state().heartbeatFor(m_link->m_zone, m_link->m_cursor, m_hub.now());
+    capnp::Request<wire::ControlPeer::BeatParams, wire::ControlPeer::BeatResults> request = m_remote.beatRequest();
+    writeHeartbeat(heartbeat, m_hub.now(), request.initBeat());
+    kj::Promise<capnp::Response<wire::ControlPeer::BeatResults>> sent = request.send();
+    const capnp::Response<wire::ControlPeer::BeatResults> response
+        = m_hub.within(c_callTimeout, kj::mv(sent)).wait(scope);
+    const Outcome<Heartbeat> answer = readHeartbeat(response.getBeat(), m_hub.now());
+    if (!answer) {
+        m_hub.count(c_refusalCounter, "malformed");
+        kj::throwFatalException(refusal(answer.error()));
+    }
+    if (!m_link->m_accepted)
+        m_link->m_control = answer.value().m_beat.m_sender.m_control;
+    const Outcome<void> applied = m_hub.applyHeartbeat(*m_link, answer.value());
+    if (!applied) {
+        m_hub.count(c_refusalCounter, "other_sender");
+        kj::throwFatalException(refusal(applied.error()));
+    }
+}
+
+void PeerConversation::fetchConfiguration(kj::WaitScope& scope)
+{
+    capnp::Request<wire::ControlPeer::FetchConfigurationParams, wire::ControlPeer::FetchConfigurationResults> request
+        = m_remote.fetchConfigurationRequest();
+    request.setKnown(m_hub.state().configuration().version().m_number);
+    kj::Promise<capnp::Response<wire::ControlPeer::FetchConfigurationResults>> sent = request.send();
+    const capnp::Response<wire::ControlPeer::FetchConfigurationResults> response
+        = m_hub.within(ControlState::s_fetchPatience, kj::mv(sent)).wait(scope);
+    const wire::ConfigurationUpdate::Reader update = response.getUpdate();
+    const SharedConfiguration base = m_hub.state().configuration().find(ConfigVersion { update.getBase() });
+    Outcome<Configuration> configuration = applyUpdate(base ? *base : Configuration {}, update);
+    m_hub.state().fetchEnded();
+    if (configuration) {
+        m_hub.offerConfiguration(std::move(configuration).value(), "peer");
+        return;
+    }
+    m_hub.count("cuminrelay_configurations_total", "malformed_update");
+    m_hub.log().warning("control", "configuration_update_refused", { { "reason", configuration.error().m_message } });
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/control/PeerTasks.cpp
@@ -0,0 +1,147 @@
+#include "control/PeerTasks.h"
+
+#include "control/Backoff.h"
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr Backoff::Limits c_reconnect { std::chrono::milliseconds { 50 }, std::chrono::seconds { 1 } };
+
+    /// How long the end that should not open the connection waits for the other one to do so.
+    constexpr Duration c_waitForOther = std::chrono::seconds { 1 };
+
+    constexpr Duration c_connectTimeout = std::chrono::milliseconds { 1500 };
+
+    /// More connections than this are refused: the fleet opens one or two for each member.
+    constexpr std::size_t c_maximumAccepted = 2048;
+
+    constexpr std::string_view c_refusalCounter = "cuminrelay_control_refusals_total";
+
+    std::string_view reasonOf(const kj::Exception& failure)
+    {
+        switch (failure.getType()) {
+        case kj::Exception::Type::OVERLOADED:
+            return "timeout";
+        case kj::Exception::Type::DISCONNECTED:
+            return "disconnected";
+        default:
+            return "failed";
+        }
+    }
+
+} // namespace
+
+PeerTasks::PeerTasks(ControlHub& hub, kj::AsyncIoContext& io)
+    : m_hub(hub)
+    , m_io(io)
+{
+}
+
+void PeerTasks::accept(kj::ConnectionReceiver& receiver, kj::WaitScope& scope)
+{
+    while (true) {
+        kj::Own<kj::AsyncIoStream> stream = receiver.accept().wait(scope);
+        for (const std::uint64_t ended : m_endedAccepted)
+            m_acceptedTasks.erase(ended);
+        m_endedAccepted.clear();
+        const std::uint32_t address = remoteAddress(*stream);
+        if (!m_hub.isAdmitted(address)) {
+            m_hub.count(c_refusalCounter, "not_a_member");
+            m_hub.log().warning("control", "stranger_refused", { { "address", formatAddress(address) } });
+            continue;
+        }
+        if (m_acceptedTasks.size() >= c_maximumAccepted) {
+            m_hub.count(c_refusalCounter, "too_many_connections");
+            continue;
+        }
+        const std::uint64_t number = m_nextAccepted++;
+        Task task
+            = kj::startFiber(c_fiberStackBytes, [this, number, stream = kj::mv(stream)](kj::WaitScope& fiber) mutable {
+                  converseAccepted(kj::mv(stream), fiber);
+                  m_endedAccepted.push_back(number);
+              });
+        m_acceptedTasks.emplace(number, task.eagerlyEvaluate(nullptr));
+    }
+}
+
+void PeerTasks::converseAccepted(kj::Own<kj::AsyncIoStream> stream, kj::WaitScope& scope)
+{
+    const kj::Maybe<kj::Exception> failed = kj::runCatchingExceptions([&] {
+        PeerConversation conversation { m_hub, kj::mv(stream), true };
+        conversation.run(scope);
+    });
+    KJ_IF_MAYBE (failure, failed)
+        m_hub.count("cuminrelay_accepted_links_lost_total", reasonOf(*failure));
+}
+
+void PeerTasks::keepPeers(kj::WaitScope& scope)
+{
+    while (true) {
+        const std::uint64_t seen = m_hub.peers().revision();
+        const std::set<Endpoint> wanted = wantedPeers();
+        std::erase_if(m_peerTasks, [&](const auto& task) { return !wanted.contains(task.first); });
+        for (const Endpoint control : wanted) {
+            if (m_peerTasks.contains(control))
+                continue;
+            Task task = kj::startFiber(
+                c_fiberStackBytes, [this, control](kj::WaitScope& fiber) { beatToPeer(control, fiber); });
+            m_peerTasks.emplace(control, task.eagerlyEvaluate(nullptr));
+        }
+        m_hub.peers().wait(seen).wait(scope);
+    }
+}
+
+std::set<Endpoint> PeerTasks::wantedPeers() const
+{
+    std::set<Endpoint> wanted { m_hub.options().m_seedPeers.begin(), m_hub.options().m_seedPeers.end() };
+    for (const Member& member : m_hub.state().membership().peersToBeat()) {
+        if (member.m_control != Endpoint {})
+            wanted.insert(member.m_control);
+    }
+    wanted.erase(m_hub.options().m_self.m_control);
+    return wanted;
+}
+
+void PeerTasks::beatToPeer(Endpoint control, kj::WaitScope& scope)
+{
+    Backoff backoff { c_reconnect, control.packed() ^ m_hub.options().m_self.m_control.packed(), m_hub.now() };
+    while (true) {
+        waitForTurn(control, scope);
+        const kj::Maybe<kj::Exception> failed = kj::runCatchingExceptions([&] { converseOnce(control, scope); });
+        KJ_IF_MAYBE (failure, failed) {
+            m_hub.count("cuminrelay_peer_retries_total", reasonOf(*failure));
+            m_hub.log().debug("control", "peer_lost",
+                { { "peer", formatEndpoint(control) }, { "reason", failure->getDescription().cStr() } });
+        }
+        if (m_hub.isHeard(control))
+            backoff.succeeded();
+        m_hub.at(backoff.failed(m_hub.now())).wait(scope);
+    }
+}
+
+void PeerTasks::waitForTurn(Endpoint control, kj::WaitScope& scope)
+{
+    if (m_hub.options().m_self.m_control < control)
+        return;
+    Deadline patienceEnds = m_hub.now() + c_waitForOther;
+    while (m_hub.now() < patienceEnds) {
+        const std::uint64_t seen = m_hub.peers().revision();
+        if (m_hub.isHeard(control) || m_hub.hasAcceptedLink(control)) {
+            m_hub.peers().wait(seen).wait(scope);
+            patienceEnds = m_hub.now() + c_waitForOther;
+            continue;
+        }
+        m_hub.at(patienceEnds).exclusiveJoin(m_hub.peers().wait(seen)).wait(scope);
+    }
+}
+
+void PeerTasks::converseOnce(Endpoint control, kj::WaitScope& scope)
+{
+    kj::Promise<kj::Own<kj::AsyncIoStream>> connecting
+        = connectFrom(*m_io.lowLevelProvider, m_hub.options().m_self.m_control.m_address, control);
+    PeerConversation conversation { m_hub, m_hub.within(c_connectTimeout, kj::mv(connecting)).wait(scope), false };
+    conversation.run(scope);
+}
+
+} // namespace cuminrelay
