--- a/src/bench/FlowExperiment.h
+++ b/src/bench/FlowExperiment.h
@@ -64,6 +64,19 @@
     FaultKind m_kind = FaultKind::None;
 };
 
+/// The step of its life that a flow was in when the last fault struck.
+enum class FlowStep : std::uint8_t {
+    Opening,
+    FirstData,
+    Established,
+    HalfClosed,
+    Closing,
+    Later, ///< opened after the fault
+    Count,
+};
+
+std::string_view flowStepName(FlowStep step);
+
 struct FlowExperimentSettings {
     FleetProfile m_profile;
     std::uint64_t m_seed = 1;
@@ -72,6 +85,18 @@
     std::vector<FaultEvent> m_faults;
 };
 
+/// How a flow broke, to find the cause from.
+struct BrokenFlow {
+    Instant m_at {};
+    Instant m_openedAt {};
+    FlowKey m_key;
+    PacketKind m_packet = PacketKind::Midstream;
+    VmIndex m_lastVm = 0; ///< that sent the packet out
+    unsigned m_hops = 0;
+    Endpoint m_expected;
+    Endpoint m_reached; ///< empty when nothing got through
+};
+
 /// What happened to the flows of one run.
 struct FlowExperimentResult {
     std::uint64_t m_flows = 0; ///< opened
@@ -87,9 +112,17 @@
     std::uint64_t m_hops = 0;
     std::uint64_t m_relayedPackets = 0;
     std::uint64_t m_controlBytes = 0;
+    std::vector<BrokenFlow> m_brokenFlows; ///< the first few
+    Instant m_lastFault {};
     std::size_t m_heldFlows = 0; ///< at the end
     std::size_t m_liveFlows = 0; ///< at the end
     std::map<Reason, std::uint64_t> m_drops;
+
+    struct StepCount {
+        std::uint64_t m_flows = 0;
+        std::uint64_t m_broken = 0;
+    };
+    std::array<StepCount, static_cast<std::size_t>(FlowStep::Count)> m_steps {}; ///< by FlowStep
     double m_worstImbalance = 0; ///< over services: most loaded backend server by mean, of open flows at the end
 
     std::uint64_t broken() const { return m_brokenByReset + m_brokenByStall; }
@@ -112,7 +145,18 @@
     struct Vm;
     struct Backend;
     struct CallerFlow;
-    struct Event;
+
+    /// When a flow sends its next packet.
+    struct Event {
+        Instant m_at {};
+        std::uint64_t m_order = 0;
+        std::size_t m_flow = 0;
+        std::uint32_t m_generation = 0;
+    };
+
+    struct LaterEvent {
+        bool operator()(const Event& one, const Event& other) const;
+    };
 
     bool reaches(VmIndex from, VmIndex to) override;
     bool isRunning(VmIndex vm) const override;
@@ -122,11 +166,12 @@
     void sendNext(std::size_t flow);
     void deliver(std::size_t flow, VmIndex vm, const PacketSummary& packet);
     void receive(std::size_t flow, const PacketSummary& packet, const FleetOutcome& outcome);
-    void breakFlow(CallerFlow& flow, std::uint64_t& counter);
+    void breakFlow(CallerFlow& flow, std::uint64_t& counter, const FleetOutcome& outcome, PacketKind packet);
     void scheduleNext(std::size_t flow);
     std::optional<VmIndex> spray();
 
     void strike(const FaultEvent& fault);
+    void noteSteps();
     void killVm(VmIndex vm);
     void startVm(VmIndex vm);
     void wakeVm(VmIndex vm);
@@ -149,9 +194,6 @@
     std::map<Endpoint, Backend> m_backends;
     std::vector<CallerFlow> m_flows;
     std::vector<std::size_t> m_freeFlows;
-    struct LaterEvent {
-        bool operator()(const Event& one, const Event& other) const;
-    };
     std::priority_queue<Event, std::vector<Event>, LaterEvent> m_events;
     std::uint64_t m_nextEvent = 0;
     std::unique_ptr<FleetDesign> m_design;
--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -14,12 +14,22 @@
 
     constexpr Duration c_openingIdle = std::chrono::seconds { 15 };
     constexpr Duration c_establishedIdle = std::chrono::hours { 24 };
-    constexpr Duration c_halfClosedIdle = std::chrono::minutes { 15 };
     constexpr Duration c_resetIdle = std::chrono::seconds { 2 };
     constexpr Duration c_datagramIdle = std::chrono::seconds { 60 };
 
+    /// A half-closed flow may wait long for its answer. One on its default can be computed again and needs no state.
+    constexpr Duration c_halfClosedExceptionIdle = std::chrono::minutes { 2 };
+    constexpr Duration c_halfClosedDefaultIdle = std::chrono::seconds { 10 };
+
+    /// How often a datagram of an exception takes the way through the replica, whose copy lapses like the owner's.
+    constexpr Duration c_datagramRefresh = std::chrono::seconds { 20 };
+
+    /// How much later than this VM the other side of a cut may notice it. Before, both would open the same flows.
+    constexpr Duration c_cutNoticed = std::chrono::seconds { 1 };
+
     /// A sender that has retransmitted for so long without progress is taken for lost track of.
-    constexpr Duration c_silence = std::chrono::seconds { 10 };
+    constexpr Duration c_silence = std::chrono::seconds { 20 };
+    constexpr std::uint8_t c_silentRetransmissions = 6;
 
     /// TCP sequence comparison: whether left comes after right, modulo 2^32.
     bool isAfter(std::uint32_t left, std::uint32_t right)
@@ -27,17 +37,19 @@
         return static_cast<std::int32_t>(left - right) > 0;
     }
 
-    Duration idleOf(FlowStage stage, Protocol protocol)
+    /// How long a flow may be quiet before it counts as over. Short answers are safe: who opens again is placed again,
+    /// and a flow on its default can be computed again.
+    Duration idleOf(const FlowState& state)
     {
-        if (protocol == Protocol::Udp)
+        if (state.m_protocol == Protocol::Udp)
             return c_datagramIdle;
-        switch (stage) {
+        switch (state.m_stage) {
         case FlowStage::Opening:
             return c_openingIdle;
         case FlowStage::Established:
             return c_establishedIdle;
         case FlowStage::HalfClosed:
-            return c_halfClosedIdle;
+            return state.m_exception ? c_halfClosedExceptionIdle : c_halfClosedDefaultIdle;
         case FlowStage::Reset:
             break;
         }
@@ -134,13 +146,14 @@
         return decideKnown(context, *state, replica);
     if (warming)
         return Verdict { VerdictKind::AskPrevious, Reason::None, bucket.m_warmingFrom, {} };
+    const bool replacesCopy = state && state->m_exception && state->m_replica != Endpoint {};
     if (state)
         endFlow(context.m_hash, *state, context.m_now);
 
     switch (context.m_packet.m_kind) {
     case PacketKind::Opening:
     case PacketKind::Datagram:
-        return openFlow(context, replica);
+        return openFlow(context, replica, replacesCopy);
     case PacketKind::Midstream:
     case PacketKind::HalfClose:
         return decideMidstream(context, replica);
@@ -194,7 +207,7 @@
     return forward(context, state, replica);
 }
 
-Verdict FlowRouter::openFlow(const Context& context, Endpoint replica)
+Verdict FlowRouter::openFlow(const Context& context, Endpoint replica, bool replacesCopy)
 {
     const PacketSummary& packet = context.m_packet;
     const std::shared_ptr<const ServiceTables>& tables = m_history.current();
@@ -205,20 +218,27 @@
     if (service->empty())
         return refuse(Reason::NoBackendServer);
 
+    const BucketState& bucket = m_buckets[context.m_bucket];
+    const bool isDatagram = packet.m_kind == PacketKind::Datagram;
+    if (bucket.m_beyondCut && context.m_now < bucket.m_acquiredAt + (isDatagram ? c_datagramIdle : c_cutNoticed))
+        return drop(Reason::OwnerBeyondCut);
+
     // A datagram, or an opening soon after a takeover, may belong to a flow that the previous owner placed.
-    const bool trustDefault = context.m_now < m_buckets[context.m_bucket].m_trustDefaultUntil;
+    const bool trustDefault = context.m_now < bucket.m_trustDefaultUntil;
     Endpoint preferred = service->defaultBackend(context.m_hash, tables->homeZone(context.m_bucket));
-    if (trustDefault || packet.m_kind == PacketKind::Datagram) {
-        const Endpoint based
-            = m_history.defaultSince(m_buckets[context.m_bucket].m_base, packet.m_flow, context.m_hash);
+    if (trustDefault || isDatagram) {
+        const Endpoint based = m_history.defaultSince(bucket.m_base, packet.m_flow, context.m_hash);
         if (std::binary_search(service->tunnels().begin(), service->tunnels().end(), based))
             preferred = based;
     }
-    Endpoint chosen = preferred;
-    if (!trustDefault || !isUsable(preferred)) {
+    const bool preferredIsUsable = isUsable(preferred);
+    if (!trustDefault || !preferredIsUsable) {
         const Admission admission = m_admission.admit(service->tunnels(), m_board, activeMembers(), context.m_now);
         if (admission != Admission::Admitted)
             return refuse(reasonOf(admission));
+    }
+    Endpoint chosen = preferred;
+    if (!preferredIsUsable || !(trustDefault || isDatagram)) {
         const PlacementRequest request { service->tunnels(), preferred, context.m_hash.m_value };
         const std::optional<Endpoint> placed = m_placement.choose(request, m_board, context.m_now);
         if (!placed)
@@ -227,11 +247,13 @@
     }
     if (m_flows.size() >= m_limits.m_flows) {
         // Without room for a state only a flow that can be computed again may open.
-        const bool computable
-            = m_history.isDefaultSince(m_buckets[context.m_bucket].m_base, packet.m_flow, context.m_hash, chosen);
+        const bool computable = m_history.isDefaultSince(bucket.m_base, packet.m_flow, context.m_hash, chosen);
         return computable ? toBackend(chosen) : refuse(Reason::FlowTableFull);
     }
     FlowState& state = track(context, chosen, stageOf(packet.m_kind), true);
+    // The replica still holds the flow's former place and must learn the new one, even where it is the default.
+    if (replacesCopy)
+        setException(state, true);
     return forward(context, state, replica);
 }
 
@@ -253,9 +275,6 @@
     state.m_relays = s_relaysPerReplica;
     setException(state, true);
     noteProgress(context, state);
-    // A replica does not see the packets that follow; it keeps its copy until the owner says that the flow is over.
-    if (state.m_stage == FlowStage::Opening || state.m_stage == FlowStage::Established)
-        state.m_expires = context.m_now + c_establishedIdle;
     return toBackend(packet.m_recorded);
 }
 
@@ -267,11 +286,17 @@
         state.m_replica = replica;
         state.m_relays = 0;
     }
+    // Each packet that changes the stage goes through the replica, so that its copy lapses when the flow does; of the
+    // others the first ones do, against loss.
     const PacketKind kind = context.m_packet.m_kind;
-    const bool changesStage = kind == PacketKind::Opening || kind == PacketKind::HalfClose || kind == PacketKind::Reset;
-    if (!changesStage && state.m_relays >= s_relaysPerReplica)
+    const bool refreshes = kind == PacketKind::Datagram && context.m_now >= state.m_silentAt;
+    const bool repeats = kind == PacketKind::Midstream || (kind == PacketKind::Datagram && !refreshes);
+    if (repeats && state.m_relays >= s_relaysPerReplica)
         return toBackend(state.m_backend);
-    state.m_relays = static_cast<std::uint8_t>(std::min<unsigned>(state.m_relays + 1U, s_relaysPerReplica));
+    if (repeats)
+        ++state.m_relays;
+    if (refreshes)
+        state.m_silentAt = context.m_now + c_datagramRefresh;
     return Verdict { VerdictKind::RecordThenForward, Reason::None, replica, state.m_backend };
 }
 
@@ -290,7 +315,6 @@
     state.m_service = key.m_service;
     state.m_protocol = key.m_protocol;
     state.m_stage = stage;
-    state.m_expires = context.m_now + idleOf(stage, key.m_protocol);
     state.m_sequence = context.m_packet.m_sequence;
     state.m_acknowledgment = context.m_packet.m_acknowledgment;
     state.m_carriedBytes = context.m_packet.m_payloadBytes;
@@ -300,6 +324,7 @@
         m_board.noteOpened(backend, context.m_now);
     FlowState& held = m_flows.put(context.m_hash, state);
     setException(held, !m_history.isDefaultSince(m_buckets[context.m_bucket].m_base, key, context.m_hash, backend));
+    held.m_expires = context.m_now + idleOf(held);
     return held;
 }
 
@@ -310,24 +335,21 @@
     if (state.m_stage == FlowStage::Opening && stage > state.m_stage)
         m_board.noteProven(state.m_backend);
     state.m_stage = std::max(state.m_stage, stage);
-    state.m_expires = context.m_now + idleOf(state.m_stage, state.m_protocol);
+    state.m_expires = context.m_now + idleOf(state);
 
     const bool acknowledgesMore = isAfter(packet.m_acknowledgment, state.m_acknowledgment);
     if (acknowledgesMore)
         state.m_acknowledgment = packet.m_acknowledgment;
+    const bool isNewPayload
+        = packet.m_payloadBytes > 0 && (isAfter(packet.m_sequence, state.m_sequence) || state.m_carriedBytes == 0);
     if (packet.m_payloadBytes > 0) {
-        const bool isNew = isAfter(packet.m_sequence, state.m_sequence) || state.m_carriedBytes == 0;
-        if (isNew || acknowledgesMore)
-            state.m_silentAt = {};
-        else if (state.m_silentAt == Deadline {} && state.m_protocol == Protocol::Tcp)
-            state.m_silentAt = context.m_now + c_silence;
-        if (isNew)
+        if (isNewPayload)
             state.m_sequence = packet.m_sequence;
         const std::uint32_t room = std::numeric_limits<std::uint32_t>::max() - state.m_carriedBytes;
         state.m_carriedBytes += std::min<std::uint32_t>(room, packet.m_payloadBytes);
-    } else if (acknowledgesMore) {
-        state.m_silentAt = {};
     }
+    if (packet.m_kind != PacketKind::Datagram)
+        noteSilence(context, state, isNewPayload || acknowledgesMore);
 
     if (!state.m_counted)
         return;
@@ -341,10 +363,26 @@
     }
 }
 
+void FlowRouter::noteSilence(const Context& context, FlowState& state, bool progress) const
+{
+    // During a cut a flow may wait without anybody having lost track of it.
+    if (progress || m_cutSince != Instant {}) {
+        state.m_silentAt = {};
+        state.m_retransmissions = 0;
+        return;
+    }
+    if (context.m_packet.m_payloadBytes == 0)
+        return;
+    if (state.m_silentAt == Deadline {})
+        state.m_silentAt = context.m_now + c_silence;
+    if (state.m_retransmissions < c_silentRetransmissions)
+        ++state.m_retransmissions;
+}
+
 bool FlowRouter::isSilent(const Context& context, const FlowState& state) const
 {
-    return state.m_silentAt != Deadline {} && context.m_now >= state.m_silentAt
-        && context.m_packet.m_kind != PacketKind::Opening;
+    return state.m_retransmissions >= c_silentRetransmissions && context.m_now >= state.m_silentAt
+        && context.m_packet.m_kind == PacketKind::Midstream;
 }
 
 void FlowRouter::setException(FlowState& state, bool exception)
@@ -365,7 +403,9 @@
 {
     if (state.m_counted)
         m_board.noteClosed(state.m_backend, state.m_straggler, now);
-    const bool replicaHoldsIt = state.m_exception && state.m_replica != Endpoint {} && owns(bucketOf(hash));
+    // The replica's copy lapses by itself but for established flows, which it keeps as long as the owner does.
+    const bool replicaHoldsIt = state.m_exception && state.m_replica != Endpoint {}
+        && state.m_stage == FlowStage::Established && state.m_protocol == Protocol::Tcp && owns(bucketOf(hash));
     if (replicaHoldsIt)
         m_outboxes[state.m_replica].m_flows.push_back(hash);
     setException(state, false);
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -95,13 +95,14 @@
     Verdict decideAsOwner(const Context& context, Endpoint replica, bool mayAskPrevious);
     Verdict decideKnown(const Context& context, FlowState& state, Endpoint replica);
     Verdict decideMidstream(const Context& context, Endpoint replica);
-    Verdict openFlow(const Context& context, Endpoint replica);
+    Verdict openFlow(const Context& context, Endpoint replica, bool replacesCopy);
     Verdict acceptRecord(const Context& context);
     Verdict forward(const Context& context, FlowState& state, Endpoint replica);
     Verdict forwardUntracked(const Context& context) const;
 
     FlowState& track(const Context& context, Endpoint backend, FlowStage stage, bool isNew);
     void noteProgress(const Context& context, FlowState& state);
+    void noteSilence(const Context& context, FlowState& state, bool progress) const;
     bool isSilent(const Context& context, const FlowState& state) const;
     bool mustReopen(const Context& context, const FlowState& state) const;
     bool isUsable(Endpoint backend) const;
@@ -115,7 +116,8 @@
     void loseBucket(Bucket bucket);
     void warmFrom(Bucket bucket, Endpoint previousOwner);
     void finishWarming(Bucket bucket);
-    void warmAfterCut(std::span<const Member> previousMembers, Instant now);
+    void noteCut(bool cut, Instant now);
+    void warmAfterCut(std::span<const Member> previousMembers);
     void forgetReplica(Endpoint peer);
     void requestSettling(Bucket bucket);
     void settleShard(std::size_t index);
@@ -152,6 +154,8 @@
     std::size_t m_shardsToSettle = 0;
     Instant m_ranAt {}; ///< when a batch or a tick last ran; epoch before the first
     Instant m_cutSince {}; ///< since when some zone is cut off; epoch when none is
+    Deadline m_cutOverAt {}; ///< when a cut that has ended is forgotten; epoch while none has
+    OwnerMap m_beyondCut; ///< who owns what on the other side of a cut
     bool m_leaving = false;
 };
 
