control: platform and probe tasks, and the program cuminrelay-control

Cause: nobody told the entry processes what the platform holds. Change: one coroutine each for the configuration watch, the VM list and the zone's status, one for each probed backend server; ControlProcess joins them with the RPC thread by posting. The platform client counts its bytes. Conclusion: kept; not yet run against an entry process.

--- a/src/control/ControlHub.h
+++ b/src/control/ControlHub.h
@@ -69,6 +69,8 @@
     /// Whether a connection from the address is let in.
     bool isAdmitted(std::uint32_t address) const;
 
+    void strangerCalled() { m_listener.strangerCalled(); }
+
     /// Whether the peer with this control endpoint has opened a connection to this VM and speaks on it.
     bool hasAcceptedLink(Endpoint control) const { return m_acceptedLinks.contains(control); }
     void linkEnded(const PeerLink& link);
--- a/src/control/ControlRpc.cpp
+++ b/src/control/ControlRpc.cpp
@@ -63,7 +63,7 @@
 {
 }
 
-ControlRpc::~ControlRpc()
+ControlRpc::~ControlRpc() noexcept
 {
     stop();
 }
--- a/src/control/ControlRpc.h
+++ b/src/control/ControlRpc.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/ControlOptions.h"
+#include "control/FleetInbox.h"
 #include "control/FleetListener.h"
 #include "control/RpcMailbox.h"
 #include "observe/Log.h"
@@ -14,15 +15,12 @@
 
 /// The RPC thread of a control process: heartbeats with peers and the entry process of the same VM, one fiber each.
 /// Inputs are posted to it, what it finds out goes to the listener.
-class ControlRpc {
+class ControlRpc final : public FleetInbox {
 public:
     ControlRpc(ControlOptions options, const Clock& clock, Metrics& metrics, Log& log, FleetListener& listener);
 
     /// Stops.
-    ~ControlRpc();
-
-    ControlRpc(const ControlRpc&) = delete;
-    ControlRpc& operator=(const ControlRpc&) = delete;
+    ~ControlRpc() noexcept override;
 
     /// Listens on the own control endpoint and starts the thread. Returns the port. Errors: Unavailable, naming the
     /// endpoint.
@@ -31,9 +29,9 @@
     /// Ends the thread and all conversations; the entry process goes on with what it has.
     void stop();
 
-    void offerConfiguration(Configuration configuration);
-    void applyList(std::vector<Member> listed);
-    void applyOwnReports(std::vector<BackendReport> reports);
+    void offerConfiguration(Configuration configuration) override;
+    void applyList(std::vector<Member> listed) override;
+    void applyOwnReports(std::vector<BackendReport> reports) override;
 
 private:
     void run(std::promise<Outcome<std::uint16_t>> started);
--- a/src/control/ControlRpcTest.cpp
+++ b/src/control/ControlRpcTest.cpp
@@ -178,6 +178,8 @@
             m_told.change([&](Told& told) { told.m_status = std::move(status); });
         }
 
+        void strangerCalled() override { }
+
         Watched<Told> m_told;
     };
 
--- /dev/null
+++ b/src/control/ControlSettings.cpp
@@ -0,0 +1,50 @@
+#include "control/ControlSettings.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::array<std::string_view, 4> c_logLevels { "debug", "info", "warning", "error" };
+
+    LogLevel readLogLevel(SettingsReader& reader)
+    {
+        const std::string name = reader.choice("log_level", "info", c_logLevels);
+        const auto found = std::ranges::find(c_logLevels, name);
+        return found == c_logLevels.end() ? LogLevel::Info : static_cast<LogLevel>(found - c_logLevels.begin());
+    }
+
+    Duration readMilliseconds(
+        SettingsReader& reader, std::string_view key, std::uint64_t fallback, std::uint64_t minimum)
+    {
+        constexpr std::uint64_t longest = 60'000;
+        return std::chrono::milliseconds { reader.integer(key, fallback, minimum, longest) };
+    }
+
+} // namespace
+
+ControlSettings readControlSettings(SettingsReader& reader)
+{
+    ControlSettings settings;
+    Member& self = settings.m_options.m_self;
+    self.m_name = reader.requiredText("name");
+    self.m_zone = reader.requiredText("zone");
+    self.m_control = reader.requiredEndpoint("control");
+    self.m_peers = reader.requiredEndpoint("entry_peers");
+    self.m_replica = reader.requiredEndpoint("entry_replica");
+    settings.m_options.m_entryRpc = reader.requiredEndpoint("entry_rpc");
+    // Part of the platform's VM list; heartbeats don't carry it.
+    (void)reader.endpoint("entry_packets", {});
+    settings.m_options.m_seedPeers = reader.endpoints("seed_peers");
+    settings.m_options.m_heartbeatInterval = readMilliseconds(reader, "heartbeat_ms", 500, 50);
+    settings.m_options.m_beatEverybodyUpTo = reader.integer("beat_everybody_up_to", 16, 0, 4096);
+    settings.m_platform = PlatformSettings::read(reader);
+    settings.m_metrics = reader.requiredEndpoint("metrics");
+    settings.m_probeInterval = readMilliseconds(reader, "probe_interval_ms", 1000, 50);
+    settings.m_logLevel = readLogLevel(reader);
+    return settings;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/control/ControlSettings.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "control/ControlOptions.h"
+#include "observe/Log.h"
+#include "platform/PlatformSettings.h"
+#include "settings/SettingsReader.h"
+
+namespace cuminrelay {
+
+/// The settings of cuminrelay-control.
+struct ControlSettings {
+    ControlOptions m_options; ///< all but the first sequence
+    PlatformSettings m_platform;
+    Endpoint m_metrics; ///< TCP: HTTP
+    Duration m_probeInterval = std::chrono::seconds { 1 };
+    LogLevel m_logLevel = LogLevel::Info;
+};
+
+/// Reads all keys; problems are gathered in the reader.
+ControlSettings readControlSettings(SettingsReader& reader);
+
+} // namespace cuminrelay
--- a/src/control/FleetListener.h
+++ b/src/control/FleetListener.h
@@ -44,6 +44,9 @@
 
     /// Called every status interval on the first reader of the zone.
     virtual void statusDue(ZoneStatus status) = 0;
+
+    /// Somebody called who is not known; the VM list may have news.
+    virtual void strangerCalled() = 0;
 };
 
 } // namespace cuminrelay
--- a/src/control/PeerTasks.cpp
+++ b/src/control/PeerTasks.cpp
@@ -49,6 +49,7 @@
         if (!m_hub.isAdmitted(address)) {
             m_hub.count(c_refusalCounter, "not_a_member");
             m_hub.log().warning("control", "stranger_refused", { { "address", formatAddress(address) } });
+            m_hub.strangerCalled();
             continue;
         }
         if (m_acceptedTasks.size() >= c_maximumAccepted) {
--- /dev/null
+++ b/src/control/ProbeTasks.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "backends/BackendProbe.h"
+#include "backends/HealthTracker.h"
+#include "control/FleetInbox.h"
+#include "control/FleetListener.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace cuminrelay {
+
+/// Runs one probe task for each backend server that this VM has to probe, and reports what each probe makes of its
+/// health.
+class ProbeTasks final : private ProbeSink {
+public:
+    /// self: this VM's m_peers endpoint. All references must outlive the executor's context.
+    ProbeTasks(const boost::asio::any_io_executor& executor, BackendProbeFactory& factory, FleetInbox& inbox,
+        const Clock& clock, Endpoint self, Duration interval);
+
+    /// Starts and ends tasks, so that exactly the backend servers are probed that the snapshot assigns to this VM.
+    void update(const FleetSnapshot& snapshot);
+
+    std::size_t taskCount() const { return m_tasks.size(); }
+
+private:
+    /// A running probe task; it ends when it is destroyed.
+    struct Task {
+        Endpoint m_report;
+        boost::asio::cancellation_signal m_cancel;
+        BackendLoad m_lastLoad;
+
+        ~Task() { m_cancel.emit(boost::asio::cancellation_type::terminal); }
+    };
+
+    std::vector<BackendServer> assigned(const FleetSnapshot& snapshot) const;
+    void startTask(const BackendServer& server);
+    void noteProbe(Endpoint backend, const ProbeResult& result) override;
+
+    boost::asio::any_io_executor m_executor;
+    BackendProbeFactory& m_factory;
+    FleetInbox& m_inbox;
+    const Clock& m_clock;
+    Endpoint m_self;
+    Duration m_interval;
+    HealthTracker m_health;
+    std::map<Endpoint, std::unique_ptr<Task>> m_tasks;
+};
+
+} // namespace cuminrelay
--- a/src/platform/HttpPlatformClient.cpp
+++ b/src/platform/HttpPlatformClient.cpp
@@ -248,7 +248,9 @@
 {
     stream.expires_at(toSteady(deadline));
     boost::system::error_code failure;
-    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
+    const std::size_t sent
+        = co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
+    m_metrics.counter("cuminrelay_control_bytes_total", "sent").add(sent);
     if (failure) {
         co_return countFailure(
             "send", { ErrorKind::Unavailable, fmt::format("the request could not be sent: {}", failure.message()) });
@@ -256,7 +258,9 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(c_maximumResponseBytes);
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    const std::size_t received
+        = co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    m_metrics.counter("cuminrelay_control_bytes_total", "received").add(received);
     if (failure) {
         const bool timedOut = failure == beast::error::timeout;
         co_return countFailure(timedOut ? "timeout" : "answer_lost",
--- a/src/platform/HttpPlatformClient.h
+++ b/src/platform/HttpPlatformClient.h
@@ -19,7 +19,8 @@
 /// proves that the write was not sent. Never repeats a write. All calls run on one executor, which must not run on
 /// several threads at once; clock and metrics must outlive the client, the client its calls.
 ///
-/// Counters: cuminrelay_platform_calls_total by kind of call, cuminrelay_platform_failures_total by reason.
+/// Counters: cuminrelay_platform_calls_total by kind of call, cuminrelay_platform_failures_total by reason,
+/// cuminrelay_control_bytes_total by direction.
 class HttpPlatformClient final : public PlatformClient {
 public:
     HttpPlatformClient(
