flows, bench: look up a batch before deciding on it; slopes of what control costs

Cause: an established packet cost 301 ns at 10^6 flows, nearly all of it waiting for memory. Change: chunks of 32 packets are hashed and looked up first, so that their cache misses overlap; cuminrelay-bench slopes measures messages with the real encoders, and tables.

--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -3,6 +3,7 @@
 #include "base/Assert.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace cuminrelay {
@@ -110,20 +111,41 @@
 {
     CR_ASSERT(packets.size() == verdicts.size(), "one verdict for each packet");
     notePause(now);
+    for (std::size_t begin = 0; begin < packets.size(); begin += s_chunk) {
+        const std::size_t size = std::min(s_chunk, packets.size() - begin);
+        decideChunk(packets.subspan(begin, size), verdicts.subspan(begin, size), now);
+    }
+}
+
+void FlowRouter::decideChunk(std::span<const PacketSummary> packets, std::span<Verdict> verdicts, Instant now)
+{
+    std::array<FlowHash, s_chunk> hashes;
+    std::array<FlowState*, s_chunk> found;
+    const std::uint64_t generation = m_flows.generation();
+    for (std::size_t i = 0; i < packets.size(); ++i) {
+        hashes[i] = hashFlow(packets[i].m_flow);
+        found[i] = m_flows.find(hashes[i]);
+        if (found[i])
+            __builtin_prefetch(found[i] + 1, 1);
+    }
     for (std::size_t i = 0; i < packets.size(); ++i)
-        verdicts[i] = decideOne(packets[i], now);
+        verdicts[i] = decideOne(Context { packets[i], hashes[i], bucketOf(hashes[i]), now, found[i], generation });
 }
 
-Verdict FlowRouter::decideOne(const PacketSummary& packet, Instant now)
+FlowState* FlowRouter::lookUp(const Context& context)
 {
-    const FlowHash hash = hashFlow(packet.m_flow);
-    const Context context { packet, hash, bucketOf(hash), now };
+    return context.m_generation == m_flows.generation() ? context.m_found : m_flows.find(context.m_hash);
+}
+
+Verdict FlowRouter::decideOne(const Context& context)
+{
+    const PacketSummary& packet = context.m_packet;
     if (packet.m_arrival == Arrival::Record)
         return acceptRecord(context);
     if (packet.m_arrival == Arrival::AskPrevious)
         return decideAsOwner(context, packet.m_peer, false);
 
-    const Endpoint deciding = decider(context.m_bucket, now);
+    const Endpoint deciding = decider(context.m_bucket, context.m_now);
     if (deciding == m_self)
         return decideAsOwner(context, successor(context.m_bucket), true);
     if (deciding == Endpoint {})
@@ -132,7 +154,7 @@
         return askOwner(deciding);
 
     // Views disagree and the packet has gone round. Whoever holds the flow's state can still place it.
-    FlowState* const state = m_flows.find(hash);
+    FlowState* const state = lookUp(context);
     return state ? toBackend(state->m_backend) : drop(Reason::HopLimit);
 }
 
@@ -141,7 +163,7 @@
     const BucketState& bucket = m_buckets[context.m_bucket];
     const bool warming
         = mayAskPrevious && bucket.m_warmingFrom != Endpoint {} && context.m_packet.m_hops < c_maximumHops;
-    FlowState* const state = m_flows.find(context.m_hash);
+    FlowState* const state = lookUp(context);
     if (state && !(warming && state->m_stage == FlowStage::Opening) && !mustReopen(context, *state))
         return decideKnown(context, *state, replica);
     if (warming)
@@ -260,7 +282,7 @@
 Verdict FlowRouter::acceptRecord(const Context& context)
 {
     const PacketSummary& packet = context.m_packet;
-    FlowState* const known = m_flows.find(context.m_hash);
+    FlowState* const known = lookUp(context);
     const BucketState& bucket = m_buckets[context.m_bucket];
     const bool decidesHere = decider(context.m_bucket, context.m_now) == m_self && bucket.m_warmingFrom == Endpoint {};
     // An owner that was paused and does not know yet that this VM took over is overruled.
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -89,9 +89,13 @@
         FlowHash m_hash;
         Bucket m_bucket;
         Instant m_now;
+        FlowState* m_found; ///< what the table held for the flow at m_generation
+        std::uint64_t m_generation;
     };
 
-    Verdict decideOne(const PacketSummary& packet, Instant now);
+    void decideChunk(std::span<const PacketSummary> packets, std::span<Verdict> verdicts, Instant now);
+    Verdict decideOne(const Context& context);
+    FlowState* lookUp(const Context& context);
     Verdict decideAsOwner(const Context& context, Endpoint replica, bool mayAskPrevious);
     Verdict decideKnown(const Context& context, FlowState& state, Endpoint replica);
     Verdict decideMidstream(const Context& context, Endpoint replica);
@@ -134,6 +138,9 @@
     bool isReachable(Endpoint peers) const;
     std::size_t activeMembers() const;
 
+    /// How many packets are looked up at once, so that their cache misses overlap.
+    static constexpr std::size_t s_chunk = 32;
+
     /// How many packets of an exception take the way through its replica, against loss.
     static constexpr std::uint8_t s_relaysPerReplica = 2;
 
--- a/src/flows/FlowTable.h
+++ b/src/flows/FlowTable.h
@@ -46,7 +46,7 @@
     static constexpr std::size_t s_shardCount = 64;
     using Shard = boost::unordered_flat_map<std::uint64_t, FlowState>;
 
-    /// The state of a flow, or nullptr. Valid until the next insertion into the same shard.
+    /// The state of a flow, or nullptr. Valid until generation() changes.
     FlowState* find(FlowHash hash)
     {
         Shard& shard = shardOf(hash);
@@ -57,11 +57,20 @@
     /// Inserts or replaces the state of a flow.
     FlowState& put(FlowHash hash, const FlowState& state)
     {
+        ++m_generation;
         return shardOf(hash).insert_or_assign(hash.m_value, state).first->second;
     }
 
-    void erase(FlowHash hash) { shardOf(hash).erase(hash.m_value); }
+    void erase(FlowHash hash)
+    {
+        ++m_generation;
+        shardOf(hash).erase(hash.m_value);
+    }
+
+    /// Changes whenever pointers that find gave may have become invalid.
+    std::uint64_t generation() const { return m_generation; }
 
+    /// One part of the table, to walk or to expire. Erasing from it invalidates pointers into it.
     Shard& shard(std::size_t index) { return m_shards[index]; }
 
     /// The shard that holds all flows of a bucket.
@@ -79,6 +88,7 @@
     Shard& shardOf(FlowHash hash) { return m_shards[shardIndex(bucketOf(hash))]; }
 
     std::array<Shard, s_shardCount> m_shards;
+    std::uint64_t m_generation = 0;
 };
 
 } // namespace cuminrelay
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -2,6 +2,7 @@
 #include "bench/FaultMatrix.h"
 #include "bench/PacketBench.h"
 #include "bench/Reports.h"
+#include "bench/Slopes.h"
 #include "settings/Program.h"
 
 #include <algorithm>
@@ -34,6 +35,7 @@
 
   compare   plays the same arrivals and single faults against each design
   faults    the fault matrix: every fault alone and with a second one later; status 1 when a promise breaks
+  slopes    how messages, tables and processor time grow with the fleet
   packets   the cost of a decision on an established packet, by open flows
 
 example: cuminrelay-bench faults --profile kalahari --seed 7
@@ -149,6 +151,10 @@
             return static_cast<int>(compare(given, *profile));
         if (given.m_command == "faults")
             return static_cast<int>(faults(given, *profile));
+        if (given.m_command == "slopes") {
+            fmt::print("{}", runSlopes(given.m_format));
+            return 0;
+        }
         if (given.m_command == "packets")
             return static_cast<int>(packets(given));
         fmt::print(stderr, "cuminrelay-bench: no command \"{}\"; see --help\n", given.m_command);
