--- a/src/admission/AdmissionPolicyTest.cpp
+++ b/src/admission/AdmissionPolicyTest.cpp
@@ -18,9 +18,11 @@
     }
 
     /// Four backend servers that are known to take 40 flows a second each, with no backlog ten seconds after the start.
+    /// The policy has let all of that work in.
     class Service {
     public:
-        explicit Service(std::uint32_t connectionLimit = 2000)
+        explicit Service(AdmissionPolicy& policy, std::uint32_t connectionLimit = 2000)
+            : m_policy(policy)
         {
             m_board.setOwnerCount(c_ownerCount);
             for (std::uint32_t i = 0; i < 4; ++i) {
@@ -40,12 +42,17 @@
             }
         }
 
+        Admission admit(int milliseconds)
+        {
+            return m_policy.admit(m_backends, m_board, c_ownerCount, after(milliseconds));
+        }
+
         /// Offers flows at one instant, places the admitted ones evenly and returns how many these were.
-        int offer(AdmissionPolicy& policy, int count, int milliseconds)
+        int offer(int count, int milliseconds)
         {
             int admitted = 0;
             for (int i = 0; i < count; ++i) {
-                if (policy.admit(m_backends, m_board, c_ownerCount, after(milliseconds)) != Admission::Admitted)
+                if (admit(milliseconds) != Admission::Admitted)
                     continue;
                 m_board.noteOpened(m_backends[m_placed++ % m_backends.size()], after(milliseconds));
                 ++admitted;
@@ -53,91 +60,103 @@
             return admitted;
         }
 
-        std::vector<Endpoint> m_backends;
-        BackendBoard m_board;
-
     private:
-        std::size_t m_placed = 0;
-
         /// Each second's report arrives half a second late.
         void workForHalfASecond(int half)
         {
-            const int own = c_flowsPerSecond / static_cast<int>(c_ownerCount);
-            for (const Endpoint backend : m_backends)
-                for (int i = half % 2; i < own; i += 2) {
-                    m_board.noteOpened(backend, after(500 * half + 500 * i / own + 5));
-                    m_board.noteClosed(backend, false, after(500 * half + 500 * i / own + 50));
-                }
+            constexpr int own = 4 * c_flowsPerSecond / static_cast<int>(c_ownerCount);
+            for (int i = half % 2; i < own; i += 2) {
+                const int milliseconds = 500 * half + 500 * i / own + 5;
+                ASSERT_EQ(offer(1, milliseconds), 1);
+                m_board.noteClosed(m_backends[(m_placed - 1) % m_backends.size()], false, after(milliseconds));
+            }
             if (half % 2 == 1)
                 reportAll(500 * (half - 1), { .m_busySlots = 2 });
         }
+
+        AdmissionPolicy& m_policy;
+        std::vector<Endpoint> m_backends;
+        BackendBoard m_board;
+        std::size_t m_placed = 0;
     };
 
     TEST(UnlimitedAdmission, letsEverythingIn)
     {
-        Service service;
         UnlimitedAdmission policy;
-        EXPECT_EQ(service.offer(policy, 10'000, 11'000), 10'000);
+        Service service(policy);
+        EXPECT_EQ(service.offer(10'000, 11'000), 10'000);
     }
 
     TEST(ShareAdmission, aBurstGetsTheEvenShareOfTheQueueRoomAndTheRestIsRefusedAtOnce)
     {
-        Service service;
         ShareAdmission policy({ .m_maximumWait = std::chrono::milliseconds { 400 } });
+        Service service(policy);
         constexpr int room = 4 * c_flowsPerSecond * 400 / 1000;
         constexpr int share = room / static_cast<int>(c_ownerCount);
-        EXPECT_NEAR(service.offer(policy, 1000, 12'000), share, 2);
-        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(12'000)), Admission::ShareUsed);
+        EXPECT_NEAR(service.offer(1000, 12'000), share, 2);
+        EXPECT_EQ(service.admit(12'000), Admission::ShareUsed);
     }
 
     TEST(ShareAdmission, betweenReportsEachVmAdmitsItsShareOfWhatTheSlotsWorkOff)
     {
-        Service service;
         ShareAdmission policy;
-        service.offer(policy, 1000, 12'000);
+        Service service(policy);
+        service.offer(1000, 12'000);
         int admitted = 0;
         for (int milliseconds = 12'010; milliseconds <= 13'000; milliseconds += 10)
-            admitted += service.offer(policy, 100, milliseconds);
+            admitted += service.offer(100, milliseconds);
         constexpr int share = 4 * c_flowsPerSecond / static_cast<int>(c_ownerCount);
         EXPECT_NEAR(admitted, share, 3);
     }
 
     TEST(ShareAdmission, anUnusedShareLapses)
     {
-        Service service;
         ShareAdmission policy;
-        const int early = service.offer(policy, 1000, 12'000);
-        Service idle;
-        EXPECT_EQ(idle.offer(policy, 1000, 60'000), early);
+        Service service(policy);
+        const int early = service.offer(1000, 12'000);
+        ShareAdmission idlePolicy;
+        Service idle(idlePolicy);
+        EXPECT_EQ(idle.offer(1000, 60'000), early);
     }
 
     TEST(ShareAdmission, aReportedBacklogBeyondTheMaximumWaitIsQueueFull)
     {
-        Service service;
         ShareAdmission policy;
+        Service service(policy);
         service.reportAll(11'000, { .m_busySlots = 2, .m_queued = 100 });
-        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(11'100)), Admission::QueueFull);
-        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(15'000)), Admission::Admitted);
+        EXPECT_EQ(service.admit(11'100), Admission::QueueFull);
+        EXPECT_EQ(service.admit(15'000), Admission::Admitted);
+    }
+
+    TEST(ShareAdmission, aLateReportKeepsWhatWasAdmittedAfterIt)
+    {
+        ShareAdmission policy({ .m_maximumWait = std::chrono::seconds { 2 } });
+        Service service(policy);
+        const int admitted = service.offer(1000, 12'000);
+        constexpr int share = 2 * 4 * c_flowsPerSecond / static_cast<int>(c_ownerCount);
+        EXPECT_NEAR(admitted, share, 3);
+        service.reportAll(11'500, { .m_busySlots = 2 });
+        EXPECT_LE(service.offer(1000, 12'000), 2);
     }
 
     TEST(ShareAdmission, connectionsAreBoundedByTheEvenShare)
     {
-        Service service(30);
         ShareAdmission policy({ .m_maximumWait = std::chrono::hours { 1 } });
+        Service service(policy, 30);
         service.reportAll(11'000, { .m_connections = 10 });
-        const int share = 4 * 20 / static_cast<int>(c_ownerCount);
-        EXPECT_EQ(service.offer(policy, 1000, 11'100), share);
-        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(11'100)), Admission::ShareUsed);
+        constexpr int share = 4 * 20 / static_cast<int>(c_ownerCount);
+        EXPECT_EQ(service.offer(1000, 11'100), share);
+        EXPECT_EQ(service.admit(11'100), Admission::ShareUsed);
         service.reportAll(11'200, { .m_connections = 30 });
-        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(11'300)), Admission::QueueFull);
+        EXPECT_EQ(service.admit(11'300), Admission::QueueFull);
     }
 
     TEST(ShareAdmission, nobodyEligibleIsQueueFull)
     {
-        Service service;
         ShareAdmission policy;
+        Service service(policy);
         service.reportAll(11'000, { .m_health = BackendHealth::Unhealthy });
-        EXPECT_EQ(policy.admit(service.m_backends, service.m_board, c_ownerCount, after(11'100)), Admission::QueueFull);
+        EXPECT_EQ(service.admit(11'100), Admission::QueueFull);
     }
 
     TEST(ShareAdmission, unknownSlotTimesRefuseNothing)
@@ -153,10 +172,10 @@
     RC_GTEST_PROP(ShareAdmission, neverAdmitsBeyondTheConnectionLimit, (std::uint8_t connections))
     {
         constexpr std::uint32_t limit = 100;
-        Service service(limit);
         ShareAdmission policy({ .m_maximumWait = std::chrono::hours { 1 } });
+        Service service(policy, limit);
         service.reportAll(11'000, { .m_connections = connections });
-        const int admitted = service.offer(policy, 1000, 11'100);
+        const int admitted = service.offer(1000, 11'100);
         const int room = 4 * (static_cast<int>(limit) - connections);
         RC_ASSERT(admitted * static_cast<int>(c_ownerCount) <= std::max(0, room));
     }
--- a/src/admission/ShareAdmission.cpp
+++ b/src/admission/ShareAdmission.cpp
@@ -1,6 +1,7 @@
 #include "admission/ShareAdmission.h"
 
 #include "backends/Eligibility.h"
+#include "base/Hash.h"
 
 #include <algorithm>
 
@@ -8,59 +9,42 @@
 
 namespace {
 
-    /// What the backend servers of a service that take new flows have left.
-    struct ServiceCapacity {
-        double m_reportedFreeConnections = 0;
-        double m_freeConnections = 0; ///< after what was admitted since the reports
-        double m_reportedBacklog = 0;
-        double m_backlog = 0; ///< with what was admitted since the reports
-        double m_flowsPerSecond = 0;
-        std::size_t m_backends = 0;
-        std::size_t m_withKnownRate = 0;
-        bool m_isConnectionLimited = true;
-    };
+    // Services that were reconfigured away leave an estimate behind; beyond this many all start again from reports.
+    constexpr std::size_t c_maximumServices = 4096;
 
-    /// One at its connection limit still counts: its overdraft by the estimate is another's room.
-    bool takesNewFlows(Eligibility eligibility)
-    {
-        return eligibility == Eligibility::Eligible || eligibility == Eligibility::ConnectionLimit;
-    }
-
-    void addConnections(ServiceCapacity& capacity, const BackendStatus& status, const BackendBoard& board, Instant now)
-    {
-        if (status.m_connectionLimit == 0)
-            capacity.m_isConnectionLimited = false;
-        const double reported = status.hasFreshReport(now) ? status.m_report.m_connections : 0;
-        const double free = std::max(0.0, status.m_connectionLimit - reported);
-        capacity.m_reportedFreeConnections += free;
-        capacity.m_freeConnections += free - (board.estimatedConnections(status, now) - reported);
-    }
-
-    void addSlots(ServiceCapacity& capacity, Endpoint backend, const BackendStatus& status, const BackendBoard& board,
-        Instant now)
-    {
-        const std::optional<double> rate = board.flowsPerSecond(backend);
-        if (!rate)
-            return;
-        ++capacity.m_withKnownRate;
-        capacity.m_flowsPerSecond += *rate;
-        capacity.m_backlog += board.estimatedBacklog(backend, now);
-        if (status.hasFreshReport(now))
-            capacity.m_reportedBacklog += status.m_report.m_busySlots + status.m_report.m_queued;
-    }
+    /// Connections that the backend servers of a service can still take.
+    struct FreeConnections {
+        double m_reported = 0;
+        double m_now = 0; ///< after what was admitted since the reports
+        bool m_isLimited = true;
+        bool m_anyBackend = false;
+    };
 
-    ServiceCapacity sumCapacity(std::span<const Endpoint> candidates, const BackendBoard& board, Instant now)
+    FreeConnections sumFreeConnections(std::span<const Endpoint> candidates, const BackendBoard& board, Instant now)
     {
-        ServiceCapacity capacity;
+        FreeConnections free;
         for (const Endpoint backend : candidates) {
             const BackendStatus* const status = board.find(backend);
-            if (!takesNewFlows(eligibilityOf(status, board, now)))
+            const Eligibility eligibility = eligibilityOf(status, board, now);
+            // One at its connection limit still counts: its overdraft by the estimate is another's room.
+            if (eligibility != Eligibility::Eligible && eligibility != Eligibility::ConnectionLimit)
                 continue;
-            ++capacity.m_backends;
-            addConnections(capacity, *status, board, now);
-            addSlots(capacity, backend, *status, board, now);
+            free.m_anyBackend = true;
+            free.m_isLimited = free.m_isLimited && status->m_connectionLimit > 0;
+            const double reported = status->hasFreshReport(now) ? status->m_report.m_connections : 0;
+            const double room = std::max(0.0, status->m_connectionLimit - reported);
+            free.m_reported += room;
+            free.m_now += room - (board.estimatedConnections(*status, now) - reported);
         }
-        return capacity;
+        return free;
+    }
+
+    std::uint64_t serviceKey(std::span<const Endpoint> candidates)
+    {
+        std::uint64_t key = candidates.size();
+        for (const Endpoint backend : candidates)
+            key = hashPair(key, backend.packed());
+        return key;
     }
 
 } // namespace
@@ -68,20 +52,27 @@
 Admission ShareAdmission::admit(
     std::span<const Endpoint> candidates, const BackendBoard& board, std::size_t ownerCount, Instant now)
 {
-    const ServiceCapacity capacity = sumCapacity(candidates, board, now);
-    if (capacity.m_backends == 0)
+    const double scale = static_cast<double>(ownerCount);
+    const FreeConnections free = sumFreeConnections(candidates, board, now);
+    if (!free.m_anyBackend)
         return Admission::QueueFull;
-    const double share = static_cast<double>(ownerCount);
-    if (capacity.m_isConnectionLimited && capacity.m_freeConnections < share)
-        return capacity.m_reportedFreeConnections < share ? Admission::QueueFull : Admission::ShareUsed;
-    // With the slot time of most backend servers unknown, a wait would be a guess.
-    if (2 * capacity.m_withKnownRate < capacity.m_backends)
-        return Admission::Admitted;
+    if (free.m_isLimited && free.m_now < scale)
+        return free.m_reported < scale ? Admission::QueueFull : Admission::ShareUsed;
+
+    ServiceLoadEstimate& load = estimateFor(candidates);
+    load.update(sumReports(candidates, board, now), scale);
     const double maximumWait = std::chrono::duration<double>(m_parameters.m_maximumWait).count();
-    const double room = maximumWait * capacity.m_flowsPerSecond;
-    if (capacity.m_backlog <= room)
-        return Admission::Admitted;
-    return capacity.m_reportedBacklog > room ? Admission::QueueFull : Admission::ShareUsed;
+    if (load.expectedWait(now).value_or(0) > maximumWait)
+        return load.reportedWait().value_or(0) > maximumWait ? Admission::QueueFull : Admission::ShareUsed;
+    load.noteAdmitted(scale, now);
+    return Admission::Admitted;
+}
+
+ServiceLoadEstimate& ShareAdmission::estimateFor(std::span<const Endpoint> candidates)
+{
+    if (m_estimates.size() >= c_maximumServices)
+        m_estimates.clear();
+    return m_estimates[serviceKey(candidates)];
 }
 
 } // namespace cuminrelay
