--- a/src/admission/AdmissionPolicy.h
+++ b/src/admission/AdmissionPolicy.h
@@ -25,7 +25,7 @@
     virtual ~AdmissionPolicy() = default;
 
     /// Decides on one new flow for a service. candidates: the backend servers of the service, sorted. ownerCount: the
-    /// entry VMs that admit flows at the same time, at least 1.
+    /// inverse of this VM's share of all flows, rounded; at least 1. With even shares, the number of entry VMs.
     virtual Admission admit(
         std::span<const Endpoint> candidates, const BackendBoard& board, std::size_t ownerCount, Instant now)
         = 0;
--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -3,6 +3,7 @@
 #include "base/Assert.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace cuminrelay {
@@ -28,7 +29,8 @@
     constexpr Duration c_cutNoticed = std::chrono::seconds { 1 };
 
     /// A sender that has retransmitted for so long without progress is taken for lost track of.
-    constexpr Duration c_silence = std::chrono::seconds { 10 };
+    constexpr Duration c_silence = std::chrono::seconds { 20 };
+    constexpr std::uint8_t c_silentRetransmissions = 6;
 
     /// TCP sequence comparison: whether left comes after right, modulo 2^32.
     bool isAfter(std::uint32_t left, std::uint32_t right)
@@ -109,20 +111,41 @@
 {
     CR_ASSERT(packets.size() == verdicts.size(), "one verdict for each packet");
     notePause(now);
+    for (std::size_t begin = 0; begin < packets.size(); begin += s_chunk) {
+        const std::size_t size = std::min(s_chunk, packets.size() - begin);
+        decideChunk(packets.subspan(begin, size), verdicts.subspan(begin, size), now);
+    }
+}
+
+void FlowRouter::decideChunk(std::span<const PacketSummary> packets, std::span<Verdict> verdicts, Instant now)
+{
+    std::array<FlowHash, s_chunk> hashes;
+    std::array<FlowState*, s_chunk> found;
+    const std::uint64_t generation = m_flows.generation();
+    for (std::size_t i = 0; i < packets.size(); ++i) {
+        hashes[i] = hashFlow(packets[i].m_flow);
+        found[i] = m_flows.find(hashes[i]);
+        if (found[i])
+            __builtin_prefetch(found[i] + 1, 1);
+    }
     for (std::size_t i = 0; i < packets.size(); ++i)
-        verdicts[i] = decideOne(packets[i], now);
+        verdicts[i] = decideOne(Context { packets[i], hashes[i], bucketOf(hashes[i]), now, found[i], generation });
 }
 
-Verdict FlowRouter::decideOne(const PacketSummary& packet, Instant now)
+FlowState* FlowRouter::lookUp(const Context& context)
 {
-    const FlowHash hash = hashFlow(packet.m_flow);
-    const Context context { packet, hash, bucketOf(hash), now };
+    return context.m_generation == m_flows.generation() ? context.m_found : m_flows.find(context.m_hash);
+}
+
+Verdict FlowRouter::decideOne(const Context& context)
+{
+    const PacketSummary& packet = context.m_packet;
     if (packet.m_arrival == Arrival::Record)
         return acceptRecord(context);
     if (packet.m_arrival == Arrival::AskPrevious)
         return decideAsOwner(context, packet.m_peer, false);
 
-    const Endpoint deciding = decider(context.m_bucket, now);
+    const Endpoint deciding = decider(context.m_bucket, context.m_now);
     if (deciding == m_self)
         return decideAsOwner(context, successor(context.m_bucket), true);
     if (deciding == Endpoint {})
@@ -131,7 +154,7 @@
         return askOwner(deciding);
 
     // Views disagree and the packet has gone round. Whoever holds the flow's state can still place it.
-    FlowState* const state = m_flows.find(hash);
+    FlowState* const state = lookUp(context);
     return state ? toBackend(state->m_backend) : drop(Reason::HopLimit);
 }
 
@@ -140,18 +163,19 @@
     const BucketState& bucket = m_buckets[context.m_bucket];
     const bool warming
         = mayAskPrevious && bucket.m_warmingFrom != Endpoint {} && context.m_packet.m_hops < c_maximumHops;
-    FlowState* const state = m_flows.find(context.m_hash);
+    FlowState* const state = lookUp(context);
     if (state && !(warming && state->m_stage == FlowStage::Opening) && !mustReopen(context, *state))
         return decideKnown(context, *state, replica);
     if (warming)
         return Verdict { VerdictKind::AskPrevious, Reason::None, bucket.m_warmingFrom, {} };
+    const bool replacesCopy = state && state->m_exception && state->m_replica != Endpoint {};
     if (state)
         endFlow(context.m_hash, *state, context.m_now);
 
     switch (context.m_packet.m_kind) {
     case PacketKind::Opening:
     case PacketKind::Datagram:
-        return openFlow(context, replica);
+        return openFlow(context, replica, replacesCopy);
     case PacketKind::Midstream:
     case PacketKind::HalfClose:
         return decideMidstream(context, replica);
@@ -205,7 +229,7 @@
     return forward(context, state, replica);
 }
 
-Verdict FlowRouter::openFlow(const Context& context, Endpoint replica)
+Verdict FlowRouter::openFlow(const Context& context, Endpoint replica, bool replacesCopy)
 {
     const PacketSummary& packet = context.m_packet;
     const std::shared_ptr<const ServiceTables>& tables = m_history.current();
@@ -245,18 +269,20 @@
     }
     if (m_flows.size() >= m_limits.m_flows) {
         // Without room for a state only a flow that can be computed again may open.
-        const bool computable
-            = m_history.isDefaultSince(bucket.m_base, packet.m_flow, context.m_hash, chosen);
+        const bool computable = m_history.isDefaultSince(bucket.m_base, packet.m_flow, context.m_hash, chosen);
         return computable ? toBackend(chosen) : refuse(Reason::FlowTableFull);
     }
     FlowState& state = track(context, chosen, stageOf(packet.m_kind), true);
+    // The replica still holds the flow's former place and must learn the new one, even where it is the default.
+    if (replacesCopy)
+        setException(state, true);
     return forward(context, state, replica);
 }
 
 Verdict FlowRouter::acceptRecord(const Context& context)
 {
     const PacketSummary& packet = context.m_packet;
-    FlowState* const known = m_flows.find(context.m_hash);
+    FlowState* const known = lookUp(context);
     const BucketState& bucket = m_buckets[context.m_bucket];
     const bool decidesHere = decider(context.m_bucket, context.m_now) == m_self && bucket.m_warmingFrom == Endpoint {};
     // An owner that was paused and does not know yet that this VM took over is overruled.
@@ -336,19 +362,16 @@
     const bool acknowledgesMore = isAfter(packet.m_acknowledgment, state.m_acknowledgment);
     if (acknowledgesMore)
         state.m_acknowledgment = packet.m_acknowledgment;
+    const bool isNewPayload
+        = packet.m_payloadBytes > 0 && (isAfter(packet.m_sequence, state.m_sequence) || state.m_carriedBytes == 0);
     if (packet.m_payloadBytes > 0) {
-        const bool isNew = isAfter(packet.m_sequence, state.m_sequence) || state.m_carriedBytes == 0;
-        if (isNew || acknowledgesMore)
-            state.m_silentAt = {};
-        else if (state.m_silentAt == Deadline {} && state.m_protocol == Protocol::Tcp)
-            state.m_silentAt = context.m_now + c_silence;
-        if (isNew)
+        if (isNewPayload)
             state.m_sequence = packet.m_sequence;
         const std::uint32_t room = std::numeric_limits<std::uint32_t>::max() - state.m_carriedBytes;
         state.m_carriedBytes += std::min<std::uint32_t>(room, packet.m_payloadBytes);
-    } else if (acknowledgesMore) {
-        state.m_silentAt = {};
     }
+    if (packet.m_kind != PacketKind::Datagram)
+        noteSilence(context, state, isNewPayload || acknowledgesMore);
 
     if (!state.m_counted)
         return;
@@ -362,10 +385,26 @@
     }
 }
 
+void FlowRouter::noteSilence(const Context& context, FlowState& state, bool progress) const
+{
+    // During a cut a flow may wait without anybody having lost track of it.
+    if (progress || m_cutSince != Instant {}) {
+        state.m_silentAt = {};
+        state.m_retransmissions = 0;
+        return;
+    }
+    if (context.m_packet.m_payloadBytes == 0)
+        return;
+    if (state.m_silentAt == Deadline {})
+        state.m_silentAt = context.m_now + c_silence;
+    if (state.m_retransmissions < c_silentRetransmissions)
+        ++state.m_retransmissions;
+}
+
 bool FlowRouter::isSilent(const Context& context, const FlowState& state) const
 {
-    return state.m_silentAt != Deadline {} && context.m_now >= state.m_silentAt
-        && context.m_packet.m_kind != PacketKind::Opening;
+    return state.m_retransmissions >= c_silentRetransmissions && context.m_now >= state.m_silentAt
+        && context.m_packet.m_kind == PacketKind::Midstream;
 }
 
 void FlowRouter::setException(FlowState& state, bool exception)
