--- a/src/operators/ExplainCommand.cpp
+++ b/src/operators/ExplainCommand.cpp
@@ -30,7 +30,7 @@
         return first == std::string_view::npos ? std::string {} : std::string { text.substr(first, last - first + 1) };
     }
 
-    /// Parses "caller -> service", in one word or in three.
+    /// Parses "caller -> service".
     Outcome<FlowKey> parseFlow(const std::vector<std::string>& words, std::string_view protocol)
     {
         const std::string text = fmt::format("{}", fmt::join(words, " "));
