--- a/src/flows/FlowTable.h
+++ b/src/flows/FlowTable.h
@@ -31,6 +31,7 @@
     std::uint32_t m_carriedBytes = 0; ///< payload from the caller; saturates
     Protocol m_protocol = Protocol::Tcp;
     FlowStage m_stage = FlowStage::Opening;
+    std::uint8_t m_retransmissions = 0; ///< without progress, as seen here; saturates
     std::uint8_t m_relays = 0; ///< mid-stream packets that took the way through m_replica
     bool m_exception = false; ///< not on the default of every table that the bucket may be based on
     bool m_straggler = false;
@@ -45,7 +46,7 @@
     static constexpr std::size_t s_shardCount = 64;
     using Shard = boost::unordered_flat_map<std::uint64_t, FlowState>;
 
-    /// The state of a flow, or nullptr. Valid until the next insertion into the same shard.
+    /// The state of a flow, or nullptr. Valid until generation() changes.
     FlowState* find(FlowHash hash)
     {
         Shard& shard = shardOf(hash);
@@ -56,11 +57,20 @@
     /// Inserts or replaces the state of a flow.
     FlowState& put(FlowHash hash, const FlowState& state)
     {
+        ++m_generation;
         return shardOf(hash).insert_or_assign(hash.m_value, state).first->second;
     }
 
-    void erase(FlowHash hash) { shardOf(hash).erase(hash.m_value); }
+    void erase(FlowHash hash)
+    {
+        ++m_generation;
+        shardOf(hash).erase(hash.m_value);
+    }
+
+    /// Changes whenever pointers that find gave may have become invalid.
+    std::uint64_t generation() const { return m_generation; }
 
+    /// One part of the table, to walk or to expire. Erasing from it invalidates pointers into it.
     Shard& shard(std::size_t index) { return m_shards[index]; }
 
     /// The shard that holds all flows of a bucket.
@@ -78,6 +88,7 @@
     Shard& shardOf(FlowHash hash) { return m_shards[shardIndex(bucketOf(hash))]; }
 
     std::array<Shard, s_shardCount> m_shards;
+    std::uint64_t m_generation = 0;
 };
 
 } // namespace cuminrelay
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -2,6 +2,7 @@
 #include "bench/FaultMatrix.h"
 #include "bench/PacketBench.h"
 #include "bench/Reports.h"
+#include "bench/Slopes.h"
 #include "settings/Program.h"
 
 #include <algorithm>
@@ -24,6 +25,9 @@
         double m_arrivalsPerSecond = 0;
         std::size_t m_flows = 0;
         bool m_pairs = true;
+        std::string m_first;
+        std::string m_second;
+        bool m_trace = false;
         ReportFormat m_format = ReportFormat::Table;
     };
 
@@ -31,6 +35,7 @@
 
   compare   plays the same arrivals and single faults against each design
   faults    the fault matrix: every fault alone and with a second one later; status 1 when a promise breaks
+  slopes    how messages, tables and processor time grow with the fleet
   packets   the cost of a decision on an established packet, by open flows
 
 example: cuminrelay-bench faults --profile kalahari --seed 7
@@ -45,6 +50,8 @@
         settings.m_seed = given.m_seed;
         settings.m_repeats = given.m_repeats;
         settings.m_pairs = given.m_pairs;
+        settings.m_onlyFirst = given.m_first;
+        settings.m_onlySecond = given.m_second;
         settings.m_arrivalsPerSecond = given.m_arrivalsPerSecond;
         return settings;
     }
@@ -68,6 +75,8 @@
     {
         const std::vector<FaultRun> runs = runFaultMatrix(matrixSettings(given, profile));
         fmt::print("{}", reportMatrix(runs, given.m_format));
+        if (given.m_trace)
+            fmt::print(stderr, "{}", reportBrokenFlows(runs));
         const std::ptrdiff_t violations
             = std::count_if(runs.begin(), runs.end(), [](const FaultRun& run) { return !run.m_violation.empty(); });
         fmt::print(stderr, "{} runs, {} broke a promise\n", runs.size(), violations);
@@ -92,7 +101,9 @@
             options::value(&given.m_arrivalsPerSecond)->default_value(300),
             "new flows a second over the fleet")("flows", options::value(&given.m_flows)->default_value(0),
             "packets: only this many flows; 0: 10^3 to 10^6")("single", "faults: no pairs")(
-            "json", "one JSON object a line");
+            "first", options::value(&given.m_first), "faults: only runs that begin with this")(
+            "second", options::value(&given.m_second), "faults: only runs that go on with this")(
+            "trace", "faults: how flows broke, on standard error")("json", "one JSON object a line");
         options::options_description all;
         all.add(described).add_options()("command", options::value(&given.m_command));
         options::positional_options_description positions;
@@ -121,6 +132,7 @@
             fmt::print("{}{}", c_usage, help);
             return values.count("help") > 0 ? 0 : static_cast<int>(ExitStatus::BadInput);
         }
+        given.m_trace = values.count("trace") > 0;
         given.m_pairs = values.count("single") == 0;
         given.m_format = values.count("json") > 0 ? ReportFormat::Json : ReportFormat::Table;
         const std::optional<FleetProfile> profile = findFleetProfile(given.m_profile);
@@ -139,6 +151,10 @@
             return static_cast<int>(compare(given, *profile));
         if (given.m_command == "faults")
             return static_cast<int>(faults(given, *profile));
+        if (given.m_command == "slopes") {
+            fmt::print("{}", runSlopes(given.m_format));
+            return 0;
+        }
         if (given.m_command == "packets")
             return static_cast<int>(packets(given));
         fmt::print(stderr, "cuminrelay-bench: no command \"{}\"; see --help\n", given.m_command);
