--- a/src/operators/Command.cpp
+++ b/src/operators/Command.cpp
@@ -33,6 +33,7 @@
     static const SelectCommand s_select;
     static const DrainCommand s_drain { true };
     static const DrainCommand s_undrain { false };
+    static const CheckCommand s_check;
     static const DiffCommand s_diff;
     static const ApplyCommand s_apply;
     static const GetCommand s_get;
@@ -40,8 +41,8 @@
     static const StatusCommand s_status;
     static const WaitCommand s_wait;
     static const ExplainCommand s_explain;
-    static const std::array<const Command*, 11> s_commands { &s_label, &s_select, &s_drain, &s_undrain, &s_diff,
-        &s_apply, &s_get, &s_history, &s_status, &s_wait, &s_explain };
+    static const std::array<const Command*, 12> s_commands { &s_label, &s_select, &s_drain, &s_undrain, &s_check,
+        &s_diff, &s_apply, &s_get, &s_history, &s_status, &s_wait, &s_explain };
     return s_commands;
 }
 
--- a/src/operators/CommandLineTest.cpp
+++ b/src/operators/CommandLineTest.cpp
@@ -262,6 +262,15 @@
         EXPECT_TRUE(prints("in force on all 2 live entry VMs")) << all();
     }
 
+    TEST_F(CommandLineTest, versionAboveTheStoresIsNotInForce)
+    {
+        ASSERT_EQ(apply(), 0) << all();
+        addVm("entry-1", "furano-c", 1);
+        writeStatus("furano-c", "entry-1", 9, 0); // as after the store was restored from a backup
+        EXPECT_EQ(run({ "wait", "1", "--timeout", "1" }), 1) << all();
+        EXPECT_TRUE(prints("at version 9, but the store has only 1: it went back")) << all();
+    }
+
     TEST_F(CommandLineTest, statusAndExplainSayWhatIsKnown)
     {
         ASSERT_EQ(apply(), 0) << all();
@@ -288,6 +297,17 @@
         EXPECT_EQ(run({ "explain", "10.8.0.1:4000->10.9.0.9:443" }), 1) << all();
     }
 
+    TEST_F(CommandLineTest, checkReadsADeclarationsFileByItself)
+    {
+        EXPECT_EQ(run({ "check", "-f", m_file }), 0) << all();
+        EXPECT_TRUE(prints("3 hosts, 2 services")) << all();
+        const std::string file = writeFile("unselected.json",
+            R"({"services": [{"name": "agenda", "address": "10.9.0.1:443", "selector": "app=agenda"}]})");
+        EXPECT_EQ(run({ "check", "-f", file }), 2) << all();
+        EXPECT_TRUE(prints("would match no host")) << all();
+        EXPECT_EQ(m_platform->calls().m_reads, 0U);
+    }
+
     TEST_F(CommandLineTest, helpVersionAndCheckNeedNoPlatform)
     {
         for (const Command* const command : allCommands()) {
--- a/src/operators/EditCommands.cpp
+++ b/src/operators/EditCommands.cpp
@@ -299,6 +299,31 @@
             changeLines(changes), changes.size(), version, context.m_options.m_file, version) };
 }
 
+VerbHelp CheckCommand::help() const
+{
+    return { "check", "-f FILE", "check a declarations file as if it were the whole configuration; asks no platform",
+        "cuminrelayctl check -f shirakaba.json", { VerbOption::File, VerbOption::Force } };
+}
+
+asio::awaitable<Outcome<CommandResult>> CheckCommand::run(CommandContext& context) const
+{
+    const Outcome<Declarations> declarations = loadDeclarations(context.m_options.m_file);
+    if (!declarations)
+        co_return declarations.error();
+    Edit edit;
+    edit.m_id = context.m_editId;
+    edit.m_forced = context.m_options.m_forced;
+    edit.m_changes = changesTo(declarations.value(), {});
+    const Outcome<EditResult> result = applyEdit({}, edit);
+    if (!result)
+        co_return result.error();
+    const std::size_t hosts = result.value().m_configuration.m_backendServers.size();
+    const std::size_t services = result.value().m_configuration.m_services.size();
+    boost::json::object object { { "hosts", hosts }, { "services", services } };
+    co_return CommandResult { CommandStatus::Success, std::move(object),
+        fmt::format("{}: good; {} hosts, {} services\n", context.m_options.m_file, hosts, services) };
+}
+
 VerbHelp ApplyCommand::help() const
 {
     return { "apply", "-f FILE", "make the configuration state what the file declares; nothing else is touched",
--- a/src/operators/EditCommands.h
+++ b/src/operators/EditCommands.h
@@ -40,6 +40,13 @@
     boost::asio::awaitable<Outcome<CommandResult>> run(CommandContext& context) const override;
 };
 
+/// Checks a declarations file by itself, without the platform.
+class CheckCommand final : public Command {
+public:
+    VerbHelp help() const override;
+    boost::asio::awaitable<Outcome<CommandResult>> run(CommandContext& context) const override;
+};
+
 /// Makes the configuration state what a declarations file states.
 class ApplyCommand final : public Command {
 public:
--- a/src/operators/Fleet.cpp
+++ b/src/operators/Fleet.cpp
@@ -49,6 +49,10 @@
     Outcome<std::vector<ZoneStatus>> statuses = co_await readZoneStatuses(platform, std::move(zones), deadline);
     if (!statuses)
         co_return statuses.error();
+    // Read last, so that no entry VM is ahead of it unless the store went back.
+    configuration = co_await readConfiguration(platform, deadline);
+    if (!configuration)
+        co_return configuration.error();
     co_return Fleet { std::move(configuration.value()), std::move(vms.value()), std::move(statuses.value()) };
 }
 
@@ -89,6 +93,11 @@
             return fmt::format("not in the status of zone {}", vm.m_zone);
         if (member->m_state == "unreachable")
             return "unreachable";
+        const ConfigVersion stored = fleet.m_configuration.m_version;
+        if (member->m_configVersion > stored) {
+            return fmt::format("at version {}, but the store has only {}: it went back",
+                member->m_configVersion.m_number, stored.m_number);
+        }
         if (member->m_configVersion >= version)
             return std::nullopt;
         return fmt::format("at version {}", member->m_configVersion.m_number);
--- a/src/operators/Fleet.h
+++ b/src/operators/Fleet.h
@@ -23,7 +23,7 @@
 
 /// Everything that the platform says about a deployment.
 struct Fleet {
-    Configuration m_configuration;
+    Configuration m_configuration; ///< read last
     std::vector<Member> m_vms;
     std::vector<ZoneStatus> m_zones; ///< only those that have been written
 };
@@ -36,7 +36,8 @@
 /// What a zone's reader said of a backend server, or nullptr. The newest wins when several zones report it.
 const HostStatus* findHostStatus(std::span<const ZoneStatus> zones, Endpoint tunnel);
 
-/// A live entry VM that has not a configuration version in force, and why.
+/// A live entry VM that does not have a configuration version in force, and why. One that holds a higher version than
+/// the store counts as well: what it holds is not what was asked for.
 struct LaggingMember {
     std::string m_name;
     std::string m_zone;
--- /dev/null
+++ b/src/settings/JsonFieldsTest.cpp
@@ -0,0 +1,53 @@
+#include "settings/JsonFields.h"
+
+#include "settings/JsonText.h"
+
+#include <boost/json/array.hpp>
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    using enum JsonFields::UnknownMembers;
+
+    boost::json::value parsed(std::string_view text)
+    {
+        return parseJsonText("test", text).value();
+    }
+
+    TEST(JsonFields, firstFaultIsReported)
+    {
+        const boost::json::value value = parsed(R"({"slots": "two", "tunnel": 5})");
+        JsonFields fields { value, "hosts[3]", Refuse };
+        EXPECT_EQ(fields.integer("slots", 2, 1, 9), 2U);
+        fields.requiredEndpoint("tunnel");
+        fields.requiredText("name");
+        const Outcome<void> finished = fields.finish();
+        ASSERT_FALSE(finished.has_value());
+        EXPECT_EQ(finished.error().m_message, "hosts[3]: \"slots\": found \"two\"; allowed: an integer from 1 to 9");
+    }
+
+    TEST(JsonFields, unknownMembersAreRefusedOrIgnored)
+    {
+        const boost::json::value value = parsed(R"({"name": "a", "later": 1})");
+        JsonFields strict { value, "test", Refuse };
+        EXPECT_EQ(strict.requiredText("name"), "a");
+        EXPECT_FALSE(strict.finish().has_value());
+        JsonFields lenient { value, "test", Ignore };
+        EXPECT_EQ(lenient.requiredText("name"), "a");
+        EXPECT_TRUE(lenient.finish().has_value());
+    }
+
+    TEST(JsonFields, anythingButAnObjectIsAFault)
+    {
+        for (const char* const text : { "1", "[]", "null", "\"x\"" }) {
+            const boost::json::value value = parsed(text);
+            JsonFields fields { value, "test", Ignore };
+            EXPECT_EQ(fields.text("name"), "");
+            EXPECT_TRUE(fields.array("list").empty());
+            EXPECT_FALSE(fields.finish().has_value()) << text;
+        }
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/settings/Program.cpp
+++ b/src/settings/Program.cpp
@@ -78,7 +78,8 @@
     if (!parsed)
         return refuse(fmt::format("{}: {}; see {} --help", name, parsed.error().m_message, name));
     if (commandLine.m_help) {
-        fmt::print("{}: {}\n\nExample: {} --config /etc/cuminrelay/{}.json\n\n", name, description, name, name);
+        const std::string_view file = name.substr(name.rfind('-') + 1);
+        fmt::print("{}: {}\n\nExample: {} --config /etc/cuminrelay/{}.json\n\n", name, description, name, file);
         fmt::print("{}", fmt::streamed(known));
         fmt::print("\nExit status: 0 success, 1 failure, 2 bad command line or settings.\n");
         return exitWith(ExitStatus::Success);
