control: a process that starts takes the kept configurations one after the other

Change: up to 64 versions are kept (fewer at large fleets); peers and entry processes are given the next one, not the last.

--- a/src/configuration/ConfigurationHolder.cpp
+++ b/src/configuration/ConfigurationHolder.cpp
@@ -27,11 +27,29 @@
                 "offered configuration has another content than the held one of the same version {}", held.m_number) };
     }
     m_kept.push_back(std::make_shared<const Configuration>(std::move(configuration)));
-    if (m_kept.size() > s_keptVersions)
-        m_kept.pop_front();
+    dropOldest();
     return true;
 }
 
+void ConfigurationHolder::dropOldest()
+{
+    std::size_t backendServers = 0;
+    for (const SharedConfiguration& kept : m_kept)
+        backendServers += kept->m_backendServers.size();
+    while (m_kept.size() > s_leastVersions
+        && (m_kept.size() > s_keptVersions || backendServers > s_keptBackendServers)) {
+        backendServers -= m_kept.front()->m_backendServers.size();
+        m_kept.pop_front();
+    }
+}
+
+SharedConfiguration ConfigurationHolder::next(ConfigVersion known) const
+{
+    const auto found = std::ranges::find_if(
+        m_kept, [known](const SharedConfiguration& kept) { return kept->m_version > known; });
+    return found != m_kept.end() ? *found : nullptr;
+}
+
 SharedConfiguration ConfigurationHolder::find(ConfigVersion version) const
 {
     const auto found = std::ranges::find_if(
--- a/src/configuration/ConfigurationHolder.h
+++ b/src/configuration/ConfigurationHolder.h
@@ -12,8 +12,9 @@
 using SharedConfiguration = std::shared_ptr<const Configuration>;
 
 /// Holds the highest configuration version that this process has seen and never goes back: not for a store that was
-/// restored or lies, not for a peer that is behind. Keeps the last few versions as bases for updates to peers.
-/// Memory: at most s_keptVersions configurations. One thread at a time.
+/// restored or lies, not for a peer that is behind. Keeps earlier versions, as bases for updates and because flows that
+/// were placed under one may outlive it: a process that starts takes them one after the other, oldest first.
+/// Memory: at most s_keptVersions configurations with s_keptBackendServers in all. One thread at a time.
 class ConfigurationHolder {
 public:
     ConfigurationHolder();
@@ -32,8 +33,16 @@
     /// peer gets the whole configuration.
     SharedConfiguration find(ConfigVersion version) const;
 
+    /// What a process that holds the given version should take next: the lowest kept version above it, or nullptr when
+    /// it is not behind.
+    SharedConfiguration next(ConfigVersion known) const;
+
 private:
-    static constexpr std::size_t s_keptVersions = 3;
+    static constexpr std::size_t s_keptVersions = 64;
+    static constexpr std::size_t s_keptBackendServers = 20'000;
+    static constexpr std::size_t s_leastVersions = 3;
+
+    void dropOldest();
 
     std::deque<SharedConfiguration> m_kept; ///< oldest first
 };
--- a/src/configuration/ConfigurationHolderTest.cpp
+++ b/src/configuration/ConfigurationHolderTest.cpp
@@ -34,6 +34,36 @@
         EXPECT_EQ(holder.current()->m_zones.front(), "a");
     }
 
+    TEST(ConfigurationHolder, whoStartsTakesTheKeptVersionsOneAfterTheOther)
+    {
+        ConfigurationHolder holder;
+        EXPECT_EQ(holder.next({ 0 }), nullptr);
+        for (const std::uint64_t version : { 3, 8, 9 })
+            ASSERT_TRUE(holder.offer(versionWithZone(version, "a")).has_value());
+        EXPECT_EQ(holder.next({ 0 })->m_version.m_number, 3U);
+        EXPECT_EQ(holder.next({ 3 })->m_version.m_number, 8U);
+        EXPECT_EQ(holder.next({ 5 })->m_version.m_number, 8U) << "a version that was never held";
+        EXPECT_EQ(holder.next({ 9 }), nullptr);
+    }
+
+    TEST(ConfigurationHolder, keptVersionsAreBounded)
+    {
+        constexpr std::uint64_t offered = 200;
+        constexpr std::uint64_t kept = 64;
+        ConfigurationHolder holder;
+        for (std::uint64_t version = 1; version <= offered; ++version)
+            ASSERT_TRUE(holder.offer(versionWithZone(version, "a")).has_value());
+        EXPECT_EQ(holder.next({ 0 })->m_version.m_number, offered - kept + 1);
+
+        Configuration large = versionWithZone(offered + 1, "a");
+        large.m_backendServers.resize(10'000);
+        for (std::uint64_t version = offered + 1; version <= offered + 5; ++version) {
+            large.m_version = { version };
+            ASSERT_TRUE(holder.offer(large).has_value());
+        }
+        EXPECT_EQ(holder.next({ 0 })->m_version.m_number, offered + 3) << "three versions are kept at any size";
+    }
+
     RC_GTEST_PROP(ConfigurationHolder, neverGoesBackWhateverIsOffered, (const std::vector<std::uint8_t>& versions))
     {
         ConfigurationHolder holder;
--- a/src/control/EntryTask.cpp
+++ b/src/control/EntryTask.cpp
@@ -96,10 +96,11 @@
 
 bool EntryTask::installConfiguration(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope)
 {
+    // An entry process that starts takes the kept versions one after the other: flows may be based on earlier ones.
     const ConfigurationHolder& holder = m_hub.state().configuration();
-    if (holder.version() <= given.m_configVersion)
+    const SharedConfiguration target = holder.next(given.m_configVersion);
+    if (!target)
         return false;
-    const SharedConfiguration target = holder.current();
     const SharedConfiguration base = holder.find(given.m_configVersion);
     capnp::Request<wire::EntryControl::InstallConfigurationParams, wire::EntryControl::InstallConfigurationResults>
         request = entry.installConfigurationRequest();
--- a/src/control/PeerConversation.cpp
+++ b/src/control/PeerConversation.cpp
@@ -56,8 +56,10 @@
 kj::Promise<void> PeerService::fetchConfiguration(FetchConfigurationContext context)
 {
     const ConfigurationHolder& holder = m_hub.state().configuration();
-    const SharedConfiguration known = holder.find(ConfigVersion { context.getParams().getKnown() });
-    writeUpdate(known ? *known : Configuration {}, *holder.current(), context.getResults().initUpdate());
+    const ConfigVersion held { context.getParams().getKnown() };
+    const SharedConfiguration known = holder.find(held);
+    const SharedConfiguration next = holder.next(held);
+    writeUpdate(known ? *known : Configuration {}, next ? *next : *holder.current(), context.getResults().initUpdate());
     m_hub.count("cuminrelay_configuration_updates_total", known ? "changes" : "whole");
     return kj::READY_NOW;
 }
@@ -90,8 +92,9 @@
                 nextBeat = m_hub.now() + m_hub.options().m_heartbeatInterval;
         }
         const std::uint64_t heardSeen = m_link->m_heard.revision();
-        if (m_hub.state().startFetch(m_link->m_offered, m_hub.now()))
-            fetchConfiguration(scope);
+        bool behind = true;
+        while (behind && m_hub.state().startFetch(m_link->m_offered, m_hub.now()))
+            behind = fetchConfiguration(scope);
         m_hub.at(std::min(nextBeat, m_link->m_silentAt))
             .exclusiveJoin(m_hub.urgent().wait(urgentSeen))
             .exclusiveJoin(m_link->m_heard.wait(heardSeen))
@@ -129,7 +132,7 @@
     }
 }
 
-void PeerConversation::fetchConfiguration(kj::WaitScope& scope)
+bool PeerConversation::fetchConfiguration(kj::WaitScope& scope)
 {
     capnp::Request<wire::ControlPeer::FetchConfigurationParams, wire::ControlPeer::FetchConfigurationResults> request
         = m_remote.fetchConfigurationRequest();
@@ -142,11 +145,13 @@
     Outcome<Configuration> configuration = applyUpdate(base ? *base : Configuration {}, update);
     m_hub.state().fetchEnded();
     if (configuration) {
+        const ConfigVersion before = m_hub.state().configuration().version();
         m_hub.offerConfiguration(std::move(configuration).value(), "peer");
-        return;
+        return m_hub.state().configuration().version() > before;
     }
     m_hub.count("cuminrelay_configurations_total", "malformed_update");
     m_hub.log().warning("control", "configuration_update_refused", { { "reason", configuration.error().m_message } });
+    return false;
 }
 
 } // namespace cuminrelay
--- a/src/control/PeerConversation.h
+++ b/src/control/PeerConversation.h
@@ -36,7 +36,8 @@
 
 private:
     void beat(kj::WaitScope& scope);
-    void fetchConfiguration(kj::WaitScope& scope);
+    /// Takes the peer's next version above the held one; whether that brought this process forward.
+    bool fetchConfiguration(kj::WaitScope& scope);
     bool isSuperseded() const;
 
     ControlHub& m_hub;
