--- a/src/entry/PacketPath.cpp
+++ b/src/entry/PacketPath.cpp
@@ -23,6 +23,11 @@
     constexpr std::chrono::milliseconds c_tickInterval { 50 };
     constexpr std::size_t c_recordsPerBatch = 256;
 
+    double seconds(Duration duration)
+    {
+        return std::chrono::duration<double> { duration }.count();
+    }
+
     /// Tells this process from the one before on the same endpoints; never zero.
     std::uint64_t drawIncarnation()
     {
@@ -86,7 +91,9 @@
         if (packets.empty())
             co_return;
         const std::span<Verdict> decided = std::span { verdicts }.first(packets.size());
-        m_router.decide(packets, decided, m_clock.now());
+        const Instant begun = m_clock.now();
+        m_router.decide(packets, decided, begun);
+        m_metrics.observeSeconds("cuminrelay_decide_batch_seconds", seconds(m_clock.now() - begun));
         frontEnd.send(decided);
         co_await asio::post(executor, asio::use_awaitable); // other tasks have their turn under a flood, too
     }
