--- a/src/operators/CommandLineTest.cpp
+++ b/src/operators/CommandLineTest.cpp
@@ -87,7 +87,8 @@
         std::string all() const { return m_result.m_output + m_result.m_errors; }
 
         /// Runs an admin call or a write on the platform's own thread.
-        void call(boost::beast::http::verb method, std::string target, std::string body, std::string version = {})
+        void call(boost::beast::http::verb method, const std::string& target, std::string body,
+            const std::string& version = {})
         {
             standins::HttpRequest request { method, target, 11 };
             request.set(boost::beast::http::field::authorization, "Bearer secret");
@@ -184,6 +185,29 @@
         EXPECT_EQ(run({ "label", "host", "k-2", "tier=silver", "--base", "1" }), 0) << all();
     }
 
+    TEST_F(CommandLineTest, disjointEditsOfTwoOperatorsAtOnceAllStand)
+    {
+        constexpr int edits = 10;
+        ASSERT_EQ(apply(), 0) << all();
+        const auto labelRepeatedly = [this](const std::string& host) {
+            for (int i = 0; i < edits; ++i) {
+                const std::vector<std::string> arguments { "label", "host", host, fmt::format("key-{}=x", i),
+                    "--timeout", "60", "--config", m_config };
+                const CommandLineResult result = runCommandLine(arguments);
+                EXPECT_EQ(result.m_status, 0) << result.m_errors;
+            }
+        };
+        std::thread other { labelRepeatedly, "k-1" };
+        labelRepeatedly("k-2");
+        other.join();
+        for (const char* const host : { "k-1", "k-2" }) {
+            ASSERT_EQ(run({ "get", "host", host, "--output", "json" }), 0) << all();
+            const boost::json::object labels = json()["hosts"].as_array()[0].as_object()["labels"].as_object();
+            EXPECT_EQ(labels.size(), edits + 1U) << all();
+        }
+        EXPECT_TRUE(prints(fmt::format("\"version\": {}", 1 + 2 * edits))) << all();
+    }
+
     TEST_F(CommandLineTest, harmfulEditsAreRefusedUnlessForced)
     {
         ASSERT_EQ(apply(), 0) << all();
