--- a/src/admission/ServiceLoadEstimate.cpp
+++ b/src/admission/ServiceLoadEstimate.cpp
@@ -107,6 +107,17 @@
     return m_reported.m_backlog / *rate;
 }
 
+double ServiceLoadEstimate::slotSecondsPerBackend() const
+{
+    return secondsPerFlow() * static_cast<double>(m_reported.m_backends);
+}
+
+double ServiceLoadEstimate::secondsPerFlow() const
+{
+    const std::optional<double> rate = flowsPerSecond();
+    return rate ? 1 / *rate : 0;
+}
+
 void ServiceLoadEstimate::learnSlotTime(const ReportedLoad& newer, double scale)
 {
     const ReportedLoad older = m_learnt;
