control: a probe task lives until its coroutine ends; heartbeats ordered by sequence

Cause: with three VMs, killing an entry process ended another VM's control process: its probe tasks were destroyed before their cancelled coroutines had ended. Incarnations are drawn at random, so that a restart with a lower one was ignored until the old one had been silent. Change: the coroutine shares its task. The sequence alone orders heartbeats; any other incarnation is a restart. Two tests said otherwise and now check that: a lower sequence is ignored while the sender is heard of.

--- a/src/bench/Slopes.cpp
+++ b/src/bench/Slopes.cpp
@@ -60,8 +60,8 @@
         }
     };
 
-    Slope sweep(std::string_view quantity, std::string_view unit, std::string_view against, std::span<const std::size_t> sizes,
-        const std::function<double(std::size_t)>& measure)
+    Slope sweep(std::string_view quantity, std::string_view unit, std::string_view against,
+        std::span<const std::size_t> sizes, const std::function<double(std::size_t)>& measure)
     {
         Slope slope { quantity, unit, against, {} };
         for (const std::size_t size : sizes)
--- a/src/control/ProbeTasks.cpp
+++ b/src/control/ProbeTasks.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <exception>
 
 namespace cuminrelay {
 
@@ -25,10 +25,7 @@
     for (const BackendServer& server : servers)
         probed.push_back({ server.m_tunnel, server.m_zone });
     m_health.assign(probed);
-    std::erase_if(m_tasks, [&](const auto& task) {
-        const auto server = std::ranges::find(servers, task.first, &BackendServer::m_tunnel);
-        return server == servers.end() || server->m_report != task.second->m_report;
-    });
+    endTasksBut(servers);
     for (const BackendServer& server : servers) {
         if (!m_tasks.contains(server.m_tunnel))
             startTask(server);
@@ -51,14 +48,25 @@
     return servers;
 }
 
+void ProbeTasks::endTasksBut(std::span<const BackendServer> servers)
+{
+    std::erase_if(m_tasks, [servers](const auto& entry) {
+        const auto server = std::ranges::find(servers, entry.first, &BackendServer::m_tunnel);
+        if (server != servers.end() && server->m_report == entry.second->m_report)
+            return false;
+        entry.second->m_cancel.emit(boost::asio::cancellation_type::terminal);
+        return true;
+    });
+}
+
 void ProbeTasks::startTask(const BackendServer& server)
 {
-    std::unique_ptr<Task>& task = m_tasks[server.m_tunnel];
-    task = std::make_unique<Task>();
+    const std::shared_ptr<Task> task = std::make_shared<Task>();
+    m_tasks[server.m_tunnel] = task;
     task->m_report = server.m_report;
     boost::asio::co_spawn(m_executor,
         probeRepeatedly(server.m_tunnel, m_factory.open(server.m_report), m_interval, m_clock, *this),
-        boost::asio::bind_cancellation_slot(task->m_cancel.slot(), boost::asio::detached));
+        boost::asio::bind_cancellation_slot(task->m_cancel.slot(), [task](std::exception_ptr) {}));
 }
 
 void ProbeTasks::noteProbe(Endpoint backend, const ProbeResult& result)
--- a/src/control/ProbeTasks.h
+++ b/src/control/ProbeTasks.h
@@ -9,6 +9,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <map>
 #include <memory>
+#include <span>
 #include <vector>
 
 namespace cuminrelay {
@@ -27,16 +28,15 @@
     std::size_t taskCount() const { return m_tasks.size(); }
 
 private:
-    /// A running probe task; it ends when it is destroyed.
+    /// A running probe task. Its coroutine keeps it alive, because it uses the signal until it has ended.
     struct Task {
         Endpoint m_report;
         boost::asio::cancellation_signal m_cancel;
         BackendLoad m_lastLoad;
-
-        ~Task() { m_cancel.emit(boost::asio::cancellation_type::terminal); }
     };
 
     std::vector<BackendServer> assigned(const FleetSnapshot& snapshot) const;
+    void endTasksBut(std::span<const BackendServer> servers);
     void startTask(const BackendServer& server);
     void noteProbe(Endpoint backend, const ProbeResult& result) override;
 
@@ -47,7 +47,7 @@
     Endpoint m_self;
     Duration m_interval;
     HealthTracker m_health;
-    std::map<Endpoint, std::unique_ptr<Task>> m_tasks;
+    std::map<Endpoint, std::shared_ptr<Task>> m_tasks;
 };
 
 } // namespace cuminrelay
--- a/src/members/Membership.cpp
+++ b/src/members/Membership.cpp
@@ -77,9 +77,7 @@
         return;
     m_informed = true;
     Known& known = m_known[beat.m_sender.m_peers];
-    const bool older = beat.m_sender.m_incarnation < known.m_member.m_incarnation
-        || (beat.m_sender.m_incarnation == known.m_member.m_incarnation && beat.m_sequence < known.m_sequence);
-    if (known.m_heard && older)
+    if (known.m_heard && beat.m_sequence < known.m_sequence)
         return;
     const bool changed = !known.m_heard || known.m_member != beat.m_sender;
     known.m_member = beat.m_sender;
--- a/src/members/MembershipTest.cpp
+++ b/src/members/MembershipTest.cpp
@@ -98,21 +98,23 @@
         EXPECT_EQ(membership.view().m_epoch, epoch);
     }
 
-    TEST(Membership, aHigherIncarnationIsARestartAndAnOlderBeatIsIgnored)
+    TEST(Membership, anotherIncarnationIsARestartAndAnOlderBeatIsIgnored)
     {
         Membership membership = startedMembership();
-        membership.applyBeat(beatOf(memberOf(2, "a"), 8, 1), c_start);
-        membership.applyBeat(beatOf(memberOf(2, "a"), 3, 2), c_start);
+        membership.applyBeat(beatOf(memberOf(2, "a"), 8, 7), c_start);
+        const std::uint64_t epoch = membership.view().m_epoch;
+        membership.applyBeat(beatOf(memberOf(2, "a"), 9, 2), c_start);
         EXPECT_EQ(findMember(membership, 2)->m_incarnation, 2U);
-        membership.applyBeat(beatOf(memberOf(2, "a"), 9, 1, MemberState::Leaving), c_start);
+        EXPECT_GT(membership.view().m_epoch, epoch);
+        membership.applyBeat(beatOf(memberOf(2, "a"), 8, 7, MemberState::Leaving), c_start);
         EXPECT_EQ(findMember(membership, 2)->m_incarnation, 2U);
         EXPECT_EQ(stateOf(membership, 2), MemberState::Active);
     }
 
-    TEST(Membership, aRestartWithALowerIncarnationIsTakenAfterSilence)
+    TEST(Membership, lowerSequenceNumbersAreTakenAfterSilence)
     {
         Membership membership = startedMembership();
-        membership.applyBeat(beatOf(memberOf(2, "a"), 1, 5), c_start);
+        membership.applyBeat(beatOf(memberOf(2, "a"), 9, 5), c_start);
         tickUntil(membership, c_start, c_start + std::chrono::seconds { 2 });
         membership.applyBeat(beatOf(memberOf(2, "a"), 1, 4), c_start + std::chrono::seconds { 2 });
         EXPECT_EQ(findMember(membership, 2)->m_incarnation, 4U);
