bench: cuminrelay-bench load; flows: admission gets the inverse of the VM's share

Cause: the load experiment had no command, and the router passed the number of members where shares are uneven (8 VMs in 3 zones own a ninth or a sixth each).

--- a/src/configuration/ConfigurationHolder.cpp
+++ b/src/configuration/ConfigurationHolder.cpp
@@ -36,8 +36,8 @@
     std::size_t backendServers = 0;
     for (const SharedConfiguration& kept : m_kept)
         backendServers += kept->m_backendServers.size();
-    while (m_kept.size() > s_leastVersions
-        && (m_kept.size() > s_keptVersions || backendServers > s_keptBackendServers)) {
+    while (
+        m_kept.size() > s_leastVersions && (m_kept.size() > s_keptVersions || backendServers > s_keptBackendServers)) {
         backendServers -= m_kept.front()->m_backendServers.size();
         m_kept.pop_front();
     }
@@ -45,8 +45,8 @@
 
 SharedConfiguration ConfigurationHolder::next(ConfigVersion known) const
 {
-    const auto found = std::ranges::find_if(
-        m_kept, [known](const SharedConfiguration& kept) { return kept->m_version > known; });
+    const auto found
+        = std::ranges::find_if(m_kept, [known](const SharedConfiguration& kept) { return kept->m_version > known; });
     return found != m_kept.end() ? *found : nullptr;
 }
 
--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -255,7 +255,7 @@
     }
     const bool preferredIsUsable = isUsable(preferred);
     if (!trustDefault || !preferredIsUsable) {
-        const Admission admission = m_admission.admit(service->tunnels(), m_board, activeMembers(), context.m_now);
+        const Admission admission = m_admission.admit(service->tunnels(), m_board, m_ownerCount, context.m_now);
         if (admission != Admission::Admitted)
             return refuse(reasonOf(admission));
     }
@@ -467,11 +467,6 @@
     return index == c_noMember ? Endpoint {} : m_owners.member(index);
 }
 
-std::size_t FlowRouter::activeMembers() const
-{
-    return std::max<std::size_t>(1, m_owners.members().size());
-}
-
 std::size_t FlowRouter::ownedBucketCount() const
 {
     std::size_t count = 0;
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -136,7 +136,7 @@
     Endpoint successor(Bucket bucket) const;
     bool owns(Bucket bucket) const { return owner(bucket) == m_self; }
     bool isReachable(Endpoint peers) const;
-    std::size_t activeMembers() const;
+    void noteShare();
 
     /// How many packets are looked up at once, so that their cache misses overlap.
     static constexpr std::size_t s_chunk = 32;
@@ -155,6 +155,7 @@
     TableHistory m_history;
     BucketStates m_buckets;
     std::map<Endpoint, ReplicaOutbox> m_outboxes; ///< by peer
+    std::size_t m_ownerCount = 1; ///< inverse of the share of all buckets that this VM owns, rounded
     std::size_t m_exceptions = 0;
     std::size_t m_expireShard = 0;
     std::size_t m_settleShard = 0;
--- a/src/flows/FlowRouterBuckets.cpp
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -153,7 +153,7 @@
     const bool first = m_members.empty();
     const std::vector<Member> previousMembers = std::exchange(m_members, view.m_members);
     const OwnerMap previous = std::exchange(m_owners, OwnerMap { m_members });
-    m_board.setOwnerCount(activeMembers());
+    noteShare();
     std::erase_if(m_outboxes,
         [&](const std::pair<const Endpoint, ReplicaOutbox>& outbox) { return !findMember(m_members, outbox.first); });
 
@@ -185,6 +185,13 @@
         warmAfterCut(previousMembers);
 }
 
+void FlowRouter::noteShare()
+{
+    const std::size_t owned = std::max<std::size_t>(1, ownedBucketCount());
+    m_ownerCount = std::max<std::size_t>(1, (c_bucketCount + owned / 2) / owned);
+    m_board.setOwnerCount(m_ownerCount);
+}
+
 void FlowRouter::takeBucket(Bucket bucket, Endpoint previousOwner, Instant now)
 {
     BucketState& state = m_buckets[bucket];
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -1,5 +1,6 @@
 #include "bench/DesignCatalog.h"
 #include "bench/FaultMatrix.h"
+#include "bench/LoadReport.h"
 #include "bench/PacketBench.h"
 #include "bench/Reports.h"
 #include "bench/Slopes.h"
@@ -35,6 +36,7 @@
 
   compare   plays the same arrivals and single faults against each design
   faults    the fault matrix: every fault alone and with a second one later; status 1 when a promise breaks
+  load      placement and admission under ordinary load, stragglers and a crest
   slopes    how messages, tables and processor time grow with the fleet
   packets   the cost of a decision on an established packet, by open flows
 
@@ -151,6 +153,10 @@
             return static_cast<int>(compare(given, *profile));
         if (given.m_command == "faults")
             return static_cast<int>(faults(given, *profile));
+        if (given.m_command == "load") {
+            fmt::print("{}", runLoadComparison(*profile, given.m_seed, given.m_format));
+            return 0;
+        }
         if (given.m_command == "slopes") {
             fmt::print("{}", runSlopes(given.m_format));
             return 0;
