--- a/src/control/ProbeTasks.cpp
+++ b/src/control/ProbeTasks.cpp
@@ -22,6 +22,7 @@
 {
     const std::vector<BackendServer> servers = assigned(snapshot);
     std::vector<ProbedBackend> probed;
+    probed.reserve(servers.size());
     for (const BackendServer& server : servers)
         probed.push_back({ server.m_tunnel, server.m_zone });
     m_health.assign(probed);
@@ -66,7 +67,7 @@
     task->m_report = server.m_report;
     boost::asio::co_spawn(m_executor,
         probeRepeatedly(server.m_tunnel, m_factory.open(server.m_report), m_interval, m_clock, *this),
-        boost::asio::bind_cancellation_slot(task->m_cancel.slot(), [task](std::exception_ptr) {}));
+        boost::asio::bind_cancellation_slot(task->m_cancel.slot(), [task](const std::exception_ptr&) {}));
 }
 
 void ProbeTasks::noteProbe(Endpoint backend, const ProbeResult& result)
