--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -89,9 +89,13 @@
         FlowHash m_hash;
         Bucket m_bucket;
         Instant m_now;
+        FlowState* m_found; ///< what the table held for the flow at m_generation
+        std::uint64_t m_generation;
     };
 
-    Verdict decideOne(const PacketSummary& packet, Instant now);
+    void decideChunk(std::span<const PacketSummary> packets, std::span<Verdict> verdicts, Instant now);
+    Verdict decideOne(const Context& context);
+    FlowState* lookUp(const Context& context);
     Verdict decideAsOwner(const Context& context, Endpoint replica, bool mayAskPrevious);
     Verdict decideKnown(const Context& context, FlowState& state, Endpoint replica);
     Verdict decideMidstream(const Context& context, Endpoint replica);
@@ -132,7 +136,10 @@
     Endpoint successor(Bucket bucket) const;
     bool owns(Bucket bucket) const { return owner(bucket) == m_self; }
     bool isReachable(Endpoint peers) const;
-    std::size_t activeMembers() const;
+    void noteShare();
+
+    /// How many packets are looked up at once, so that their cache misses overlap.
+    static constexpr std::size_t s_chunk = 32;
 
     /// How many packets of an exception take the way through its replica, against loss.
     static constexpr std::uint8_t s_relaysPerReplica = 2;
@@ -148,6 +155,7 @@
     TableHistory m_history;
     BucketStates m_buckets;
     std::map<Endpoint, ReplicaOutbox> m_outboxes; ///< by peer
+    std::size_t m_ownerCount = 1; ///< inverse of the share of all buckets that this VM owns, rounded
     std::size_t m_exceptions = 0;
     std::size_t m_expireShard = 0;
     std::size_t m_settleShard = 0;
