--- a/src/bench/FaultMatrix.cpp
+++ b/src/bench/FaultMatrix.cpp
@@ -52,6 +52,28 @@
 
 } // namespace
 
+std::string runName(const FaultRun& run)
+{
+    if (run.m_second == FaultKind::None)
+        return std::string { faultName(run.m_first) };
+    return fmt::format("{} then {} after {:.1f} s", faultName(run.m_first), faultName(run.m_second),
+        static_cast<double>(run.m_gap.count()) / 1e6);
+}
+
+void markKnown(std::span<FaultRun> runs, const FaultMatrixSettings& settings, std::string_view list)
+{
+    const std::string command = fmt::format("faults --profile {} --seed {} ", settings.m_profile.m_name, settings.m_seed);
+    while (!list.empty()) {
+        const std::size_t end = std::min(list.find('\n'), list.size());
+        const std::string_view line = list.substr(0, end);
+        list.remove_prefix(std::min(end + 1, list.size()));
+        if (!line.starts_with(command))
+            continue;
+        for (FaultRun& run : runs)
+            run.m_isKnown = run.m_isKnown || line.find(fmt::format("| {} |", runName(run))) != std::string_view::npos;
+    }
+}
+
 std::string findViolation(const FaultRun& run)
 {
     const FlowExperimentResult& result = run.m_result;
--- a/src/bench/FaultMatrix.h
+++ b/src/bench/FaultMatrix.h
@@ -17,6 +17,7 @@
     std::uint64_t m_seed = 0;
     FlowExperimentResult m_result;
     std::string m_violation; ///< the promise that broke, with figures; empty when all held
+    bool m_isKnown = false; ///< listed as a fault that is not mended yet
 };
 
 struct FaultMatrixSettings {
@@ -34,6 +35,13 @@
 /// the same figures every time.
 std::vector<FaultRun> runFaultMatrix(const FaultMatrixSettings& settings);
 
+/// The name of a run: its faults and the gap between them.
+std::string runName(const FaultRun& run);
+
+/// Marks the runs that a list names. Each of its lines that counts begins with "faults" and holds "--profile P --seed S"
+/// and the name of a run; S is the seed of the settings.
+void markKnown(std::span<FaultRun> runs, const FaultMatrixSettings& settings, std::string_view list);
+
 /// Which promise a run broke, or an empty text. Planned changes: no broken flow at all. Any fault: no misrouted
 /// packet, no established flow broken, and at most one in a thousand younger flows.
 std::string findViolation(const FaultRun& run);
--- a/src/bench/Reports.cpp
+++ b/src/bench/Reports.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-    std::string runName(const FaultRun& run)
-    {
-        if (run.m_second == FaultKind::None)
-            return std::string { faultName(run.m_first) };
-        return fmt::format("{} then {} after {:.1f} s", faultName(run.m_first), faultName(run.m_second),
-            static_cast<double>(run.m_gap.count()) / 1e6);
-    }
-
     std::string stepCell(const FlowExperimentResult& result, FlowStep step)
     {
         const FlowExperimentResult::StepCount& count = result.m_steps[static_cast<std::size_t>(step)];
@@ -24,6 +16,13 @@
         return fmt::format("{}/{}", count.m_broken, count.m_flows);
     }
 
+    std::string verdict(const FaultRun& run)
+    {
+        if (run.m_violation.empty())
+            return run.m_isKnown ? "held (listed as known)" : "held";
+        return run.m_isKnown ? "known: " + run.m_violation : run.m_violation;
+    }
+
     double perPacket(std::uint64_t count, const FlowExperimentResult& result)
     {
         return result.m_packets == 0 ? 0 : static_cast<double>(count) / static_cast<double>(result.m_packets);
@@ -73,7 +72,7 @@
                 stepCell(result, FlowStep::Opening), stepCell(result, FlowStep::FirstData),
                 stepCell(result, FlowStep::Established), stepCell(result, FlowStep::HalfClosed),
                 stepCell(result, FlowStep::Closing), stepCell(result, FlowStep::Later),
-                run.m_violation.empty() ? "held" : run.m_violation);
+                verdict(run));
             continue;
         }
         text += fmt::format("{{\"fault\":\"{}\",\"seed\":{}", runName(run), run.m_seed);
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -28,7 +30,8 @@
         bool m_pairs = true;
         std::string m_first;
         std::string m_second;
-        bool m_trace = false;
+        std::string m_knownFile;
+    bool m_trace = false;
         ReportFormat m_format = ReportFormat::Table;
     };
 
@@ -75,13 +78,25 @@
 
     ExitStatus faults(const BenchOptions& given, const FleetProfile& profile)
     {
-        const std::vector<FaultRun> runs = runFaultMatrix(matrixSettings(given, profile));
+        const FaultMatrixSettings settings = matrixSettings(given, profile);
+        std::vector<FaultRun> runs = runFaultMatrix(settings);
+        if (!given.m_knownFile.empty()) {
+            std::ifstream file { given.m_knownFile };
+            if (!file) {
+                fmt::print(stderr, "cuminrelay-bench: cannot read {}\n", given.m_knownFile);
+                return ExitStatus::BadInput;
+            }
+            const std::string list { std::istreambuf_iterator<char> { file }, {} };
+            markKnown(runs, settings, list);
+        }
         fmt::print("{}", reportMatrix(runs, given.m_format));
         if (given.m_trace)
             fmt::print(stderr, "{}", reportBrokenFlows(runs));
-        const std::ptrdiff_t violations
-            = std::count_if(runs.begin(), runs.end(), [](const FaultRun& run) { return !run.m_violation.empty(); });
-        fmt::print(stderr, "{} runs, {} broke a promise\n", runs.size(), violations);
+        const std::ptrdiff_t known = std::count_if(
+            runs.begin(), runs.end(), [](const FaultRun& run) { return run.m_isKnown && !run.m_violation.empty(); });
+        const std::ptrdiff_t violations = std::count_if(
+            runs.begin(), runs.end(), [](const FaultRun& run) { return !run.m_isKnown && !run.m_violation.empty(); });
+        fmt::print(stderr, "{} runs, {} broke a promise, {} more are known to\n", runs.size(), violations, known);
         return violations == 0 ? ExitStatus::Success : ExitStatus::Failure;
     }
 
@@ -104,8 +119,9 @@
             "new flows a second over the fleet")("flows", options::value(&given.m_flows)->default_value(0),
             "packets: only this many flows; 0: 10^3 to 10^6")("single", "faults: no pairs")(
             "first", options::value(&given.m_first), "faults: only runs that begin with this")(
-            "second", options::value(&given.m_second), "faults: only runs that go on with this")(
-            "trace", "faults: how flows broke, on standard error")("json", "one JSON object a line");
+            "second", options::value(&given.m_second), "faults: only runs that go on with this")("known", options::value(&given.m_knownFile),
+            "faults: a list of runs that may break a promise, KNOWN-RED.txt")("trace",
+            "faults: how flows broke, on standard error")("json", "one JSON object a line");
         options::options_description all;
         all.add(described).add_options()("command", options::value(&given.m_command));
         options::positional_options_description positions;
