control, flows: a VM that joins takes flows only once it knows the fleet and the earlier configurations

Cause: (1) for 2.7 s after a join, others handed packets to a VM whose view had not settled; it dropped about 2,700 of them (owner_beyond_cut) and its peers about 640 (not_member). Change: (1) a member is Joining until its entry process owns flows by a settled view; before, it hands packets on. (2) A starting process takes the configuration from its peers, oldest kept version first, and watches the platform only when they have none. A bucket on a version that is gone for good is taken with an unknown base instead of being refused.

--- a/src/bench/FaultMatrix.cpp
+++ b/src/bench/FaultMatrix.cpp
@@ -62,7 +62,8 @@
 
 void markKnown(std::span<FaultRun> runs, const FaultMatrixSettings& settings, std::string_view list)
 {
-    const std::string command = fmt::format("faults --profile {} --seed {} ", settings.m_profile.m_name, settings.m_seed);
+    const std::string command
+        = fmt::format("faults --profile {} --seed {} ", settings.m_profile.m_name, settings.m_seed);
     while (!list.empty()) {
         const std::size_t end = std::min(list.find('\n'), list.size());
         const std::string_view line = list.substr(0, end);
--- a/src/bench/FaultMatrix.h
+++ b/src/bench/FaultMatrix.h
@@ -38,8 +38,8 @@
 /// The name of a run: its faults and the gap between them.
 std::string runName(const FaultRun& run);
 
-/// Marks the runs that a list names. Each of its lines that counts begins with "faults" and holds "--profile P --seed S"
-/// and the name of a run; S is the seed of the settings.
+/// Marks the runs that a list names. Each of its lines that counts begins with "faults" and holds "--profile P --seed
+/// S" and the name of a run; S is the seed of the settings.
 void markKnown(std::span<FaultRun> runs, const FaultMatrixSettings& settings, std::string_view list);
 
 /// Which promise a run broke, or an empty text. Planned changes: no broken flow at all. Any fault: no misrouted
--- a/src/bench/Reports.cpp
+++ b/src/bench/Reports.cpp
@@ -71,8 +71,7 @@
             text += fmt::format("{:<48} {:>6} {:>10} {:>10} {:>12} {:>11} {:>9} {:>6}  {}\n", runName(run), run.m_seed,
                 stepCell(result, FlowStep::Opening), stepCell(result, FlowStep::FirstData),
                 stepCell(result, FlowStep::Established), stepCell(result, FlowStep::HalfClosed),
-                stepCell(result, FlowStep::Closing), stepCell(result, FlowStep::Later),
-                verdict(run));
+                stepCell(result, FlowStep::Closing), stepCell(result, FlowStep::Later), verdict(run));
             continue;
         }
         text += fmt::format("{{\"fault\":\"{}\",\"seed\":{}", runName(run), run.m_seed);
--- a/src/control/ControlHub.cpp
+++ b/src/control/ControlHub.cpp
@@ -147,8 +147,10 @@
 FleetSnapshot ControlHub::snapshot()
 {
     const Membership& membership = m_state.membership();
+    const bool started = m_state.configuration().version() > ConfigVersion {}
+        || (m_settled && membership.highestConfigVersionHeard() == ConfigVersion {});
     return FleetSnapshot { membership.view(), m_state.configuration().current(), membership.mustReadPlatform(),
-        m_settled };
+        m_settled, membership.mustReadPlatform() && started };
 }
 
 ZoneStatus ControlHub::zoneStatus()
--- a/src/control/ControlRpcTest.cpp
+++ b/src/control/ControlRpcTest.cpp
@@ -84,6 +84,10 @@
         {
             m_state.change([&](FakeEntryState& state) {
                 state.m_members = readMembers(context.getParams().getMembers()).value();
+                state.m_status.m_owning = std::ranges::any_of(state.m_members, [&state](const Member& member) {
+                    return member.m_incarnation == state.m_status.m_incarnation
+                        && member.m_state == MemberState::Active;
+                });
             });
             return kj::READY_NOW;
         }
@@ -105,6 +109,7 @@
                 wire::EntryStatus::Builder status = context.getResults().initStatus();
                 status.setIncarnation(state.m_status.m_incarnation);
                 status.setLeaving(state.m_status.m_leaving);
+                status.setOwning(state.m_status.m_owning);
                 status.setConfigVersion(state.m_status.m_figures.m_configVersion.m_number);
                 status.setFlows(state.m_status.m_figures.m_flows);
             });
--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -31,8 +31,8 @@
     const Member before = m_membership.self();
     const ConfigVersion versionBefore = m_entry.m_figures.m_configVersion;
     m_entry = status;
-    m_membership.updateSelf(
-        status.m_incarnation, status.m_leaving ? MemberState::Leaving : MemberState::Active, status.m_figures);
+    const MemberState running = status.m_owning ? MemberState::Active : MemberState::Joining;
+    m_membership.updateSelf(status.m_incarnation, status.m_leaving ? MemberState::Leaving : running, status.m_figures);
     m_changes.m_urgent |= before != m_membership.self() || versionBefore != status.m_figures.m_configVersion;
     noteMembership();
 }
--- a/src/control/ControlState.h
+++ b/src/control/ControlState.h
@@ -19,6 +19,7 @@
 struct EntryProcessStatus {
     std::uint64_t m_incarnation = 0;
     bool m_leaving = false;
+    bool m_owning = false;
     MemberFigures m_figures;
 };
 
--- a/src/control/ControlStateTest.cpp
+++ b/src/control/ControlStateTest.cpp
@@ -29,7 +29,7 @@
 
     EntryProcessStatus entryAt(std::uint64_t configVersion, bool leaving = false)
     {
-        return EntryProcessStatus { 1, leaving, MemberFigures { ConfigVersion { configVersion }, 3, 2 } };
+        return EntryProcessStatus { 1, leaving, true, MemberFigures { ConfigVersion { configVersion }, 3, 2 } };
     }
 
     ControlState startedState()
@@ -40,6 +40,17 @@
         return state;
     }
 
+    TEST(ControlState, anEntryProcessWithoutASettledViewIsAnnouncedAsJoining)
+    {
+        ControlState state = startedState();
+        state.applyEntryStatus(EntryProcessStatus { 1, false, false, {} }, c_start);
+        EXPECT_EQ(state.membership().self().m_state, MemberState::Joining);
+        state.applyEntryStatus(EntryProcessStatus { 1, false, true, {} }, c_start);
+        EXPECT_EQ(state.membership().self().m_state, MemberState::Active);
+        state.applyEntryStatus(EntryProcessStatus { 1, true, false, {} }, c_start);
+        EXPECT_EQ(state.membership().self().m_state, MemberState::Leaving) << "a VM that leaves owns nothing either";
+    }
+
     TEST(ControlState, aMemberWhoseEntryProcessIsNotKnownIsUnreachable)
     {
         ControlState state { memberOf(1, "a"), c_everybody, 100, c_start };
--- a/src/control/EntryTask.cpp
+++ b/src/control/EntryTask.cpp
@@ -86,11 +86,12 @@
     if (given.m_incarnation != status.getIncarnation()) {
         m_hub.log().info("control", "entry_found",
             { { "incarnation", status.getIncarnation() }, { "config_version", status.getConfigVersion() } });
-        given = Given { status.getIncarnation(), {}, 0 };
+        given = Given { status.getIncarnation(), {}, 0, false, false };
         m_hub.state().forgetEntryReports();
     }
     given.m_configVersion = ConfigVersion { status.getConfigVersion() };
-    m_hub.applyEntryStatus(EntryProcessStatus { status.getIncarnation(), status.getLeaving(),
+    given.m_owning = status.getOwning();
+    m_hub.applyEntryStatus(EntryProcessStatus { status.getIncarnation(), status.getLeaving(), status.getOwning(),
         MemberFigures { given.m_configVersion, status.getFlows(), status.getExceptions() } });
 }
 
@@ -120,15 +121,26 @@
 void EntryTask::installMembers(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope)
 {
     Membership& membership = m_hub.state().membership();
-    const MemberView view = membership.view();
-    if (view.m_epoch == given.m_viewEpoch || !membership.settled(m_hub.now()))
+    MemberView view = membership.view();
+    const bool settled = membership.settled(m_hub.now());
+    if (view.m_epoch == given.m_viewEpoch && settled == given.m_viewSettled)
         return;
+    // Until the view has settled, an entry process that owns flows keeps the view that it has, and one that starts
+    // only learns whom to hand packets to.
+    if (!settled && given.m_owning)
+        return;
+    for (Member& member : view.m_members) {
+        const bool mayOwn = settled && member.m_peers == membership.self().m_peers;
+        if (mayOwn && member.m_state == MemberState::Joining)
+            member.m_state = MemberState::Active;
+    }
     capnp::Request<wire::EntryControl::InstallMembersParams, wire::EntryControl::InstallMembersResults> request
         = entry.installMembersRequest();
     writeMembers(view.m_members, request.initMembers(static_cast<unsigned>(view.m_members.size())));
     kj::Promise<capnp::Response<wire::EntryControl::InstallMembersResults>> sent = request.send();
     m_hub.within(c_callTimeout, kj::mv(sent)).wait(scope);
     given.m_viewEpoch = view.m_epoch;
+    given.m_viewSettled = settled;
 }
 
 void EntryTask::applyReports(wire::EntryControl::Client& entry, kj::WaitScope& scope)
--- a/src/control/EntryTask.h
+++ b/src/control/EntryTask.h
@@ -22,6 +22,8 @@
         std::uint64_t m_incarnation = 0;
         ConfigVersion m_configVersion;
         std::uint64_t m_viewEpoch = 0;
+        bool m_viewSettled = false;
+        bool m_owning = false;
     };
 
     void serveConnection(kj::WaitScope& scope);
--- a/src/control/FleetListener.h
+++ b/src/control/FleetListener.h
@@ -15,6 +15,10 @@
     SharedConfiguration m_configuration; ///< never null
     bool m_readsPlatform = false;
     bool m_settled = false; ///< the view may be acted on
+
+    /// A process that starts takes the configuration from its peers, which hold the versions before the current one
+    /// too, and from the platform only when they have none.
+    bool m_watchesConfiguration = false;
 };
 
 /// What the first reader of a zone writes to the platform.
--- a/src/control/PlatformTasks.cpp
+++ b/src/control/PlatformTasks.cpp
@@ -57,9 +57,10 @@
 void PlatformTasks::update(const FleetSnapshot& snapshot)
 {
     m_heldVersion = std::max(m_heldVersion, snapshot.m_configuration->m_version.m_number);
-    if (m_readsPlatform == snapshot.m_readsPlatform)
+    if (m_readsPlatform == snapshot.m_readsPlatform && m_watchesConfiguration == snapshot.m_watchesConfiguration)
         return;
     m_readsPlatform = snapshot.m_readsPlatform;
+    m_watchesConfiguration = snapshot.m_watchesConfiguration;
     m_watchSignal.wake();
     m_listSignal.wake();
 }
@@ -80,7 +81,7 @@
     Backoff backoff { c_retry, m_seed, m_environment.m_clock.now() };
     while (true) {
         const std::uint64_t seen = m_watchSignal.revision();
-        if (!m_readsPlatform) {
+        if (!m_watchesConfiguration) {
             co_await m_watchSignal.wait(seen);
             continue;
         }
--- a/src/control/PlatformTasks.h
+++ b/src/control/PlatformTasks.h
@@ -62,6 +62,7 @@
     AsyncSignal m_listSignal;
     AsyncSignal m_statusSignal;
     bool m_readsPlatform = true;
+    bool m_watchesConfiguration = false;
     std::uint64_t m_heldVersion = 0; ///< of the configuration; what is watched is above it
     std::uint64_t m_refusedVersion = 0; ///< of the last one that could not be understood
     std::optional<ZoneStatus> m_status;
--- a/src/control/PlatformTasksTest.cpp
+++ b/src/control/PlatformTasksTest.cpp
@@ -94,9 +94,19 @@
             return StoredObject { version, formatConfiguration(Configuration {}) };
         }
 
-        void run()
+        /// Starts the tasks of a process that reads the platform and holds no configuration yet.
+        void start()
         {
+            FleetSnapshot snapshot;
+            snapshot.m_configuration = std::make_shared<const Configuration>();
+            snapshot.m_readsPlatform = snapshot.m_watchesConfiguration = true;
+            m_tasks.update(snapshot);
             m_tasks.start();
+        }
+
+        void run()
+        {
+            start();
             m_context.run();
         }
 
@@ -135,6 +145,11 @@
         m_tasks.update(snapshot);
         m_context.restart();
         m_context.poll();
+        EXPECT_TRUE(m_platform.m_known.empty()) << "its peers have the configuration, with the versions before it";
+        snapshot.m_watchesConfiguration = true;
+        m_tasks.update(snapshot);
+        m_context.restart();
+        m_context.poll();
         m_context.restart();
         m_context.poll();
         EXPECT_EQ(m_platform.m_lists, 1U);
@@ -166,7 +181,7 @@
     {
         m_platform.m_watched = {};
         m_platform.m_written = { Error { ErrorKind::OutcomeUnknown, "lost" } };
-        m_tasks.start();
+        start();
         m_tasks.writeStatus(ZoneStatus {});
         m_context.run();
         m_context.restart();
--- a/src/control/StatusMessage.cpp
+++ b/src/control/StatusMessage.cpp
@@ -15,6 +15,8 @@
         switch (state) {
         case MemberState::Active:
             return "active";
+        case MemberState::Joining:
+            return "joining";
         case MemberState::Leaving:
             return "leaving";
         case MemberState::Unreachable:
--- a/src/entry/Entry.capnp
+++ b/src/entry/Entry.capnp
@@ -15,6 +15,7 @@
   uptimeMicroseconds @5 :UInt64;
   counters @6 :List(Counter);
   leaving @7 :Bool; # it was told to stop and hands over
+  owning @8 :Bool; # it has a view in which it owns flows
 
   struct Counter {
     name @0 :Text;
--- a/src/entry/Entry.capnp.h
+++ b/src/entry/Entry.capnp.h
@@ -252,6 +252,8 @@
 
   inline bool getLeaving() const;
 
+  inline bool getOwning() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -308,6 +310,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool getOwning();
+  inline void setOwning(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1250,6 +1255,20 @@
       ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EntryStatus::Reader::getOwning() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+
+inline bool EntryStatus::Builder::getOwning() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+inline void EntryStatus::Builder::setOwning(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryStatus::Counter::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/entry/EntryControlServer.cpp
+++ b/src/entry/EntryControlServer.cpp
@@ -22,6 +22,7 @@
         out.setExceptions(status.m_exceptions);
         out.setDrained(status.m_drained);
         out.setLeaving(status.m_leaving);
+        out.setOwning(status.m_owning);
         out.setIncarnation(status.m_incarnation);
         out.setUptimeMicroseconds(static_cast<std::uint64_t>(status.m_uptime.count()));
         capnp::List<wire::EntryStatus::Counter>::Builder counters
--- a/src/entry/PacketPath.cpp
+++ b/src/entry/PacketPath.cpp
@@ -187,6 +187,7 @@
     status.m_exceptions = m_router.exceptionCount();
     status.m_drained = m_router.drained();
     status.m_leaving = m_leaving;
+    status.m_owning = m_router.isOwner();
     status.m_incarnation = m_incarnation;
     status.m_uptime = m_clock.now() - m_startedAt;
     return status;
--- a/src/entry/PacketPath.h
+++ b/src/entry/PacketPath.h
@@ -43,6 +43,7 @@
     std::size_t m_exceptions = 0;
     bool m_drained = false;
     bool m_leaving = false;
+    bool m_owning = false;
     std::uint64_t m_incarnation = 0;
     Duration m_uptime {};
 };
--- a/src/flows/FlowRecord.h
+++ b/src/flows/FlowRecord.h
@@ -19,8 +19,8 @@
 };
 
 /// What one entry VM tells another about flows. An exchange is idempotent and may be repeated, lost or reordered:
-/// records are keyed by flow, the rest by bucket, and all name absolute state. A receiver that does not hold the tables
-/// of a version that is named takes nothing of the batch; the sender tries again later. Version 0 is always held.
+/// records are keyed by flow, the rest by bucket, and all name absolute state. A receiver that has not reached
+/// a version that is named takes nothing of the batch; the sender tries again later. Version 0 stands for unknown.
 struct ReplicaBatch {
     std::vector<FlowRecord> m_records; ///< exceptions that the receiver must hold
 
--- a/src/flows/FlowReplica.capnp
+++ b/src/flows/FlowReplica.capnp
@@ -21,6 +21,6 @@
 
 # Spoken between the entry processes; carries only what no packet has carried.
 interface FlowReplica {
-  # accepted: false when the receiver does not hold the tables of a version that the batch names.
+  # accepted: false when the receiver has not reached a configuration version that the batch names.
   exchange @0 (sender :Configuration.PackedEndpoint, batch :ReplicaBatch) -> (accepted :Bool);
 }
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -64,7 +64,7 @@
     /// The peer has taken the batch.
     void confirmBatch(Endpoint peer, const ReplicaBatch& batch, Instant now);
 
-    /// Takes what a peer tells. Returns false, and takes nothing, when a version that it names is not held.
+    /// Takes what a peer tells. Returns false, and takes nothing, when it names a version that this VM has not reached.
     bool acceptBatch(Endpoint peer, const ReplicaBatch& batch, Instant now);
 
     /// Call at least every 100 ms: ends idle flows, advances bases, and notices that the process was paused, after
@@ -74,6 +74,9 @@
     /// Stops owning flows: they go to the successors. The members must also be told (MemberState::Leaving).
     void beginLeaving() { m_leaving = true; }
 
+    /// Whether the view in force lets this VM own flows.
+    bool isOwner() const { return m_owners.indexOf(m_self) != c_noMember; }
+
     /// Whether everything that this VM owned has been handed over; false before beginLeaving.
     bool drained() const;
 
@@ -130,6 +133,7 @@
     void acceptFlowRecord(Endpoint peer, const FlowRecord& record, Instant now);
     void answerWanted(Endpoint peer, std::span<const Bucket> wanted, Instant now);
 
+    ConfigVersion heldOrUnknown(ConfigVersion version) const;
     bool isReplicated(const FlowState& state, Endpoint replica) const;
     Endpoint decider(Bucket bucket, Instant now) const;
     Endpoint owner(Bucket bucket) const;
--- a/src/flows/FlowRouterBuckets.cpp
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -71,15 +71,6 @@
         return others;
     }
 
-    /// A set of buckets to test membership in.
-    std::vector<bool> bucketSet(std::span<const Bucket> buckets)
-    {
-        std::vector<bool> set(c_bucketCount, false);
-        for (const Bucket bucket : buckets)
-            set[bucket] = true;
-        return set;
-    }
-
     /// Moves into a batch the pending buckets that share the first one's base.
     void takeGroup(const std::map<Bucket, ConfigVersion>& pending, std::vector<Bucket>& buckets, ConfigVersion& base)
     {
@@ -449,21 +440,24 @@
 
 bool FlowRouter::acceptBatch(Endpoint peer, const ReplicaBatch& batch, Instant now)
 {
-    if (!m_history.holds(batch.m_settledBase) || !m_history.holds(batch.m_handedOverBase))
+    // This VM lags behind and will hold these versions soon. Versions that are gone for good count as unknown.
+    if (std::max(batch.m_settledBase, batch.m_handedOverBase) > configVersion())
         return false;
+    const ConfigVersion settledBase = heldOrUnknown(batch.m_settledBase);
+    const ConfigVersion handedOverBase = heldOrUnknown(batch.m_handedOverBase);
     for (const FlowRecord& record : batch.m_records)
         acceptFlowRecord(peer, record, now);
     for (const Bucket bucket : batch.m_settled) {
         if (!owns(bucket))
-            m_buckets[bucket].m_base = batch.m_settledBase;
+            m_buckets[bucket].m_base = settledBase;
     }
     for (const Bucket bucket : batch.m_handedOver) {
         BucketState& state = m_buckets[bucket];
         m_outboxes[peer].m_wanted.erase(bucket);
         if (!owns(bucket) || state.m_warmingFrom != peer)
             continue;
-        if (batch.m_handedOverBase != ConfigVersion {})
-            state.m_base = batch.m_handedOverBase;
+        if (handedOverBase != ConfigVersion {})
+            state.m_base = handedOverBase;
         state.m_acquiredAt = now;
         finishWarming(bucket);
         requestSettling(bucket);
@@ -494,9 +488,12 @@
 void FlowRouter::answerWanted(Endpoint peer, std::span<const Bucket> wanted, Instant now)
 {
     ReplicaOutbox& outbox = m_outboxes[peer];
-    const std::vector<bool> isWanted = bucketSet(wanted);
+    std::vector<bool> isWanted(c_bucketCount, false);
     std::vector<bool> hasWanted(FlowTable::s_shardCount, false);
     for (const Bucket bucket : wanted) {
+        if (outbox.m_handedOver.contains(bucket))
+            continue;
+        isWanted[bucket] = true;
         hasWanted[FlowTable::shardIndex(bucket)] = true;
         BucketState& state = m_buckets[bucket];
         if (owns(bucket)) {
@@ -522,6 +519,11 @@
     }
 }
 
+ConfigVersion FlowRouter::heldOrUnknown(ConfigVersion version) const
+{
+    return m_history.find(version) ? version : ConfigVersion {};
+}
+
 bool FlowRouter::isReplicated(const FlowState& state, Endpoint replica) const
 {
     return state.m_replica == replica && state.m_relays >= s_relaysPerReplica;
@@ -535,7 +537,7 @@
 
 bool FlowRouter::drained() const
 {
-    return m_leaving && m_owners.indexOf(m_self) == c_noMember
+    return m_leaving && !isOwner()
         && std::none_of(m_buckets.begin(), m_buckets.end(), [](const BucketState& state) { return state.m_owed; });
 }
 
--- a/src/flows/TableHistory.h
+++ b/src/flows/TableHistory.h
@@ -23,8 +23,6 @@
     /// The tables of a version, or nullptr when they are not held.
     const ServiceTables* find(ConfigVersion version) const;
 
-    bool holds(ConfigVersion version) const { return version == ConfigVersion {} || find(version); }
-
     /// The flow's default under the first version from base on that has backend servers for its service; an empty
     /// Endpoint when there is none.
     Endpoint defaultSince(ConfigVersion base, const FlowKey& key, FlowHash hash) const;
--- a/src/members/Member.h
+++ b/src/members/Member.h
@@ -10,6 +10,7 @@
 
 enum class MemberState : std::uint8_t {
     Active, ///< owns flows
+    Joining, ///< runs, and owns nothing yet: its entry process has no settled view of the members
     Leaving, ///< takes no new flow, hands over what it holds, still answers for what it was asked
     Unreachable, ///< listed by the platform, but not heard of by this VM: dead, paused or beyond a cut
 };
--- a/src/members/MemberMessageTest.cpp
+++ b/src/members/MemberMessageTest.cpp
@@ -29,7 +29,7 @@
         capnp::MallocMessageBuilder message;
         wire::Member::Builder builder = message.initRoot<wire::Member>();
         writeMember(sampleMember(1), builder);
-        builder.setState(3);
+        builder.setState(static_cast<std::uint8_t>(MemberState::Unreachable) + 1);
         EXPECT_EQ(readMember(builder.asReader()).error().m_kind, ErrorKind::InvalidInput);
         writeMember(sampleMember(1), builder);
         builder.setName("");
--- a/src/members/Membership.cpp
+++ b/src/members/Membership.cpp
@@ -34,7 +34,7 @@
 
 void Membership::refreshSelf()
 {
-    const bool leaving = m_selfListedLeaving && m_entryState == MemberState::Active;
+    const bool leaving = m_selfListedLeaving && m_entryState != MemberState::Unreachable;
     m_self.m_state = leaving ? MemberState::Leaving : m_entryState;
 }
 
@@ -232,6 +232,16 @@
     return zones;
 }
 
+ConfigVersion Membership::highestConfigVersionHeard() const
+{
+    ConfigVersion highest;
+    for (const auto& [peers, known] : m_known) {
+        if (known.m_heard)
+            highest = std::max(highest, known.m_figures.m_configVersion);
+    }
+    return highest;
+}
+
 ConfigVersion Membership::lowestConfigVersionOfZone() const
 {
     ConfigVersion lowest = m_ownFigures.m_configVersion;
--- a/src/members/Membership.h
+++ b/src/members/Membership.h
@@ -105,6 +105,9 @@
     /// Other zones of which no member is reachable; sorted.
     std::vector<std::string> cutOffZones() const;
 
+    /// The highest configuration version in force at a member that is heard of, this VM left out.
+    ConfigVersion highestConfigVersionHeard() const;
+
     /// The lowest configuration version in force among the reachable members of the own zone.
     ConfigVersion lowestConfigVersionOfZone() const;
 
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -31,7 +31,7 @@
         std::string m_first;
         std::string m_second;
         std::string m_knownFile;
-    bool m_trace = false;
+        bool m_trace = false;
         ReportFormat m_format = ReportFormat::Table;
     };
 
@@ -119,9 +119,9 @@
             "new flows a second over the fleet")("flows", options::value(&given.m_flows)->default_value(0),
             "packets: only this many flows; 0: 10^3 to 10^6")("single", "faults: no pairs")(
             "first", options::value(&given.m_first), "faults: only runs that begin with this")(
-            "second", options::value(&given.m_second), "faults: only runs that go on with this")("known", options::value(&given.m_knownFile),
-            "faults: a list of runs that may break a promise, KNOWN-RED.txt")("trace",
-            "faults: how flows broke, on standard error")("json", "one JSON object a line");
+            "second", options::value(&given.m_second), "faults: only runs that go on with this")("known",
+            options::value(&given.m_knownFile), "faults: a list of runs that may break a promise, KNOWN-RED.txt")(
+            "trace", "faults: how flows broke, on standard error")("json", "one JSON object a line");
         options::options_description all;
         all.add(described).add_options()("command", options::value(&given.m_command));
         options::positional_options_description positions;
