--- a/src/bench/FlowExperiment.cpp
+++ b/src/bench/FlowExperiment.cpp
@@ -179,17 +179,17 @@
 
 std::string_view faultName(FaultKind kind)
 {
-    static constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::Count)> names { "none", "kill-vm",
-        "pause-vm", "restart-vm", "replace-vm", "kill-backend", "drain-backend", "add-backend", "remove-backend",
-        "cut-zone", "lose-packets", "duplicate-packets", "lose-answers" };
-    return names[static_cast<std::size_t>(kind)];
+    static constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::Count)> s_names { "none",
+        "kill-vm", "pause-vm", "restart-vm", "replace-vm", "kill-backend", "drain-backend", "add-backend",
+        "remove-backend", "cut-zone", "lose-packets", "duplicate-packets", "lose-answers" };
+    return s_names[static_cast<std::size_t>(kind)];
 }
 
 std::string_view flowStepName(FlowStep step)
 {
-    static constexpr std::array<std::string_view, static_cast<std::size_t>(FlowStep::Count)> names { "opening",
+    static constexpr std::array<std::string_view, static_cast<std::size_t>(FlowStep::Count)> s_names { "opening",
         "first-data", "established", "half-closed", "closing", "later" };
-    return names[static_cast<std::size_t>(step)];
+    return s_names[static_cast<std::size_t>(step)];
 }
 
 bool isPlanned(FaultKind kind)
@@ -211,7 +211,7 @@
         vm.m_member.m_zone = m_settings.m_profile.m_zones[i % m_settings.m_profile.m_zones.size()];
         vm.m_startedAt = m_now;
         for (std::size_t j = 0; j < m_settings.m_profile.m_entryVms; ++j)
-            vm.m_skews.push_back(Duration { static_cast<std::int64_t>(m_random.below(c_viewSkew.count())) });
+            vm.m_skews.emplace_back(static_cast<std::int64_t>(m_random.below(c_viewSkew.count())));
         addresses.push_back(vm.m_member.m_peers);
         m_vmByAddress.emplace(vm.m_member.m_peers, i);
         m_vms.push_back(std::move(vm));
--- a/src/bench/LoadReport.cpp
+++ b/src/bench/LoadReport.cpp
@@ -28,9 +28,9 @@
 
     std::string_view scenarioName(Scenario scenario)
     {
-        static constexpr std::array<std::string_view, static_cast<std::size_t>(Scenario::Count)> names { "ordinary",
+        static constexpr std::array<std::string_view, static_cast<std::size_t>(Scenario::Count)> s_names { "ordinary",
             "without-stragglers", "crest" };
-        return names[static_cast<std::size_t>(scenario)];
+        return s_names[static_cast<std::size_t>(scenario)];
     }
 
     struct NamedPolicies {
