--- /dev/null
+++ b/src/flows/FlowRouterTest.cpp
@@ -0,0 +1,317 @@
+#include "flows/FlowRouter.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr Endpoint c_service { 0x0a020001, 443 };
+    constexpr Instant c_start { std::chrono::seconds { 1 } };
+
+    /// Keeps the default, or takes one fixed backend server.
+    class FixedPlacement final : public PlacementPolicy {
+    public:
+        std::optional<Endpoint> choose(const PlacementRequest& request, const BackendBoard&, Instant) override
+        {
+            return m_fixed ? m_fixed : request.m_default;
+        }
+
+        std::optional<Endpoint> m_fixed;
+    };
+
+    class SwitchedAdmission final : public AdmissionPolicy {
+    public:
+        Admission admit(std::span<const Endpoint>, const BackendBoard&, std::size_t, Instant) override
+        {
+            return m_answer;
+        }
+
+        Admission m_answer = Admission::Admitted;
+    };
+
+    Configuration makeConfiguration(std::uint64_t version, std::uint32_t backends)
+    {
+        Configuration configuration;
+        configuration.m_version = ConfigVersion { version };
+        configuration.m_zones = { "a" };
+        Service service;
+        service.m_name = "kanteisha";
+        service.m_address = c_service;
+        service.m_selector.m_requirements = { { "app", SelectorOperator::Equals, { "kanteisha" } } };
+        configuration.m_services = { service };
+        for (std::uint32_t i = 0; i < backends; ++i) {
+            BackendServer server;
+            server.m_name = "kanteisha-" + std::to_string(i);
+            server.m_zone = "a";
+            server.m_tunnel = Endpoint { 0x0a010000 + i, 5555 };
+            server.m_labels = { { "app", "kanteisha" } };
+            configuration.m_backendServers.push_back(server);
+        }
+        return configuration;
+    }
+
+    /// Two or three entry VMs of one zone; packets and batches are handed over by the tests.
+    class Fleet {
+    public:
+        struct Vm {
+            Endpoint m_address;
+            FixedPlacement m_placement;
+            SwitchedAdmission m_admission;
+            std::unique_ptr<FlowRouter> m_router;
+        };
+
+        explicit Fleet(std::size_t count)
+        {
+            for (std::size_t i = 0; i < count; ++i) {
+                m_vms.push_back(std::make_unique<Vm>());
+                m_vms[i]->m_address = Endpoint { static_cast<std::uint32_t>(i + 1), 4001 };
+                Member member;
+                member.m_peers = m_vms[i]->m_address;
+                member.m_zone = "a";
+                member.m_incarnation = 1;
+                m_view.m_members.push_back(member);
+            }
+            for (std::size_t i = 0; i < count; ++i)
+                start(i);
+            settle();
+        }
+
+        void start(std::size_t index)
+        {
+            Vm& vm = *m_vms[index];
+            vm.m_router = std::make_unique<FlowRouter>(
+                vm.m_address, vm.m_placement, vm.m_admission, FlowRouter::Limits { 100'000 });
+            vm.m_router->installConfiguration(makeConfiguration(1, 5), m_now);
+            vm.m_router->installMembers(m_view, m_now);
+        }
+
+        /// Time for all batches to be exchanged.
+        void settle()
+        {
+            for (unsigned round = 0; round < 100; ++round) {
+                m_now += std::chrono::milliseconds { 50 };
+                for (const std::unique_ptr<Vm>& from : m_vms) {
+                    if (from->m_router)
+                        from->m_router->tick(m_now);
+                    for (const std::unique_ptr<Vm>& to : m_vms)
+                        exchange(*from, *to);
+                }
+            }
+        }
+
+        /// Sends a packet in at a VM and follows it to where it leaves the fleet.
+        Verdict send(std::size_t index, PacketSummary packet)
+        {
+            for (unsigned hop = 0; hop < 8; ++hop) {
+                Verdict verdict;
+                m_vms[index]->m_router->decide({ &packet, 1 }, { &verdict, 1 }, m_now);
+                if (verdict.m_kind == VerdictKind::AskOwner)
+                    packet.m_arrival = Arrival::AskOwner;
+                else if (verdict.m_kind == VerdictKind::AskPrevious)
+                    packet.m_arrival = Arrival::AskPrevious;
+                else if (verdict.m_kind == VerdictKind::RecordThenForward)
+                    packet.m_arrival = Arrival::Record;
+                else
+                    return verdict;
+                packet.m_recorded = verdict.m_backend;
+                packet.m_peer = m_vms[index]->m_address;
+                ++packet.m_hops;
+                index = verdict.m_target.m_address - 1;
+            }
+            return Verdict {};
+        }
+
+        void setState(std::size_t index, MemberState state)
+        {
+            m_view.m_members[index].m_state = state;
+            for (const std::unique_ptr<Vm>& vm : m_vms) {
+                if (vm->m_router)
+                    vm->m_router->installMembers(m_view, m_now);
+            }
+        }
+
+        void kill(std::size_t index)
+        {
+            m_vms[index]->m_router.reset();
+            setState(index, MemberState::Unreachable);
+        }
+
+        Vm& vm(std::size_t index) { return *m_vms[index]; }
+
+        /// The VM that owns a flow in the present view.
+        std::size_t ownerOf(const FlowKey& key) const
+        {
+            const OwnerMap map { m_view.m_members };
+            return map.member(map.owners(bucketOf(hashFlow(key))).m_owner).m_address - 1;
+        }
+
+        Instant m_now = c_start;
+        MemberView m_view { 1, {} };
+
+    private:
+        void exchange(Vm& from, Vm& to)
+        {
+            if (&from == &to || !from.m_router || !to.m_router)
+                return;
+            const ReplicaBatch batch = from.m_router->nextBatch(to.m_address, 256, m_now);
+            if (!batch.empty() && to.m_router->acceptBatch(from.m_address, batch, m_now))
+                from.m_router->confirmBatch(to.m_address, batch, m_now);
+        }
+
+        std::vector<std::unique_ptr<Vm>> m_vms;
+    };
+
+    PacketSummary packetOf(std::uint32_t caller, PacketKind kind)
+    {
+        PacketSummary packet;
+        packet.m_flow = FlowKey { Endpoint { caller, 2000 }, c_service, Protocol::Tcp };
+        packet.m_kind = kind;
+        return packet;
+    }
+
+    constexpr std::uint32_t c_flows = 200;
+
+    std::map<std::uint32_t, Endpoint> openFlows(Fleet& fleet)
+    {
+        std::map<std::uint32_t, Endpoint> placed;
+        for (std::uint32_t caller = 1; caller <= c_flows; ++caller)
+            placed[caller] = fleet.send(caller % 3, packetOf(caller, PacketKind::Opening)).m_backend;
+        return placed;
+    }
+
+    void expectAllStay(Fleet& fleet, std::size_t through, const std::map<std::uint32_t, Endpoint>& placed)
+    {
+        for (const auto& [caller, backend] : placed) {
+            const Verdict verdict = fleet.send(through, packetOf(caller, PacketKind::Midstream));
+            EXPECT_EQ(verdict.m_kind, VerdictKind::ToBackend) << caller;
+            EXPECT_EQ(formatEndpoint(verdict.m_backend), formatEndpoint(backend)) << caller;
+        }
+    }
+
+    /// Whether new flows are placed by default or all on one backend server, so that most are exceptions.
+    class FlowRouterPlacement : public testing::TestWithParam<bool> {
+    protected:
+        FlowRouterPlacement()
+        {
+            for (std::size_t i = 0; GetParam() && i < 3; ++i)
+                m_fleet.vm(i).m_placement.m_fixed = Endpoint { 0x0a010002, 5555 };
+            // Openings soon after a start may be retransmissions, which stay on their default.
+            m_fleet.m_now += std::chrono::milliseconds { 500 };
+            while (m_fleet.m_now < c_start + std::chrono::seconds { 20 })
+                m_fleet.settle();
+        }
+
+        Fleet m_fleet { 3 };
+    };
+
+    TEST_P(FlowRouterPlacement, anyVmSendsAFlowWhereItWasOpened)
+    {
+        const std::map<std::uint32_t, Endpoint> placed = openFlows(m_fleet);
+        for (std::size_t through = 0; through < 3; ++through)
+            expectAllStay(m_fleet, through, placed);
+    }
+
+    TEST_P(FlowRouterPlacement, aRepeatedOpeningGoesToTheSameBackendServer)
+    {
+        const std::map<std::uint32_t, Endpoint> placed = openFlows(m_fleet);
+        for (const auto& [caller, backend] : placed)
+            EXPECT_EQ(m_fleet.send((caller + 1) % 3, packetOf(caller, PacketKind::Opening)).m_backend, backend);
+    }
+
+    TEST_P(FlowRouterPlacement, flowsSurviveTheDeathOfAVmWithoutAnyBatch)
+    {
+        const std::map<std::uint32_t, Endpoint> placed = openFlows(m_fleet);
+        m_fleet.kill(0);
+        expectAllStay(m_fleet, 1, placed);
+        expectAllStay(m_fleet, 2, placed);
+    }
+
+    TEST_P(FlowRouterPlacement, flowsSurviveARestartWithNothing)
+    {
+        const std::map<std::uint32_t, Endpoint> placed = openFlows(m_fleet);
+        ++m_fleet.m_view.m_members[1].m_incarnation;
+        m_fleet.start(1);
+        expectAllStay(m_fleet, 1, placed);
+        m_fleet.setState(1, MemberState::Active);
+        m_fleet.settle();
+        expectAllStay(m_fleet, 1, placed);
+    }
+
+    TEST_P(FlowRouterPlacement, flowsSurviveAChangeOfConfigurationAndThenADeath)
+    {
+        const std::map<std::uint32_t, Endpoint> placed = openFlows(m_fleet);
+        for (std::size_t i = 0; i < 3; ++i)
+            EXPECT_TRUE(m_fleet.vm(i).m_router->installConfiguration(makeConfiguration(2, 4), m_fleet.m_now));
+        expectAllStay(m_fleet, 2, placed);
+        m_fleet.kill(2);
+        expectAllStay(m_fleet, 0, placed);
+    }
+
+    TEST_P(FlowRouterPlacement, aVmThatLeavesIsDrainedOnceItHasHandedOver)
+    {
+        const std::map<std::uint32_t, Endpoint> placed = openFlows(m_fleet);
+        m_fleet.vm(0).m_router->beginLeaving();
+        EXPECT_FALSE(m_fleet.vm(0).m_router->drained());
+        m_fleet.setState(0, MemberState::Leaving);
+        expectAllStay(m_fleet, 1, placed);
+        m_fleet.settle();
+        EXPECT_TRUE(m_fleet.vm(0).m_router->drained());
+        m_fleet.kill(0);
+        expectAllStay(m_fleet, 2, placed);
+    }
+
+    INSTANTIATE_TEST_SUITE_P(Placements, FlowRouterPlacement, testing::Bool());
+
+    TEST(FlowRouter, anOlderConfigurationIsIgnored)
+    {
+        Fleet fleet { 1 };
+        EXPECT_TRUE(fleet.vm(0).m_router->installConfiguration(makeConfiguration(5, 3), fleet.m_now));
+        EXPECT_FALSE(fleet.vm(0).m_router->installConfiguration(makeConfiguration(4, 5), fleet.m_now));
+        EXPECT_EQ(fleet.vm(0).m_router->configVersion().m_number, 5U);
+    }
+
+    TEST(FlowRouter, aRefusedOpeningLeavesNoStateAndEstablishedFlowsDoNotPay)
+    {
+        Fleet fleet { 1 };
+        const Verdict opened = fleet.send(0, packetOf(1, PacketKind::Opening));
+        fleet.vm(0).m_admission.m_answer = Admission::QueueFull;
+        while (fleet.m_now < c_start + std::chrono::seconds { 12 })
+            fleet.settle();
+        const Verdict refused = fleet.send(0, packetOf(2, PacketKind::Opening));
+        EXPECT_EQ(refused.m_kind, VerdictKind::Refuse);
+        EXPECT_EQ(refused.m_reason, Reason::AdmissionQueueFull);
+        EXPECT_EQ(fleet.send(0, packetOf(1, PacketKind::Midstream)).m_backend, opened.m_backend);
+    }
+
+    TEST(FlowRouter, anUnknownServiceIsDroppedByReason)
+    {
+        Fleet fleet { 1 };
+        PacketSummary packet = packetOf(1, PacketKind::Opening);
+        packet.m_flow.m_service.m_port = 1;
+        EXPECT_EQ(fleet.send(0, packet).m_reason, Reason::UnknownService);
+    }
+
+    TEST(FlowRouter, aSenderThatOnlyRetransmitsIsResetAndAQuietOneIsNot)
+    {
+        Fleet fleet { 1 };
+        PacketSummary packet = packetOf(1, PacketKind::Opening);
+        fleet.send(0, packet);
+        packet.m_kind = PacketKind::Midstream;
+        packet.m_payloadBytes = 100;
+        packet.m_sequence = 1;
+        PacketSummary quiet = packetOf(2, PacketKind::Opening);
+        fleet.send(0, quiet);
+        quiet.m_kind = PacketKind::Midstream;
+        bool wasReset = false;
+        for (unsigned i = 0; i < 8; ++i) {
+            wasReset = wasReset || fleet.send(0, packet).m_kind == VerdictKind::ResetCaller;
+            fleet.settle();
+        }
+        EXPECT_TRUE(wasReset);
+        EXPECT_EQ(fleet.send(0, quiet).m_kind, VerdictKind::ToBackend);
+    }
+
+} // namespace
+} // namespace cuminrelay
