--- a/src/flows/Packet.cpp
+++ b/src/flows/Packet.cpp
@@ -31,8 +31,6 @@
         return "hop_limit";
     case Reason::OwnerBeyondCut:
         return "owner_beyond_cut";
-    case Reason::BackendBeyondCut:
-        return "backend_beyond_cut";
     case Reason::UnknownFlowDuringCut:
         return "unknown_flow_during_cut";
     case Reason::AdmissionQueueFull:
--- a/src/flows/Packet.h
+++ b/src/flows/Packet.h
@@ -74,7 +74,6 @@
     NoBackendServer, ///< no eligible backend server in the service
     HopLimit,
     OwnerBeyondCut,
-    BackendBeyondCut,
     UnknownFlowDuringCut, ///< a mid-stream packet that cannot be placed safely while a cut lasts
     AdmissionQueueFull,
     AdmissionShare, ///< this VM's even share of the free capacity is used up
