--- a/src/standins/CallersStandin.cpp
+++ b/src/standins/CallersStandin.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/Log.h"
 #include "standins/HttpClient.h"
+#include "standins/TunnelSink.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
@@ -31,30 +32,6 @@
     constexpr std::uint64_t c_longestSurvey = 600;
     constexpr std::uint64_t c_formsOnOneConnection = 3;
 
-    /// Sends a caller's segments to the fabric.
-    class CallerSink final : public SegmentSink {
-    public:
-        CallerSink(std::shared_ptr<Tunnel> tunnel, Endpoint fabric, Endpoint caller, Endpoint service)
-            : m_tunnel(std::move(tunnel))
-            , m_fabric(fabric)
-            , m_caller(caller)
-            , m_service(service)
-        {
-        }
-
-        void send(const Segment& segment) override
-        {
-            std::array<std::byte, c_maximumInnerBytes> buffer;
-            m_tunnel->send(encodeSegment(m_caller, m_service, segment, buffer), m_fabric);
-        }
-
-    private:
-        std::shared_ptr<Tunnel> m_tunnel;
-        Endpoint m_fabric;
-        Endpoint m_caller;
-        Endpoint m_service;
-    };
-
 } // namespace
 
 Outcome<std::shared_ptr<CallersStandin>> CallersStandin::start(asio::io_context& context, CallersOptions options)
@@ -164,7 +141,7 @@
 std::shared_ptr<TcpStream> CallersStandin::newStream(const ServiceLoad& service, Endpoint caller)
 {
     return std::make_shared<TcpStream>(TcpConnection::active(static_cast<std::uint32_t>(m_random())),
-        std::make_unique<CallerSink>(m_tunnel, m_options.m_fabric, caller, service.m_address));
+        std::make_unique<TunnelSink>(m_tunnel, m_options.m_fabric, caller, service.m_address));
 }
 
 asio::awaitable<bool> CallersStandin::openStream(const std::shared_ptr<TcpStream>& stream, Endpoint caller)
--- a/src/standins/HostStandin.cpp
+++ b/src/standins/HostStandin.cpp
@@ -1,5 +1,7 @@
 #include "standins/HostStandin.h"
 
+#include "standins/TunnelSink.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,30 +24,6 @@
     constexpr Duration c_pendingLimit = std::chrono::seconds { 60 };
     constexpr std::uint32_t c_initialSequenceStep = 64'000;
 
-    /// Sends a connection's segments straight to the caller, by the fabric.
-    class AnswerSink final : public SegmentSink {
-    public:
-        AnswerSink(std::shared_ptr<Tunnel> tunnel, Endpoint answers, Endpoint service, Endpoint caller)
-            : m_tunnel(std::move(tunnel))
-            , m_answers(answers)
-            , m_service(service)
-            , m_caller(caller)
-        {
-        }
-
-        void send(const Segment& segment) override
-        {
-            std::array<std::byte, c_maximumInnerBytes> buffer;
-            m_tunnel->send(encodeSegment(m_service, m_caller, segment, buffer), m_answers);
-        }
-
-    private:
-        std::shared_ptr<Tunnel> m_tunnel;
-        Endpoint m_answers;
-        Endpoint m_service;
-        Endpoint m_caller;
-    };
-
 } // namespace
 
 Outcome<std::shared_ptr<HostStandin>> HostStandin::start(asio::io_context& context, HostOptions options)
@@ -102,7 +80,7 @@
         return;
     }
     ++m_resets;
-    AnswerSink { m_tunnel, m_options.m_answers, key.m_service, key.m_caller }.send(resetFor(segment));
+    TunnelSink { m_tunnel, m_options.m_answers, key.m_service, key.m_caller }.send(resetFor(segment));
 }
 
 void HostStandin::openConnection(const ConnectionKey& key, const Segment& syn)
@@ -112,7 +90,7 @@
     m_nextInitialSequence += c_initialSequenceStep;
     std::shared_ptr<Connection> connection = std::make_shared<Connection>();
     connection->m_stream = std::make_shared<TcpStream>(TcpConnection::passive(m_nextInitialSequence, syn),
-        std::make_unique<AnswerSink>(m_tunnel, m_options.m_answers, key.m_service, key.m_caller));
+        std::make_unique<TunnelSink>(m_tunnel, m_options.m_answers, key.m_service, key.m_caller));
     connection->m_openedDraining = m_switches.m_drain;
     m_connections.emplace(key, connection);
     asio::co_spawn(m_context, readRequests(connection), asio::detached);
