rpc: a fiber that is dropped before its first turn is not run

KJ 0.9 runs the function of a fiber that is destroyed before its first turn; it then waits, and the destructor of the fiber aborts. A control or entry process that was stopped right after its start could end so too. Ruled out: the order of the parts' destruction, and exceptions that the fibers catch (a cancelled fiber's is not a kj::Exception). Change: startFiberTask starts all fibers and skips the function of one that was dropped first. It is a slice of its own with the streams that entry and control had each for themselves (connectFrom, remoteAddress, the stack's size).

--- a/src/control/ControlRpc.cpp
+++ b/src/control/ControlRpc.cpp
@@ -3,6 +3,7 @@
 #include "control/ControlHub.h"
 #include "control/EntryTask.h"
 #include "control/PeerTasks.h"
+#include "rpc/FiberTask.h"
 
 #include <fmt/format.h>
 #include <kj/async-io.h>
@@ -45,11 +46,9 @@
     /// Starts a task that runs as long as the returned promise lives.
     template <typename Function> kj::Promise<void> startTask(Log& log, std::string_view name, Function&& function)
     {
-        return kj::startFiber(c_fiberStackBytes, std::forward<Function>(function))
-            .eagerlyEvaluate([&log, name](kj::Exception&& failure) {
-                log.error(
-                    "control", "task_failed", { { "task", name }, { "reason", failure.getDescription().cStr() } });
-            });
+        return startFiberTask(std::forward<Function>(function)).eagerlyEvaluate([&log, name](kj::Exception&& failure) {
+            log.error("control", "task_failed", { { "task", name }, { "reason", failure.getDescription().cStr() } });
+        });
     }
 
 } // namespace
--- a/src/control/ControlRpcTest.cpp
+++ b/src/control/ControlRpcTest.cpp
@@ -6,6 +6,7 @@
 #include "control/PeerConnection.h"
 #include "entry/Entry.capnp.h"
 #include "members/MemberMessage.h"
+#include "rpc/Streams.h"
 
 #include <algorithm>
 #include <capnp/ez-rpc.h>
--- a/src/control/PeerConversation.h
+++ b/src/control/PeerConversation.h
@@ -3,6 +3,7 @@
 #include "control/ControlHub.h"
 #include "control/PeerConnection.h"
 #include "members/Members.capnp.h"
+#include "rpc/Streams.h"
 
 #include <kj/async.h>
 #include <memory>
--- a/src/control/PeerTasks.cpp
+++ b/src/control/PeerTasks.cpp
@@ -1,6 +1,8 @@
 #include "control/PeerTasks.h"
 
 #include "control/Backoff.h"
+#include "rpc/FiberTask.h"
+#include "rpc/Streams.h"
 
 namespace cuminrelay {
 
@@ -57,11 +59,10 @@
             continue;
         }
         const std::uint64_t number = m_nextAccepted++;
-        Task task
-            = kj::startFiber(c_fiberStackBytes, [this, number, stream = kj::mv(stream)](kj::WaitScope& fiber) mutable {
-                  converseAccepted(kj::mv(stream), fiber);
-                  m_endedAccepted.push_back(number);
-              });
+        Task task = startFiberTask([this, number, stream = kj::mv(stream)](kj::WaitScope& fiber) mutable {
+            converseAccepted(kj::mv(stream), fiber);
+            m_endedAccepted.push_back(number);
+        });
         m_acceptedTasks.emplace(number, task.eagerlyEvaluate(nullptr));
     }
 }
@@ -85,8 +86,7 @@
         for (const Endpoint control : wanted) {
             if (m_peerTasks.contains(control))
                 continue;
-            Task task = kj::startFiber(
-                c_fiberStackBytes, [this, control](kj::WaitScope& fiber) { beatToPeer(control, fiber); });
+            Task task = startFiberTask([this, control](kj::WaitScope& fiber) { beatToPeer(control, fiber); });
             m_peerTasks.emplace(control, task.eagerlyEvaluate(nullptr));
         }
         m_hub.peers().wait(seen).wait(scope);
--- a/src/control/PeerTasks.h
+++ b/src/control/PeerTasks.h
@@ -39,7 +39,4 @@
     std::uint64_t m_nextAccepted = 0;
 };
 
-/// Stack of a fiber. Pages that are never touched cost nothing.
-inline constexpr std::size_t c_fiberStackBytes = 262'144;
-
 } // namespace cuminrelay
--- a/src/entry/ReplicaLink.cpp
+++ b/src/entry/ReplicaLink.cpp
@@ -1,15 +1,10 @@
 #include "entry/ReplicaLink.h"
 
 #include "entry/ReplicaMessage.h"
+#include "rpc/Streams.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <capnp/rpc-twoparty.h>
-#include <kj/debug.h>
-#include <kj/io.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <utility>
 
 namespace cuminrelay {
@@ -20,15 +15,6 @@
     constexpr kj::Duration c_firstPause = 100 * kj::MILLISECONDS; // doubles with each failure in a row
     constexpr unsigned c_maximumDoublings = 4;
 
-    sockaddr_in systemAddress(Endpoint endpoint)
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(endpoint.m_address);
-        address.sin_port = htons(endpoint.m_port);
-        return address;
-    }
-
 } // namespace
 
 ReplicaLink::ReplicaLink(const Member& peer, const ReplicaLinkParts& parts)
@@ -71,16 +57,8 @@
 
 kj::Own<kj::AsyncIoStream> ReplicaLink::connect(kj::WaitScope& scope)
 {
-    int descriptor = -1;
-    KJ_SYSCALL(descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    kj::AutoCloseFd socket { descriptor };
-    const sockaddr_in local = systemAddress({ m_parts.m_localAddress, 0 });
-    KJ_SYSCALL(bind(socket.get(), reinterpret_cast<const sockaddr*>(&local), sizeof local));
-    const sockaddr_in remote = systemAddress(m_replica);
     return m_parts.m_timer
-        .timeoutAfter(c_exchangeTimeout,
-            m_parts.m_sockets.wrapConnectingSocketFd(
-                kj::mv(socket), reinterpret_cast<const sockaddr*>(&remote), sizeof remote))
+        .timeoutAfter(c_exchangeTimeout, connectFrom(m_parts.m_sockets, m_parts.m_localAddress, m_replica))
         .wait(scope);
 }
 
--- a/src/entry/RpcServices.cpp
+++ b/src/entry/RpcServices.cpp
@@ -1,6 +1,8 @@
 #include "entry/RpcServices.h"
 
 #include "entry/FlowReplicaServer.h"
+#include "rpc/FiberTask.h"
+#include "rpc/Streams.h"
 
 #include <arpa/inet.h>
 #include <capnp/rpc-twoparty.h>
@@ -14,7 +16,6 @@
 
 namespace {
 
-    constexpr std::size_t c_fiberStackBytes = 1 << 18;
     constexpr std::size_t c_maximumConnections = 1024;
     constexpr int c_unacknowledgedTimeoutMs = 10'000; // a connection whose other end is silent for longer is dropped
     constexpr int c_keepAliveIdleSeconds = 5;
@@ -23,14 +24,6 @@
     constexpr std::uint64_t c_replicaMessageWords = 1 << 15;
     constexpr int c_nestingLimit = 16;
 
-    std::uint32_t remoteAddress(kj::AsyncIoStream& stream)
-    {
-        sockaddr_in address {};
-        unsigned length = sizeof address;
-        stream.getpeername(reinterpret_cast<sockaddr*>(&address), &length);
-        return ntohl(address.sin_addr.s_addr);
-    }
-
     void setOption(kj::AsyncIoStream& stream, int level, int option, int value)
     {
         stream.setsockopt(level, option, &value, sizeof value);
@@ -133,10 +126,8 @@
 {
     kj::Own<kj::ConnectionReceiver> listener
         = m_io.lowLevelProvider->wrapListenSocketFd(descriptor, kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP);
-    m_tasks.add(
-        kj::startFiber(c_fiberStackBytes, [this, &service, listener = kj::mv(listener)](kj::WaitScope& scope) mutable {
-            acceptConnections(*listener, service, scope);
-        }));
+    m_tasks.add(startFiberTask([this, &service, listener = kj::mv(listener)](
+                                   kj::WaitScope& scope) mutable { acceptConnections(*listener, service, scope); }));
 }
 
 void RpcServices::acceptConnections(kj::ConnectionReceiver& listener, Service& service, kj::WaitScope& scope)
@@ -157,7 +148,7 @@
                 m_metrics.counter("cuminrelay_refusals_total", "rpc_connection_limit").add();
                 continue;
             }
-            m_tasks.add(kj::startFiber(c_fiberStackBytes,
+            m_tasks.add(startFiberTask(
                 [this, &service, address, stream = kj::mv(*stream)](kj::WaitScope& connectionScope) mutable {
                     serveConnection(*stream, service, address, connectionScope);
                 }));
@@ -196,8 +187,7 @@
 RpcServices::RunningLink RpcServices::startLink(const Member& member)
 {
     std::unique_ptr<ReplicaLink> link = std::make_unique<ReplicaLink>(member, m_linkParts);
-    kj::Promise<void> fiber
-        = kj::startFiber(c_fiberStackBytes, [&link = *link](kj::WaitScope& scope) { link.run(scope); });
+    kj::Promise<void> fiber = startFiberTask([&link = *link](kj::WaitScope& scope) { link.run(scope); });
     return { std::move(link),
         fiber.eagerlyEvaluate([this](kj::Exception&& exception) { taskFailed(kj::mv(exception)); }) };
 }
