observe: each log line is valid JSON whatever bytes a field holds; histograms have a sum

Cause: text from outside (a platform's error body, a peer's exception) went into log lines as it came, so that one invalid byte of UTF-8 made the line unreadable for whoever parses it; the rate limit and the Prometheus text had no tests; a histogram without _sum gives no mean. Change: invalid bytes become the replacement character (Boost.Nowide's decoder); the log takes a clock and an output, so that its tests need neither real time nor standard error; _sum, and a first bucket for what lies below the bins.

--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -1,6 +1,6 @@
 #include "observe/Log.h"
 
-#include <cstdio>
+#include <boost/nowide/utf/utf.hpp>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
@@ -9,6 +9,14 @@
 namespace {
 
     constexpr Duration c_window = std::chrono::seconds { 1 };
+    constexpr char c_firstPrintable = 0x20;
+    constexpr std::string_view c_replacementCharacter = "\\ufffd";
+
+    const Clock& systemClock()
+    {
+        static const SystemClock s_clock;
+        return s_clock;
+    }
 
     std::string_view levelName(LogLevel level)
     {
@@ -64,22 +72,33 @@
 
 void appendJsonString(std::string& out, std::string_view text)
 {
+    namespace utf = boost::nowide::utf;
     out += '"';
-    for (const char c : text) {
-        if (c == '"' || c == '\\') {
-            out += '\\';
-            out += c;
-        } else if (static_cast<unsigned char>(c) < 0x20) {
-            out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
-        } else {
-            out += c;
-        }
+    const char* const end = text.data() + text.size();
+    for (const char* position = text.data(); position != end;) {
+        const char* const character = position;
+        const utf::code_point point = utf::utf_traits<char>::decode(position, end);
+        if (point == utf::illegal || point == utf::incomplete)
+            out += c_replacementCharacter;
+        else if (point == '"' || point == '\\')
+            out.append({ '\\', *character });
+        else if (point < c_firstPrintable)
+            out += fmt::format("\\u{:04x}", point);
+        else
+            out.append(character, position);
     }
     out += '"';
 }
 
 Log::Log(LogLevel minimum)
+    : Log(minimum, systemClock(), *stderr)
+{
+}
+
+Log::Log(LogLevel minimum, const Clock& clock, std::FILE& output)
     : m_minimum(minimum)
+    , m_clock(clock)
+    , m_output(output)
 {
 }
 
@@ -117,7 +136,7 @@
     if (suppressed > 0)
         appendField(line, LogField { "suppressed", suppressed });
     line += "}\n";
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    std::fwrite(line.data(), 1, line.size(), &m_output);
 }
 
 void Log::debug(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields)
--- a/src/observe/Log.h
+++ b/src/observe/Log.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 
 #include <cstdint>
+#include <cstdio>
 #include <initializer_list>
 #include <map>
 #include <mutex>
@@ -37,13 +38,20 @@
     }
 };
 
-/// Writes one JSON object a line to standard error: time, level, slice, event, fields. Each event may write a bounded
-/// number of lines a second, so that a fault cannot flood; the first line after a pause says how many were left out.
-/// Safe to use from several threads.
+/// Writes one JSON object a line: time, level, slice, event, fields. Each event may write a bounded number of lines a
+/// second, so that a fault cannot flood; the first line after a pause says how many were left out. Safe to use from
+/// several threads.
 class Log {
 public:
+    /// How many lines an event may write a second.
+    static constexpr unsigned s_linesPerWindow = 20;
+
+    /// Writes to standard error.
     explicit Log(LogLevel minimum = LogLevel::Info);
 
+    /// Writes to output, which must outlive the log as the clock must; the clock only bounds the rate.
+    Log(LogLevel minimum, const Clock& clock, std::FILE& output);
+
     void write(
         LogLevel level, std::string_view slice, std::string_view event, std::initializer_list<LogField> fields = {});
 
@@ -53,8 +61,6 @@
     void error(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields = {});
 
 private:
-    static constexpr unsigned s_linesPerWindow = 20;
-
     struct Budget {
         Deadline m_windowEnds {};
         unsigned m_written = 0;
@@ -63,11 +69,12 @@
 
     std::mutex m_mutex;
     LogLevel m_minimum;
-    SystemClock m_clock;
+    const Clock& m_clock;
+    std::FILE& m_output;
     std::map<std::string, Budget, std::less<>> m_budgets;
 };
 
-/// Appends text as a JSON string, quotes included.
+/// Appends text as a JSON string, quotes included. Bytes that are no valid UTF-8 become the replacement character.
 void appendJsonString(std::string& out, std::string_view text);
 
 } // namespace cuminrelay
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -28,10 +28,12 @@
         using LogAxis = histogram::axis::regular<double, histogram::axis::transform::log>;
         found = m_histograms
                     .emplace(std::string { name },
-                        histogram::make_histogram(LogAxis { c_bins, c_shortestSeconds, c_longestSeconds }))
+                        SecondsHistogram {
+                            histogram::make_histogram(LogAxis { c_bins, c_shortestSeconds, c_longestSeconds }), {} })
                     .first;
     }
-    found->second(seconds);
+    found->second.m_bins(seconds);
+    found->second.m_sum += seconds;
 }
 
 std::uint64_t Metrics::total(std::string_view name) const
@@ -69,15 +71,17 @@
         else
             text += fmt::format("{}{{reason=\"{}\"}} {}\n", key.m_name, key.m_reason, counter.value());
     }
-    for (const auto& [name, bins] : m_histograms) {
+    for (const auto& [name, held] : m_histograms) {
         text += fmt::format("# TYPE {} histogram\n", name);
-        double cumulative = bins.at(-1);
-        for (const auto& bin : histogram::indexed(bins)) {
+        double cumulative = held.m_bins.at(-1);
+        text += fmt::format("{}_bucket{{le=\"{:.3g}\"}} {}\n", name, c_shortestSeconds, cumulative);
+        for (const auto& bin : histogram::indexed(held.m_bins)) {
             cumulative += *bin;
             text += fmt::format("{}_bucket{{le=\"{:.3g}\"}} {}\n", name, bin.bin().upper(), cumulative);
         }
-        cumulative += bins.at(static_cast<int>(c_bins));
-        text += fmt::format("{}_bucket{{le=\"+Inf\"}} {}\n{}_count {}\n", name, cumulative, name, cumulative);
+        cumulative += held.m_bins.at(static_cast<int>(c_bins));
+        text += fmt::format("{}_bucket{{le=\"+Inf\"}} {}\n", name, cumulative);
+        text += fmt::format("{}_sum {}\n{}_count {}\n", name, held.m_sum.value(), name, cumulative);
     }
     return text;
 }
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/histogram.hpp>
+#include <boost/histogram/accumulators/sum.hpp>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -48,9 +49,14 @@
     std::string prometheusText() const;
 
 private:
-    using SecondsHistogram = decltype(boost::histogram::make_histogram(
+    using SecondsBins = decltype(boost::histogram::make_histogram(
         boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(1, 1e-6, 1.0)));
 
+    struct SecondsHistogram {
+        SecondsBins m_bins;
+        boost::histogram::accumulators::sum<double> m_sum;
+    };
+
     struct CounterKey {
         std::string m_name;
         std::string m_reason;
