docs, platform, packaging: each counter and log event is on the operators' page; the package is tried by a test

Cause: 23 counters and all log events were missing on the operators' page, so that nobody could read them there; the package was made by hand only; how long the platform takes was not to be seen. Change: tables of all counters, histograms and log events, and tools/check-docs, which compares the page with the sources in both directions; packaging/PackageTest.sh makes the .deb, unpacks it and runs what is in it; a histogram of calls to the platform, watches left out. The package was unpacked, not installed.

--- a/cmake/Packaging.cmake
+++ b/cmake/Packaging.cmake
@@ -14,3 +14,6 @@
 set(CPACK_STRIP_FILES ON)
 set(CPACK_DEBIAN_PACKAGE_CONTROL_EXTRA ${CMAKE_SOURCE_DIR}/packaging/postinst)
 include(CPack)
+
+add_test(NAME package COMMAND ${CMAKE_SOURCE_DIR}/packaging/PackageTest.sh ${CMAKE_BINARY_DIR})
+add_test(NAME operating_page COMMAND ${CMAKE_SOURCE_DIR}/tools/check-docs)
--- /dev/null
+++ b/packaging/PackageTest.sh
@@ -0,0 +1,36 @@
+#!/bin/sh
+# Makes the Debian package, unpacks it into a folder of its own, and runs what is in it: PackageTest.sh BUILD_FOLDER
+set -eu
+build=$1
+folder=$(mktemp -d)
+trap 'rm -r "$folder"' EXIT
+fail() {
+    echo "$*"
+    exit 1
+}
+
+(cd "$build" && cpack -G DEB -B "$folder" >"$folder/cpack.log" 2>&1) || { cat "$folder/cpack.log"; fail "cpack failed"; }
+package=$(find "$folder" -maxdepth 1 -name '*.deb')
+[ -f "$package" ] || fail "there is no package, or more than one: $package"
+dpkg-deb --field "$package" Depends | grep -q libtbb || fail "the package does not depend on its libraries"
+dpkg-deb --ctrl-tarfile "$package" | tar -tf - | grep -q postinst || fail "the package has no postinst"
+dpkg-deb --extract "$package" "$folder/root"
+
+root=$folder/root
+for unit in entry control; do
+    file=$root/lib/systemd/system/cuminrelay-$unit.service
+    [ -f "$file" ] || file=$root/usr/lib/systemd/system/cuminrelay-$unit.service
+    [ -f "$file" ] || fail "there is no unit for cuminrelay-$unit"
+    # The unit starts a program that the package brings.
+    program=$(sed -n 's/^ExecStart=\([^ ]*\).*/\1/p' "$file")
+    [ -x "$root$program" ] || fail "$unit: ExecStart names $program, which is not in the package"
+done
+[ -f "$root/usr/share/doc/cuminrelay/OPERATING.md" ] || fail "the operators' page is not in the package"
+for deployment in shirakaba kalahari; do
+    samples=$root/usr/share/cuminrelay/config/$deployment
+    "$root/usr/bin/cuminrelay-entry" --check --config "$samples/entry.json" >/dev/null
+    "$root/usr/bin/cuminrelay-control" --check --config "$samples/control.json" >/dev/null
+    "$root/usr/bin/cuminrelayctl" check -f "$samples/declarations.json" --config "$samples/ctl.json" >/dev/null
+done
+"$root/usr/bin/cuminrelayctl" --version | grep -q "cuminrelayctl [0-9]" || fail "no version"
+echo "all as expected"
--- a/src/platform/HttpPlatformClient.cpp
+++ b/src/platform/HttpPlatformClient.cpp
@@ -83,6 +83,29 @@
         return body.substr(0, c_maximumQuotedBytes);
     }
 
+    /// Adds how long a call took to a histogram, whatever came of it.
+    class CallTimer {
+    public:
+        CallTimer(const Clock& clock, Metrics& metrics)
+            : m_clock(clock)
+            , m_metrics(metrics)
+            , m_begun(clock.now())
+        {
+        }
+        CallTimer(const CallTimer&) = delete;
+        CallTimer& operator=(const CallTimer&) = delete;
+        ~CallTimer()
+        {
+            const std::chrono::duration<double> taken = m_clock.now() - m_begun;
+            m_metrics.observeSeconds("cuminrelay_platform_call_seconds", taken.count());
+        }
+
+    private:
+        const Clock& m_clock;
+        Metrics& m_metrics;
+        Instant m_begun;
+    };
+
     bool isRefusedBeforeItRan(http::status status)
     {
         return status == http::status::service_unavailable || status == http::status::too_many_requests;
@@ -110,6 +133,7 @@
 asio::awaitable<Outcome<StoredObject>> HttpPlatformClient::read(std::string kind, std::string name, Deadline deadline)
 {
     m_metrics.counter("cuminrelay_platform_calls_total", "read").add();
+    const CallTimer timer { m_clock, m_metrics };
     Outcome<std::string> target = objectTarget(kind, name);
     if (!target)
         co_return target.error();
@@ -134,6 +158,7 @@
     std::string kind, std::string name, std::uint64_t expected, std::string body, Deadline deadline)
 {
     m_metrics.counter("cuminrelay_platform_calls_total", "write").add();
+    const CallTimer timer { m_clock, m_metrics };
     const Outcome<std::string> target = objectTarget(kind, name);
     if (!target)
         co_return target.error();
@@ -167,6 +192,7 @@
 asio::awaitable<Outcome<std::vector<Member>>> HttpPlatformClient::listMembers(Deadline deadline)
 {
     m_metrics.counter("cuminrelay_platform_calls_total", "list").add();
+    const CallTimer timer { m_clock, m_metrics };
     const Outcome<Response> response = co_await get("/v1/vms", deadline);
     if (!response)
         co_return response.error();
--- a/src/platform/HttpPlatformClientTest.cpp
+++ b/src/platform/HttpPlatformClientTest.cpp
@@ -216,6 +216,15 @@
         EXPECT_EQ(m_platform->calls().m_watches, 2U);
     }
 
+    TEST_F(HttpPlatformClientTest, callsAreTimedAndWatchesAreNot)
+    {
+        ASSERT_TRUE(write(0, "{\"a\":1}").has_value());
+        ASSERT_TRUE(read().has_value());
+        ASSERT_TRUE(run(m_client->listMembers(deadline())).has_value());
+        ASSERT_TRUE(run(m_client->watch("config", "current", 0, deadline())).has_value());
+        EXPECT_NE(m_metrics.prometheusText().find("cuminrelay_platform_call_seconds_count 3\n"), std::string::npos);
+    }
+
     TEST_F(HttpPlatformClientTest, readsShareAConnectionAndSurviveItsEnd)
     {
         std::shared_ptr<ScriptedServer> server = useScriptedServer();
