operators: explain says what a host has in place of what a selector asks for

Cause: on a running deployment, "explain HOST" printed 'selector "app=x" does not meet "app=x"', as if the selector did not meet itself, and left out the host's own label. Change: 'does not match: "app=x" is not met, the host has app=y'. The test's literal follows, and now asks for the whole line.

--- a/src/operators/CommandLineTest.cpp
+++ b/src/operators/CommandLineTest.cpp
@@ -310,7 +310,9 @@
 
         EXPECT_EQ(run({ "explain", "k-1" }), 0) << all();
         EXPECT_TRUE(prints("gets no new flows: it is unhealthy")) << all();
-        EXPECT_TRUE(prints("service chosa-bako: selector \"app=chosa-bako\" does not meet")) << all();
+        EXPECT_TRUE(prints("service chosa-bako: selector \"app=chosa-bako\" does not match: \"app=chosa-bako\" is not "
+                           "met, the host has app=kanteisha\n"))
+            << all();
         EXPECT_EQ(run({ "explain", "k-2" }), 0) << all();
         EXPECT_TRUE(prints("host k-2 gets new flows")) << all();
 
--- a/src/operators/ExplainCommand.cpp
+++ b/src/operators/ExplainCommand.cpp
@@ -53,12 +53,20 @@
         return formatSelector(Selector { { requirement } });
     }
 
-    /// "matches", or the first requirement that is not met.
+    std::string labelText(const Labels& labels, const std::string& key)
+    {
+        const auto label = labels.find(key);
+        return label == labels.end() ? fmt::format("no label {}", key) : fmt::format("{}={}", key, label->second);
+    }
+
+    /// "matches", or the first requirement that is not met and what the host has instead.
     std::string matchText(const Selector& selector, const Labels& labels)
     {
         for (const SelectorRequirement& requirement : selector.m_requirements) {
-            if (!matches(requirement, labels))
-                return fmt::format("does not meet \"{}\"", requirementText(requirement));
+            if (!matches(requirement, labels)) {
+                return fmt::format("does not match: \"{}\" is not met, the host has {}", requirementText(requirement),
+                    labelText(labels, requirement.m_key));
+            }
         }
         return "matches";
     }
