settings: one reader of log levels instead of two alike

Cause: the entry and control settings each had a copy of it and of the names that log lines use (duplicates over the tree). Change: SettingsReader::logLevel, with the names beside LogLevel; 13 lines less.

--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -1,21 +1,9 @@
 #include "control/ControlSettings.h"
 
-#include <algorithm>
-#include <array>
-
 namespace cuminrelay {
 
 namespace {
 
-    constexpr std::array<std::string_view, 4> c_logLevels { "debug", "info", "warning", "error" };
-
-    LogLevel readLogLevel(SettingsReader& reader)
-    {
-        const std::string name = reader.choice("log_level", "info", c_logLevels);
-        const auto found = std::ranges::find(c_logLevels, name);
-        return found == c_logLevels.end() ? LogLevel::Info : static_cast<LogLevel>(found - c_logLevels.begin());
-    }
-
     Duration readMilliseconds(
         SettingsReader& reader, std::string_view key, std::uint64_t fallback, std::uint64_t minimum)
     {
@@ -43,7 +31,7 @@
     settings.m_platform = PlatformSettings::read(reader);
     settings.m_metrics = reader.requiredEndpoint("metrics");
     settings.m_probeInterval = readMilliseconds(reader, "probe_interval_ms", 1000, 50);
-    settings.m_logLevel = readLogLevel(reader);
+    settings.m_logLevel = reader.logLevel("log_level");
     return settings;
 }
 
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -1,6 +1,5 @@
 #include "entry/EntrySettings.h"
 
-#include <array>
 #include <chrono>
 #include <string_view>
 
@@ -15,18 +14,6 @@
     constexpr std::uint64_t c_minimumLeaveMs = 100;
     constexpr std::uint64_t c_maximumLeaveMs = 3'600'000;
 
-    constexpr std::array<std::string_view, 4> c_levelNames { "debug", "info", "warning", "error" };
-
-    LogLevel readLogLevel(SettingsReader& reader)
-    {
-        const std::string name = reader.choice("log_level", "info", c_levelNames);
-        for (std::size_t i = 0; i < c_levelNames.size(); ++i) {
-            if (name == c_levelNames[i])
-                return static_cast<LogLevel>(i);
-        }
-        return LogLevel::Info;
-    }
-
     std::vector<std::uint32_t> readAddresses(SettingsReader& reader, std::string_view key)
     {
         std::vector<std::uint32_t> addresses;
@@ -63,7 +50,7 @@
         = std::chrono::duration_cast<std::chrono::milliseconds>(settings.m_leaveAllowance);
     settings.m_leaveAllowance = std::chrono::milliseconds { reader.integer("leave_deadline_ms",
         static_cast<std::uint64_t>(defaultAllowance.count()), c_minimumLeaveMs, c_maximumLeaveMs) };
-    settings.m_logLevel = readLogLevel(reader);
+    settings.m_logLevel = reader.logLevel("log_level");
     if (settings.m_packets == settings.m_peers && settings.m_packets.m_port != 0)
         reader.addProblem("peers", "is the same as packets; both are UDP and need endpoints of their own");
     return settings;
--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -18,21 +18,6 @@
         return s_clock;
     }
 
-    std::string_view levelName(LogLevel level)
-    {
-        switch (level) {
-        case LogLevel::Debug:
-            return "debug";
-        case LogLevel::Info:
-            return "info";
-        case LogLevel::Warning:
-            return "warning";
-        case LogLevel::Error:
-            return "error";
-        }
-        return "unknown";
-    }
-
     void appendField(std::string& line, const LogField& field)
     {
         line += ',';
@@ -127,7 +112,8 @@
         = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     const std::int64_t millis = wall.time_since_epoch().count() % 1000;
     std::string line = fmt::format("{{\"time\":\"{:%Y-%m-%dT%H:%M:%S}.{:03}Z\",\"level\":\"{}\",\"slice\":",
-        fmt::gmtime(std::chrono::system_clock::to_time_t(wall)), millis, levelName(level));
+        fmt::gmtime(std::chrono::system_clock::to_time_t(wall)), millis,
+        c_logLevelNames[static_cast<std::size_t>(level)]);
     appendJsonString(line, slice);
     line += ",\"event\":";
     appendJsonString(line, event);
--- a/src/observe/Log.h
+++ b/src/observe/Log.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 
+#include <array>
 #include <cstdint>
 #include <cstdio>
 #include <initializer_list>
@@ -20,6 +21,9 @@
     Error,
 };
 
+/// The names of the levels, by level, as log lines and settings have them.
+inline constexpr std::array<std::string_view, 4> c_logLevelNames { "debug", "info", "warning", "error" };
+
 /// One named value of a log line.
 struct LogField {
     std::string_view m_name;
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -105,6 +105,13 @@
     return std::string { fallback };
 }
 
+LogLevel SettingsReader::logLevel(std::string_view key)
+{
+    const std::string name = choice(key, c_logLevelNames[static_cast<std::size_t>(LogLevel::Info)], c_logLevelNames);
+    const auto found = std::ranges::find(c_logLevelNames, name);
+    return found == c_logLevelNames.end() ? LogLevel::Info : static_cast<LogLevel>(found - c_logLevelNames.begin());
+}
+
 bool SettingsReader::boolean(std::string_view key, bool fallback)
 {
     m_effective[key] = fallback;
--- a/src/settings/SettingsReader.h
+++ b/src/settings/SettingsReader.h
@@ -2,6 +2,7 @@
 
 #include "base/Endpoint.h"
 #include "base/Error.h"
+#include "observe/Log.h"
 
 #include <boost/json/object.hpp>
 #include <cstdint>
@@ -40,6 +41,9 @@
     /// A text that is one of the allowed ones.
     std::string choice(std::string_view key, std::string_view fallback, std::span<const std::string_view> allowed);
 
+    /// The name of a log level; info when it is not given.
+    LogLevel logLevel(std::string_view key);
+
     bool boolean(std::string_view key, bool fallback);
     std::uint64_t integer(std::string_view key, std::uint64_t fallback, std::uint64_t minimum, std::uint64_t maximum);
     double real(std::string_view key, double fallback, double minimum, double maximum);
--- a/src/settings/SettingsReaderTest.cpp
+++ b/src/settings/SettingsReaderTest.cpp
@@ -104,6 +104,17 @@
         }
     }
 
+    TEST(SettingsReader, logLevelsAreReadByName)
+    {
+        SettingsReader reader = SettingsReader::parse("f.json", "{\"a\": \"debug\", \"c\": \"loud\"}").value();
+        EXPECT_EQ(reader.logLevel("a"), LogLevel::Debug);
+        EXPECT_EQ(reader.logLevel("b"), LogLevel::Info);
+        EXPECT_EQ(reader.logLevel("c"), LogLevel::Info);
+        const Outcome<void> finished = reader.finish();
+        ASSERT_FALSE(finished.has_value());
+        EXPECT_NE(finished.error().m_message.find("\"debug\", \"info\", \"warning\", \"error\""), std::string::npos);
+    }
+
     TEST(SettingsReader, sectionsNameTheirPlace)
     {
         SettingsReader reader
