--- a/src/backends/BackendProbeTest.cpp
+++ b/src/backends/BackendProbeTest.cpp
@@ -102,8 +102,9 @@
             EXPECT_EQ(result.m_signal, ProbeSignal::Good);
             EXPECT_EQ(result.m_load, (BackendLoad { 7, 2, 1, true }));
         }
-        EXPECT_EQ(endpoint.metrics().counter("cuminrelay_control_bytes_total", "received").value(), 3 * answer.size());
-        EXPECT_GT(endpoint.metrics().counter("cuminrelay_control_bytes_total", "sent").value(), 0U);
+        EXPECT_EQ(
+            endpoint.metrics().counter("cuminrelay_control_bytes_total", "probes_received").value(), 3 * answer.size());
+        EXPECT_GT(endpoint.metrics().counter("cuminrelay_control_bytes_total", "probes_sent").value(), 0U);
     }
 
     TEST(HttpBackendProbe, statusesAndMalformedAnswersAreToldApart)
--- a/src/backends/HttpBackendProbe.cpp
+++ b/src/backends/HttpBackendProbe.cpp
@@ -51,8 +51,8 @@
             , m_remote(asio::ip::address_v4 { report.m_address }, report.m_port)
             , m_clock(clock)
             , m_metrics(metrics)
-            , m_sent(metrics.counter("cuminrelay_control_bytes_total", "sent"))
-            , m_received(metrics.counter("cuminrelay_control_bytes_total", "received"))
+            , m_sent(metrics.counter("cuminrelay_control_bytes_total", "probes_sent"))
+            , m_received(metrics.counter("cuminrelay_control_bytes_total", "probes_received"))
         {
         }
 
--- a/src/control/PeerConnection.cpp
+++ b/src/control/PeerConnection.cpp
@@ -13,8 +13,8 @@
 PeerConnection::PeerConnection(
     kj::Own<kj::AsyncIoStream> stream, Side side, wire::ControlPeer::Client own, Metrics& metrics)
     : m_stream(kj::mv(stream))
-    , m_messages(*m_stream, metrics.counter("cuminrelay_control_bytes_total", "sent"),
-          metrics.counter("cuminrelay_control_bytes_total", "received"))
+    , m_messages(*m_stream, metrics.counter("cuminrelay_control_bytes_total", "peers_sent"),
+          metrics.counter("cuminrelay_control_bytes_total", "peers_received"))
     , m_network(m_messages, side)
     , m_rpc(m_network, capnp::Capability::Client { kj::mv(own) })
 {
--- a/src/platform/HttpPlatformClient.cpp
+++ b/src/platform/HttpPlatformClient.cpp
@@ -276,7 +276,7 @@
     boost::system::error_code failure;
     const std::size_t sent
         = co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
-    m_metrics.counter("cuminrelay_control_bytes_total", "sent").add(sent);
+    m_metrics.counter("cuminrelay_control_bytes_total", "platform_sent").add(sent);
     if (failure) {
         co_return countFailure(
             "send", { ErrorKind::Unavailable, fmt::format("the request could not be sent: {}", failure.message()) });
@@ -286,7 +286,7 @@
     parser.body_limit(c_maximumResponseBytes);
     const std::size_t received
         = co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
-    m_metrics.counter("cuminrelay_control_bytes_total", "received").add(received);
+    m_metrics.counter("cuminrelay_control_bytes_total", "platform_received").add(received);
     if (failure) {
         const bool timedOut = failure == beast::error::timeout;
         co_return countFailure(timedOut ? "timeout" : "answer_lost",
