flows: the bucket's state is asked for with the index of its flow

Cause: with 10^6 flows all 16,384 bucket states (1.3 MB) are in use, and each packet waited for one. Change: decideChunk asks for them while it hashes; what each packet reads of a bucket stands together.

--- a/src/flows/BucketStates.h
+++ b/src/flows/BucketStates.h
@@ -11,12 +11,13 @@
 
 /// What one entry VM knows of one bucket, as its owner, its successor or its previous owner.
 struct BucketState {
-    ConfigVersion m_base; ///< the version that untracked flows are on their default of; 0: unknown
-    ConfigVersion m_nextBase; ///< what the base becomes once the successor holds the exceptions against it; 0: none
+    // What each packet reads stands together.
     Endpoint m_warmingFrom; ///< the previous owner that is asked about unknown flows; empty when not needed
     Endpoint m_handedTo; ///< the member that asked for the bucket and decides for it now; empty when none
-    Endpoint m_settledWith; ///< the successor that holds all exceptions against m_base; empty when none
     Deadline m_handedUntil {}; ///< until when m_handedTo counts; by then the view has followed
+    ConfigVersion m_base; ///< the version that untracked flows are on their default of; 0: unknown
+    ConfigVersion m_nextBase; ///< what the base becomes once the successor holds the exceptions against it; 0: none
+    Endpoint m_settledWith; ///< the successor that holds all exceptions against m_base; empty when none
     Deadline m_trustDefaultUntil {}; ///< until when openings may be retransmissions that the previous owner placed
     Deadline m_completeAt {}; ///< from when on each live flow has shown a packet here, so that the base may advance
     Instant m_acquiredAt {};
--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -122,8 +122,10 @@
     std::array<FlowHash, FlowTable::s_batch> hashes;
     std::array<FlowState*, FlowTable::s_batch> found;
     const std::uint64_t generation = m_flows.generation();
-    for (std::size_t i = 0; i < packets.size(); ++i)
+    for (std::size_t i = 0; i < packets.size(); ++i) {
         hashes[i] = hashFlow(packets[i].m_flow);
+        __builtin_prefetch(&m_buckets[bucketOf(hashes[i])]);
+    }
     m_flows.find(std::span { hashes }.first(packets.size()), std::span { found }.first(packets.size()));
     for (std::size_t i = 0; i < packets.size(); ++i)
         verdicts[i] = decideOne(Context { packets[i], hashes[i], bucketOf(hashes[i]), now, found[i], generation });
