standins: callers tell broken flows apart by fault and by age; a host can forget

Cause: the callers' report only had totals, so that a run with several faults could not say which fault broke what, nor whether a broken flow had been established; and no switch made a backend server lose its connections. Change: POST /standin/mark/NAME notes a fault; FaultMarks counts, for each, the flows that were open for more than 2 s, the younger ones, and what broke of either, by the host that served them. A flow that went silent counts for the fault at which its packets stopped. The host's switch "forget" drops all its connections as a restart does; a silent host answers no datagram any more.

--- a/src/standins/CallersReport.cpp
+++ b/src/standins/CallersReport.cpp
@@ -1,5 +1,6 @@
 #include "standins/CallersReport.h"
 
+#include <algorithm>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -7,17 +8,70 @@
 
 namespace json = boost::json;
 
+void CallersReport::countOpened(Instant now)
+{
+    ++m_flows;
+    m_marks.flowOpened(now);
+}
+
+void CallersReport::countRefused()
+{
+    ++m_refused;
+    ++m_marks.current().m_refused;
+}
+
+void CallersReport::countShed()
+{
+    ++m_shed;
+    ++m_marks.current().m_shed;
+}
+
+void CallersReport::countMisrouted()
+{
+    ++m_misrouted;
+    ++m_marks.current().m_misrouted;
+}
+
+void CallersReport::countIncomplete()
+{
+    ++m_incompleteAnswers;
+    ++m_marks.current().m_incompleteAnswers;
+}
+
+void CallersReport::countReset(const FlowTrace& trace, Instant now)
+{
+    ++m_brokenByReset;
+    m_marks.flowCut(trace, now);
+}
+
+void CallersReport::countEarlyEnd(const FlowTrace& trace, Instant now)
+{
+    ++m_brokenByEarlyEnd;
+    m_marks.flowCut(trace, now);
+}
+
+void CallersReport::countTimeout(const FlowTrace& trace)
+{
+    ++m_brokenByTimeout;
+    m_marks.flowTimedOut(trace);
+}
+
 void CallersReport::compareWith(std::span<const RunRecord> records)
 {
-    std::set<std::string_view> once;
+    std::map<std::string_view, std::int64_t> lastStarted;
     std::set<std::string_view> wronglyRefused;
     for (const RunRecord& record : records) {
-        if (!once.insert(record.m_id).second && !record.m_idempotent)
+        const auto [run, isFirst] = lastStarted.emplace(record.m_id, record.m_startedUnixMs);
+        run->second = std::max(run->second, record.m_startedUnixMs);
+        if (!isFirst && !record.m_idempotent) {
             ++m_runTwice;
-        if (m_notRun.contains(record.m_id))
-            wronglyRefused.insert(record.m_id);
+            ++m_marks.at(run->second).m_runTwice;
+        }
+        if (m_notRun.contains(record.m_id) && wronglyRefused.insert(record.m_id).second) {
+            ++m_refusedButRun;
+            ++m_marks.at(record.m_startedUnixMs).m_refusedButRun;
+        }
     }
-    m_refusedButRun += wronglyRefused.size();
 }
 
 std::string CallersReport::json() const
@@ -40,6 +94,7 @@
         { "refused_but_run", m_refusedButRun },
         { "incomplete_answers", m_incompleteAnswers },
         { "host_flows", std::move(hosts) },
+        { "faults", m_marks.json() },
     });
 }
 
--- a/src/standins/CallersReport.h
+++ b/src/standins/CallersReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "standins/FaultMarks.h"
 #include "standins/WorkMessage.h"
 
 #include <cstdint>
@@ -14,6 +15,7 @@
 struct RunRecord {
     std::string m_id;
     bool m_idempotent = false;
+    std::int64_t m_startedUnixMs = 0;
 };
 
 /// What the callers saw, and which promises of the system were broken.
@@ -33,6 +35,19 @@
     std::set<std::string, std::less<>> m_notRun; ///< ids of requests that were refused as not run
     std::map<std::string, std::uint64_t, std::less<>> m_hostFlows; ///< flows by the host that answered
 
+    FaultMarks m_marks; ///< the same by fault
+
+    void countOpened(Instant now);
+    void countRefused();
+    void countShed();
+    void countMisrouted();
+    void countIncomplete();
+
+    /// How a flow broke, with what is known of it.
+    void countReset(const FlowTrace& trace, Instant now);
+    void countEarlyEnd(const FlowTrace& trace, Instant now);
+    void countTimeout(const FlowTrace& trace);
+
     std::uint64_t broken() const { return m_brokenByReset + m_brokenByTimeout + m_brokenByEarlyEnd; }
 
     /// Checks what the hosts ran against what the callers were told.
--- a/src/standins/CallersStandin.cpp
+++ b/src/standins/CallersStandin.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+    constexpr std::string_view c_markPath = "/standin/mark/";
     constexpr Duration c_answerLimit = std::chrono::seconds { 15 };
     constexpr Duration c_feedSilenceLimit = std::chrono::seconds { 12 };
     constexpr Duration c_closeLimit = std::chrono::seconds { 10 };
@@ -138,30 +139,35 @@
         static_cast<std::uint16_t>(c_firstPort + number % c_portsPerAddress) };
 }
 
-std::shared_ptr<TcpStream> CallersStandin::newStream(const ServiceLoad& service, Endpoint caller)
+std::shared_ptr<CallersStandin::Flow> CallersStandin::newFlow(const ServiceLoad& service, Endpoint caller)
 {
-    return std::make_shared<TcpStream>(TcpConnection::active(static_cast<std::uint32_t>(m_random())),
-        std::make_unique<TunnelSink>(m_tunnel, m_options.m_fabric, caller, service.m_address));
+    const std::shared_ptr<Flow> flow = std::make_shared<Flow>();
+    if (service.m_protocol == Protocol::Tcp) {
+        flow->m_stream = std::make_shared<TcpStream>(TcpConnection::active(static_cast<std::uint32_t>(m_random())),
+            std::make_unique<TunnelSink>(m_tunnel, m_options.m_fabric, caller, service.m_address));
+    }
+    flow->m_trace.m_opened = now();
+    flow->m_trace.m_progress = flow->m_trace.m_opened;
+    m_report.countOpened(flow->m_trace.m_opened);
+    m_flows.emplace(caller, flow);
+    return flow;
 }
 
-asio::awaitable<bool> CallersStandin::openStream(const std::shared_ptr<TcpStream>& stream, Endpoint caller)
+asio::awaitable<bool> CallersStandin::openFlow(const std::shared_ptr<Flow>& flow, Endpoint caller)
 {
-    ++m_report.m_flows;
-    const std::shared_ptr<Flow> flow = std::make_shared<Flow>();
-    flow->m_stream = stream;
-    m_flows.emplace(caller, flow);
-    asio::co_spawn(m_context, keepStream(stream, caller), asio::detached);
-    co_await stream->waitOpened(Deadline::max());
-    if (stream->state() == TcpState::Reset)
-        ++m_report.m_refused;
-    else if (stream->hasFailed())
-        ++m_report.m_brokenByTimeout;
-    co_return !stream->hasFailed();
+    asio::co_spawn(m_context, keepFlow(flow, caller), asio::detached);
+    TcpStream& stream = *flow->m_stream;
+    co_await stream.waitOpened(Deadline::max());
+    if (stream.state() == TcpState::Reset)
+        m_report.countRefused();
+    else if (stream.hasFailed())
+        m_report.countTimeout(flow->m_trace);
+    co_return !stream.hasFailed();
 }
 
-asio::awaitable<void> CallersStandin::keepStream(std::shared_ptr<TcpStream> stream, Endpoint caller)
+asio::awaitable<void> CallersStandin::keepFlow(std::shared_ptr<Flow> flow, Endpoint caller)
 {
-    co_await stream->run();
+    co_await flow->m_stream->run();
     m_flows.erase(caller);
 }
 
@@ -169,31 +175,33 @@
 {
     ++m_active;
     const Endpoint caller = nextCaller();
-    const std::shared_ptr<TcpStream> stream = newStream(service, caller);
-    if (co_await openStream(stream, caller)) {
+    const std::shared_ptr<Flow> flow = newFlow(service, caller);
+    TcpStream& stream = *flow->m_stream;
+    if (co_await openFlow(flow, caller)) {
         std::map<std::string, WorkRequest> waiting;
         for (const WorkRequest& request : requests) {
             waiting.emplace(request.m_id, request);
-            stream->write(encodeRequest(request) + patternText(request.m_id, request.m_bodyBytes));
+            stream.write(encodeRequest(request) + patternText(request.m_id, request.m_bodyBytes));
         }
-        if (co_await readAnswers(*stream, service, std::move(waiting))) {
-            stream->finish();
-            co_await stream->waitPeerFinished(now() + c_closeLimit);
+        if (co_await readAnswers(*flow, service, std::move(waiting))) {
+            stream.finish();
+            co_await stream.waitPeerFinished(now() + c_closeLimit);
         } else {
-            countBroken(*stream);
+            countBroken(*flow);
         }
-    } else if (stream->state() == TcpState::Reset) {
+    } else if (stream.state() == TcpState::Reset) {
         for (const WorkRequest& request : requests)
             m_report.m_notRun.insert(request.m_id);
     }
+    m_report.m_marks.flowEnded(flow->m_trace);
     --m_active;
     m_changed.notify();
 }
 
 asio::awaitable<bool> CallersStandin::readAnswers(
-    TcpStream& stream, const ServiceLoad& service, std::map<std::string, WorkRequest> waiting)
+    Flow& flow, const ServiceLoad& service, std::map<std::string, WorkRequest> waiting)
 {
-    FlowCheck check { service, {} };
+    TcpStream& stream = *flow.m_stream;
     const Deadline deadline = now() + c_answerLimit;
     while (!waiting.empty()) {
         const Outcome<std::string> line = co_await stream.readLine(deadline);
@@ -201,16 +209,16 @@
             co_return false;
         const Outcome<WorkAnswer> answer = decodeAnswer(line.value());
         if (!answer) {
-            ++m_report.m_incompleteAnswers;
+            m_report.countIncomplete();
             co_return true;
         }
         const Outcome<std::string> body = co_await stream.readBytes(answer.value().m_bodyBytes, deadline);
         if (!body)
             co_return false;
-        checkOrigin(check, answer.value());
+        checkOrigin(flow, service, answer.value());
         const auto found = waiting.find(answer.value().m_id);
         if (found == waiting.end()) {
-            ++m_report.m_incompleteAnswers;
+            m_report.countIncomplete();
             continue;
         }
         checkAnswer(found->second, answer.value(), body.value());
@@ -219,20 +227,21 @@
     co_return true;
 }
 
-void CallersStandin::checkOrigin(FlowCheck& check, const WorkAnswer& answer)
+void CallersStandin::checkOrigin(Flow& flow, const ServiceLoad& service, const WorkAnswer& answer)
 {
-    if (check.m_host.empty()) {
-        check.m_host = answer.m_host;
-        ++m_report.m_hostFlows[answer.m_host];
+    std::string& host = flow.m_trace.m_host;
+    if (host.empty()) {
+        host = answer.m_host;
+        ++m_report.m_hostFlows[host];
     }
-    if (answer.m_service != check.m_service.m_name || answer.m_host != check.m_host)
-        ++m_report.m_misrouted;
+    if (answer.m_service != service.m_name || answer.m_host != host)
+        m_report.countMisrouted();
 }
 
 void CallersStandin::checkAnswer(const WorkRequest& request, const WorkAnswer& answer, std::string_view body)
 {
     if (provesNotRun(answer.m_status)) {
-        ++m_report.m_shed;
+        m_report.countShed();
         m_report.m_notRun.insert(request.m_id);
         return;
     }
@@ -241,17 +250,18 @@
         && body == patternText(request.m_id, request.m_answerBytes)
         && answer.m_requestHash == hashOfBody(patternText(request.m_id, request.m_bodyBytes));
     if (!whole)
-        ++m_report.m_incompleteAnswers;
+        m_report.countIncomplete();
 }
 
-void CallersStandin::countBroken(const TcpStream& stream)
+void CallersStandin::countBroken(const Flow& flow)
 {
+    const TcpStream& stream = *flow.m_stream;
     if (stream.state() == TcpState::Reset)
-        ++m_report.m_brokenByReset;
+        m_report.countReset(flow.m_trace, now());
     else if (stream.state() == TcpState::TimedOut || !stream.hasEnded())
-        ++m_report.m_brokenByTimeout;
+        m_report.countTimeout(flow.m_trace);
     else
-        ++m_report.m_brokenByEarlyEnd;
+        m_report.countEarlyEnd(flow.m_trace, now());
 }
 
 asio::awaitable<void> CallersStandin::holdFeed(const ServiceLoad& service)
@@ -259,50 +269,50 @@
     ++m_active;
     while (!m_stopping) {
         const Endpoint caller = nextCaller();
-        const std::shared_ptr<TcpStream> stream = newStream(service, caller);
-        if (!co_await openStream(stream, caller)) {
+        const std::shared_ptr<Flow> flow = newFlow(service, caller);
+        if (!co_await openFlow(flow, caller)) {
+            m_report.m_marks.flowEnded(flow->m_trace);
             co_await sleepUntil(now() + std::chrono::milliseconds { 500 });
             continue;
         }
         const WorkRequest request = newRequest(service, WorkKind::Feed);
-        stream->write(encodeRequest(request));
-        co_await readFeed(*stream, service, request.m_id);
-        stream->finish();
+        flow->m_stream->write(encodeRequest(request));
+        co_await readFeed(*flow, service, request.m_id);
+        flow->m_stream->finish();
+        m_report.m_marks.flowEnded(flow->m_trace);
     }
     --m_active;
     m_changed.notify();
 }
 
-asio::awaitable<void> CallersStandin::readFeed(TcpStream& stream, const ServiceLoad& service, std::string id)
+asio::awaitable<void> CallersStandin::readFeed(Flow& flow, const ServiceLoad& service, std::string id)
 {
-    FlowCheck check { service, {} };
+    TcpStream& stream = *flow.m_stream;
     for (std::uint64_t expected = 1; !m_stopping; ++expected) {
         const Outcome<std::string> line = co_await stream.readLine(now() + c_feedSilenceLimit);
         if (!line) {
-            countBroken(stream);
+            countBroken(flow);
             co_return;
         }
         const Outcome<WorkAnswer> push = decodeAnswer(line.value());
         if (!push || push.value().m_id != id || push.value().m_number != expected) {
-            ++m_report.m_incompleteAnswers;
+            m_report.countIncomplete();
             co_return;
         }
         ++m_report.m_pushes;
-        checkOrigin(check, push.value());
+        checkOrigin(flow, service, push.value());
     }
 }
 
 asio::awaitable<void> CallersStandin::survey(const ServiceLoad& service)
 {
     ++m_active;
-    ++m_report.m_flows;
     const Endpoint caller = nextCaller();
     WorkRequest request = newRequest(service, WorkKind::Survey);
     request.m_answerBytes %= c_longestSurvey;
     request.m_bodyBytes = draw(c_longestSurvey);
     const std::string text = encodeRequest(request) + patternText(request.m_id, request.m_bodyBytes);
-    const std::shared_ptr<Flow> flow = std::make_shared<Flow>();
-    m_flows.emplace(caller, flow);
+    const std::shared_ptr<Flow> flow = newFlow(service, caller);
     std::array<std::byte, c_maximumInnerBytes> buffer;
     const std::span<const std::byte> packet = encodeDatagram(caller, service.m_address, text, buffer);
     for (unsigned attempt = 0; attempt < c_surveyTries && flow->m_datagram.empty() && !flow->m_unreachable; ++attempt) {
@@ -312,19 +322,19 @@
     const std::size_t lineEnd = flow->m_datagram.find('\n');
     if (lineEnd != std::string::npos) {
         const Outcome<WorkAnswer> answer = decodeAnswer(std::string_view { flow->m_datagram }.substr(0, lineEnd));
-        FlowCheck check { service, {} };
         if (answer && answer.value().m_id == request.m_id) {
-            checkOrigin(check, answer.value());
+            checkOrigin(*flow, service, answer.value());
             checkAnswer(request, answer.value(), std::string_view { flow->m_datagram }.substr(lineEnd + 1));
         } else {
-            ++m_report.m_incompleteAnswers;
+            m_report.countIncomplete();
         }
     } else if (flow->m_unreachable) {
-        ++m_report.m_refused;
+        m_report.countRefused();
         m_report.m_notRun.insert(request.m_id);
     } else {
-        ++m_report.m_brokenByTimeout;
+        m_report.countTimeout(flow->m_trace);
     }
+    m_report.m_marks.flowEnded(flow->m_trace);
     m_flows.erase(caller);
     --m_active;
     m_changed.notify();
@@ -340,6 +350,7 @@
     if (found == m_flows.end())
         return;
     const std::shared_ptr<Flow> flow = found->second;
+    flow->m_trace.m_progress = now();
     if (packet->m_kind == InnerKind::Tcp && flow->m_stream)
         flow->m_stream->deliver(packet->m_segment);
     else if (packet->m_kind == InnerKind::Udp)
@@ -358,11 +369,19 @@
         startLoads();
         co_return jsonResponse(http::status::ok, "{}");
     }
+    if (target.m_path.starts_with(c_markPath) && request.method() == http::verb::post)
+        co_return mark(std::string_view { target.m_path }.substr(c_markPath.size()));
     if (target.m_path == "/standin/finish" && request.method() == http::verb::post)
         co_return co_await finish();
     co_return errorResponse(http::status::not_found, "no such path");
 }
 
+HttpResponse CallersStandin::mark(std::string_view name)
+{
+    m_report.m_marks.mark(name, now(), unixMilliseconds());
+    return jsonResponse(http::status::ok, "{}");
+}
+
 asio::awaitable<HttpResponse> CallersStandin::finish()
 {
     m_stopping = true;
@@ -389,7 +408,8 @@
             continue;
         for (const json::value& record : parsed.as_object().at("records").as_array()) {
             const json::object& fields = record.as_object();
-            records.push_back({ std::string { fields.at("id").as_string() }, fields.at("idempotent").as_bool() });
+            records.push_back({ std::string { fields.at("id").as_string() }, fields.at("idempotent").as_bool(),
+                fields.at("started_unix_ms").as_int64() });
         }
     }
     m_report.compareWith(records);
--- a/src/standins/CallersStandin.h
+++ b/src/standins/CallersStandin.h
@@ -50,8 +50,9 @@
 
     CallersStandin(boost::asio::io_context& context, CallersOptions options);
 
-    /// POST /standin/start: begins to call. GET /standin/report: what was seen so far. POST /standin/finish: no new
-    /// flows, waits for the open ones, compares with the hosts' records and answers the final report.
+    /// POST /standin/start: begins to call. POST /standin/mark/NAME: a fault strikes now; the report tells faults apart
+    /// by such marks. GET /standin/report: what was seen so far. POST /standin/finish: no new flows, waits for the open
+    /// ones, compares with the hosts' records and answers the final report.
     boost::asio::awaitable<std::optional<HttpResponse>> handle(const HttpRequest& request) override;
     void takeDatagram(std::span<const std::byte> datagram, Endpoint from) override;
 
@@ -64,15 +65,10 @@
         std::shared_ptr<TcpStream> m_stream;
         std::string m_datagram;
         bool m_unreachable = false;
+        FlowTrace m_trace;
         Signal m_changed;
     };
 
-    /// What a flow learnt of the host that answers it.
-    struct FlowCheck {
-        const ServiceLoad& m_service;
-        std::string m_host; ///< of the first answer
-    };
-
     enum class Pace : std::uint8_t {
         Forms,
         Bookings,
@@ -84,22 +80,23 @@
     boost::asio::awaitable<void> generate(const ServiceLoad& service, Pace pace, double perSecond);
     boost::asio::awaitable<void> startFlow(const ServiceLoad& service, Pace pace);
     boost::asio::awaitable<void> holdFeed(const ServiceLoad& service);
-    boost::asio::awaitable<void> readFeed(TcpStream& stream, const ServiceLoad& service, std::string id);
+    boost::asio::awaitable<void> readFeed(Flow& flow, const ServiceLoad& service, std::string id);
     boost::asio::awaitable<void> callShort(const ServiceLoad& service, WorkKind kind);
     boost::asio::awaitable<void> upload(const ServiceLoad& service);
     boost::asio::awaitable<void> survey(const ServiceLoad& service);
     boost::asio::awaitable<void> exchange(const ServiceLoad& service, std::vector<WorkRequest> requests);
     boost::asio::awaitable<bool> readAnswers(
-        TcpStream& stream, const ServiceLoad& service, std::map<std::string, WorkRequest> waiting);
-    boost::asio::awaitable<bool> openStream(const std::shared_ptr<TcpStream>& stream, Endpoint caller);
-    boost::asio::awaitable<void> keepStream(std::shared_ptr<TcpStream> stream, Endpoint caller);
+        Flow& flow, const ServiceLoad& service, std::map<std::string, WorkRequest> waiting);
+    boost::asio::awaitable<bool> openFlow(const std::shared_ptr<Flow>& flow, Endpoint caller);
+    boost::asio::awaitable<void> keepFlow(std::shared_ptr<Flow> flow, Endpoint caller);
     boost::asio::awaitable<HttpResponse> finish();
     boost::asio::awaitable<void> compareWithHosts();
 
-    std::shared_ptr<TcpStream> newStream(const ServiceLoad& service, Endpoint caller);
-    void checkOrigin(FlowCheck& check, const WorkAnswer& answer);
+    HttpResponse mark(std::string_view name);
+    std::shared_ptr<Flow> newFlow(const ServiceLoad& service, Endpoint caller);
+    void checkOrigin(Flow& flow, const ServiceLoad& service, const WorkAnswer& answer);
     void checkAnswer(const WorkRequest& request, const WorkAnswer& answer, std::string_view body);
-    void countBroken(const TcpStream& stream);
+    void countBroken(const Flow& flow);
     Endpoint nextCaller();
     WorkRequest newRequest(const ServiceLoad& service, WorkKind kind);
     std::uint64_t draw(std::uint64_t below) { return m_random() % below; }
--- a/src/standins/HostStandin.cpp
+++ b/src/standins/HostStandin.cpp
@@ -100,7 +100,9 @@
 asio::awaitable<void> HostStandin::serveConnection(ConnectionKey key, std::shared_ptr<Connection> connection)
 {
     co_await connection->m_stream->run();
-    m_connections.erase(key);
+    const auto found = m_connections.find(key);
+    if (found != m_connections.end() && found->second == connection)
+        m_connections.erase(found);
 }
 
 asio::awaitable<void> HostStandin::readRequests(std::shared_ptr<Connection> connection)
@@ -168,6 +170,8 @@
     if (request.value().m_service != m_options.m_service)
         ++m_foreignRequests;
     const WorkStatus status = m_switches.m_drain ? WorkStatus::Shed : co_await m_work.run(request.value());
+    if (m_switches.m_silent)
+        co_return;
     WorkAnswer answer = answerTo(request.value(), status);
     answer.m_requestHash
         = hashOfBody(std::string_view { packet.m_payload }.substr(std::min(lineEnd + 1, packet.m_payload.size())));
@@ -231,6 +235,12 @@
         }));
 }
 
+void HostStandin::forgetConnections()
+{
+    for (const auto& [key, connection] : std::exchange(m_connections, {}))
+        connection->m_stream->abort();
+}
+
 HttpResponse HostStandin::setSwitches(std::string_view body)
 {
     constexpr std::array<std::string_view, 3> modes { "true", "idle", "unhealthy" };
@@ -240,6 +250,7 @@
         return errorResponse(http::status::bad_request, "expected a JSON object");
     HostSwitches switches = m_switches;
     bool shedding = m_work.isShedding();
+    bool forget = false;
     for (const json::key_value_pair& entry : parsed.as_object()) {
         const std::string_view key { entry.key().data(), entry.key().size() };
         const json::value& value = entry.value();
@@ -256,11 +267,15 @@
             switches.m_drain = value.as_bool();
         else if (key == "silent" && value.is_bool())
             switches.m_silent = value.as_bool();
+        else if (key == "forget" && value.is_bool())
+            forget = value.as_bool();
         else
             return errorResponse(http::status::bad_request, fmt::format("\"{}\" is no switch of that type", key));
     }
     m_switches = switches;
     m_work.setShedding(shedding);
+    if (forget)
+        forgetConnections();
     return jsonResponse(http::status::ok, "{}");
 }
 
--- a/src/standins/HostStandin.h
+++ b/src/standins/HostStandin.h
@@ -91,6 +91,8 @@
     boost::asio::awaitable<void> sampleLoad();
     WorkAnswer answerTo(const WorkRequest& request, WorkStatus status) const;
     std::optional<HttpResponse> load() const;
+    /// Loses all connections without a word, as a kernel does at a restart.
+    void forgetConnections();
     HttpResponse setSwitches(std::string_view body);
     std::string workText() const;
 
--- a/src/standins/StandinsTest.cpp
+++ b/src/standins/StandinsTest.cpp
@@ -194,6 +194,22 @@
         EXPECT_EQ(reported("broken"), 2);
     }
 
+    TEST_F(StandinsTest, hostForgetsItsConnectionsWithoutAWord)
+    {
+        startHostAndFabric({});
+        ServiceLoad load;
+        load.m_name = "kanteisha";
+        load.m_address = c_service;
+        load.m_feeds = 2;
+        startCallers(load);
+        runUntil("pushes", 4);
+        EXPECT_EQ(post(*m_callers, http::verb::post, "/standin/mark/restart-host").result_int(), 200U);
+        EXPECT_EQ(post(*m_host, http::verb::post, "/standin/switches", "{\"forget\":true}").result_int(), 200U);
+        const std::string work = post(*m_host, http::verb::get, "/standin/work").body();
+        EXPECT_NE(work.find("\"opened_connections\":2,\"open_connections\":0"), std::string::npos) << work;
+        EXPECT_EQ(reported("broken"), 0);
+    }
+
     TEST_F(StandinsTest, answersOfAnotherServiceAreCountedAsMisrouted)
     {
         startHostAndFabric({});
--- a/src/standins/TcpConnection.h
+++ b/src/standins/TcpConnection.h
@@ -55,6 +55,9 @@
     /// Ends the stream after what was written.
     void finish() { m_finishing = true; }
 
+    /// Drops the connection: no segment leaves any more, and the state is Reset.
+    void abort() { m_state = TcpState::Reset; }
+
     /// All segments that are due now: new data, acknowledgments and retransmissions.
     std::vector<Segment> takeSegments(Instant now);
 
--- a/src/standins/TcpStream.cpp
+++ b/src/standins/TcpStream.cpp
@@ -102,6 +102,12 @@
     m_changed.notify();
 }
 
+void TcpStream::abort()
+{
+    m_connection.abort();
+    m_changed.notify();
+}
+
 void TcpStream::finish()
 {
     m_connection.finish();
--- a/src/standins/TcpStream.h
+++ b/src/standins/TcpStream.h
@@ -50,6 +50,9 @@
     void write(std::string_view bytes);
     void finish();
 
+    /// Ends at once; the other side is not told.
+    void abort();
+
     TcpState state() const { return m_connection.state(); }
     bool hasFailed() const { return state() == TcpState::Reset || state() == TcpState::TimedOut; }
     bool hasEnded() const { return hasFailed() || state() == TcpState::Closed || m_connection.peerFinished(); }
