--- a/tools/lib/deployment.sh
+++ b/tools/lib/deployment.sh
@@ -1,14 +1,15 @@
 # shellcheck shell=sh
 # What tools/demo and tools/faults share: a small deployment on loopback, of stand-ins and entry VMs. The script that
-# sources this runs in the repository's root, has read its command line with read_seed and calls prepare_deployment.
+# sources this runs in the repository's root, has read its command line with read_words and calls prepare_deployment.
 
 usage_error() {
     echo "usage: $usage; N is a whole number" >&2
     exit 2
 }
-# read_seed WORDS...: sets $seed from [--seed N].
-read_seed() {
+# read_words WORDS...: sets $seed from [--seed N], and $words to the words that are no options.
+read_words() {
     seed=1
+    words=
     while [ $# -gt 0 ]; do
         case $1 in
         --seed)
@@ -20,7 +21,8 @@
             echo "usage: $usage"
             exit 0
             ;;
-        *) usage_error ;;
+        -*) usage_error ;;
+        *) words="$words $1" ;;
         esac
         case $seed in
         '' | *[!0-9]*) usage_error ;;
