standins: a backend server's TCP refuses what belongs to another handshake

The second backend server got an old copy of the opening and of the request, which acknowledged the first one's sequence number; a kernel answers that with a reset (RFC 9293, 3.10.7.4), the stand-in took the request. Its sequence numbers were alike on all hosts too, so that the check alone would sometimes have passed. Change: until its SYN is acknowledged, a passive end resets whatever acknowledges something else; initial sequence numbers differ from host to host. This is stricter to the system: a flow that is opened at two backend servers is now reset, and so counted as broken, where it merely ran on before.

--- a/src/standins/HostStandin.cpp
+++ b/src/standins/HostStandin.cpp
@@ -22,7 +22,6 @@
     constexpr Duration c_sampleInterval = std::chrono::milliseconds { 100 };
     constexpr std::size_t c_keptSamples = 600;
     constexpr Duration c_pendingLimit = std::chrono::seconds { 60 };
-    constexpr std::uint32_t c_initialSequenceStep = 64'000;
 
 } // namespace
 
@@ -47,6 +46,7 @@
     : m_context(context)
     , m_options(std::move(options))
     , m_work(m_options.m_work)
+    , m_random(static_cast<std::uint32_t>(std::hash<std::string> {}(m_options.m_name)))
 {
     m_work.setWarmFrom(now() + m_options.m_coldStart);
 }
@@ -87,9 +87,8 @@
 {
     ++m_openedConnections;
     m_lastOpenedUnixMs = unixMilliseconds();
-    m_nextInitialSequence += c_initialSequenceStep;
     std::shared_ptr<Connection> connection = std::make_shared<Connection>();
-    connection->m_stream = std::make_shared<TcpStream>(TcpConnection::passive(m_nextInitialSequence, syn),
+    connection->m_stream = std::make_shared<TcpStream>(TcpConnection::passive(m_random(), syn),
         std::make_unique<TunnelSink>(m_tunnel, m_options.m_answers, key.m_service, key.m_caller));
     connection->m_openedDraining = m_switches.m_drain;
     m_connections.emplace(key, connection);
--- a/src/standins/HostStandin.h
+++ b/src/standins/HostStandin.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace cuminrelay::standins {
@@ -107,7 +108,7 @@
     std::uint64_t m_resets = 0;
     std::uint64_t m_foreignRequests = 0; ///< asked for another service
     std::int64_t m_lastOpenedUnixMs = 0;
-    std::uint32_t m_nextInitialSequence = 1;
+    std::mt19937 m_random; ///< initial sequence numbers, which differ from host to host
 };
 
 } // namespace cuminrelay::standins
--- a/src/standins/TcpConnection.cpp
+++ b/src/standins/TcpConnection.cpp
@@ -1,6 +1,7 @@
 #include "standins/TcpConnection.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminrelay::standins {
 
@@ -85,6 +86,10 @@
             m_state = TcpState::Reset;
         return;
     }
+    if (isOldDuplicate(segment)) {
+        m_refusal = resetFor(segment);
+        return;
+    }
     if (segment.m_syn) {
         if (!m_peerKnown && segment.m_ack) {
             m_peerKnown = true;
@@ -107,6 +112,13 @@
         m_retransmitAt = now + c_firstRetransmission;
 }
 
+bool TcpConnection::isOldDuplicate(const Segment& segment) const
+{
+    // RFC 9293, 3.10.7.4: until its SYN is acknowledged, a passive end takes nothing that acknowledges something else.
+    return m_passive && m_state == TcpState::Opening && segment.m_ack
+        && segment.m_acknowledgment != static_cast<std::uint32_t>(m_initial + 1);
+}
+
 void TcpConnection::takeAcknowledgment(const Segment& segment)
 {
     const std::uint64_t acknowledged = unwrap(segment.m_acknowledgment, m_unacknowledged);
@@ -192,6 +204,8 @@
     std::vector<Segment> segments;
     if (m_state == TcpState::Reset || m_state == TcpState::TimedOut)
         return segments;
+    if (m_refusal)
+        segments.push_back(*std::exchange(m_refusal, std::nullopt));
     if (m_nextToSend > m_unacknowledged && now >= m_retransmitAt) {
         if (++m_tries > c_maximumTries) {
             m_state = TcpState::TimedOut;
--- a/src/standins/TcpConnection.h
+++ b/src/standins/TcpConnection.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,6 +79,7 @@
     void takeAcknowledgment(const Segment& segment);
     void takePayload(const Segment& segment);
     void acceptInOrder();
+    bool isOldDuplicate(const Segment& segment) const;
     void closeWhenDone();
     Segment segmentAt(std::uint64_t position) const;
     std::uint64_t endOfStream() const;
@@ -90,6 +92,7 @@
     bool m_peerFinished = false;
     bool m_acknowledgeNow = false;
     bool m_resendNow = false;
+    std::optional<Segment> m_refusal; ///< the reset that answers an old duplicate
 
     // Positions are 64 bits wide; the low 32 are the sequence numbers. The SYN is at m_initial.
     std::uint64_t m_initial = 0;
--- a/src/standins/TcpConnectionTest.cpp
+++ b/src/standins/TcpConnectionTest.cpp
@@ -161,6 +161,32 @@
         EXPECT_EQ(server.state(), TcpState::Reset);
     }
 
+    TEST(TcpConnection, dataOfAnEarlierConnectionIsResetUntilTheHandshakeIsComplete)
+    {
+        const Instant start { std::chrono::seconds { 1 } };
+        Segment syn;
+        syn.m_syn = true;
+        syn.m_sequence = 100;
+        TcpConnection server = TcpConnection::passive(5, syn);
+        server.takeSegments(start);
+        Segment data;
+        data.m_ack = true;
+        data.m_sequence = 101;
+        data.m_acknowledgment = 4711;
+        data.m_payload = "again";
+        server.receive(data, start);
+        EXPECT_EQ(server.readable(), "");
+        EXPECT_EQ(server.state(), TcpState::Opening);
+        const std::vector<Segment> refusal = server.takeSegments(start);
+        ASSERT_EQ(refusal.size(), 1U);
+        EXPECT_TRUE(refusal.front().m_reset);
+        EXPECT_EQ(refusal.front().m_sequence, 4711U);
+        data.m_acknowledgment = 6;
+        server.receive(data, start);
+        EXPECT_EQ(server.readable(), "again");
+        EXPECT_EQ(server.state(), TcpState::Established);
+    }
+
     TEST(TcpConnection, unknownSegmentIsAnsweredAsAKernelDoes)
     {
         Segment data;
