flows: what waited through a pause is dropped

Cause: an entry process that goes on after a freeze decided on the packets in its receive queues, seconds late. The successor had decided on later copies of them: an opening whose flow had ended since was opened again at another backend server, which resets the caller; a datagram whose copy had been refused was forwarded and run. Change: for 100 ms after a pause of more than a second is noticed, packets are dropped and counted as stale_after_pause; senders retransmit. A pause shorter than a second is not noticed and need not be: nobody takes over before 1.5 s.

--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -111,6 +111,11 @@
 {
     CR_ASSERT(packets.size() == verdicts.size(), "one verdict for each packet");
     notePause(now);
+    if (now < m_staleUntil) {
+        // Others have decided on copies of these packets; flows may have ended or have been refused meanwhile.
+        std::fill(verdicts.begin(), verdicts.end(), drop(Reason::StaleAfterPause));
+        return;
+    }
     for (std::size_t begin = 0; begin < packets.size(); begin += s_chunk) {
         const std::size_t size = std::min(s_chunk, packets.size() - begin);
         decideChunk(packets.subspan(begin, size), verdicts.subspan(begin, size), now);
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -165,6 +165,7 @@
     std::size_t m_settleShard = 0;
     std::size_t m_shardsToSettle = 0;
     Instant m_ranAt {}; ///< when a batch or a tick last ran; epoch before the first
+    Deadline m_staleUntil {}; ///< until then packets may have waited while this process did not run
     Instant m_cutSince {}; ///< since when some zone is cut off; epoch when none is
     Deadline m_cutOverAt {}; ///< when a cut that has ended is forgotten; epoch while none has
     OwnerMap m_beyondCut; ///< who owns what on the other side of a cut
--- a/src/flows/FlowRouterBuckets.cpp
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -11,6 +11,9 @@
     /// A process that was not run for so long treats what it holds as old.
     constexpr Duration c_pauseTolerance = std::chrono::seconds { 1 };
 
+    /// Longer than a full receive queue takes to be emptied after a pause.
+    constexpr Duration c_queueDrain = std::chrono::milliseconds { 100 };
+
     /// How long a handed-over bucket stays with a member that the view does not confirm.
     constexpr Duration c_handoverGrace = std::chrono::seconds { 5 };
 
@@ -286,6 +289,7 @@
     m_ranAt = now;
     if (!paused)
         return;
+    m_staleUntil = now + c_queueDrain;
     for (std::size_t index = 0; index < c_bucketCount; ++index) {
         const Bucket bucket = static_cast<Bucket>(index);
         const Endpoint standIn = successor(bucket);
--- a/src/flows/FlowRouterTest.cpp
+++ b/src/flows/FlowRouterTest.cpp
@@ -285,6 +285,25 @@
         EXPECT_EQ(fleet.send(0, packetOf(1, PacketKind::Midstream)).m_backend, opened.m_backend);
     }
 
+    TEST(FlowRouter, aPacketThatWaitedThroughAPauseIsDropped)
+    {
+        Fleet fleet { 2 };
+        PacketSummary refused = packetOf(1, PacketKind::Datagram);
+        refused.m_flow.m_protocol = Protocol::Udp;
+        const std::size_t paused = fleet.ownerOf(refused.m_flow);
+        // The owner does not run; the other VM takes over and refuses a copy of the datagram.
+        fleet.m_now += std::chrono::seconds { 3 };
+        const Verdict late = fleet.send(paused, refused);
+        EXPECT_EQ(late.m_kind, VerdictKind::Drop);
+        EXPECT_EQ(late.m_reason, Reason::StaleAfterPause);
+        fleet.m_now += std::chrono::milliseconds { 50 };
+        fleet.vm(paused).m_router->tick(fleet.m_now);
+        EXPECT_EQ(fleet.send(paused, refused).m_reason, Reason::StaleAfterPause);
+        // What arrives once the queue is empty is decided.
+        fleet.settle();
+        EXPECT_NE(fleet.send(paused, refused).m_reason, Reason::StaleAfterPause);
+    }
+
     TEST(FlowRouter, anUnknownServiceIsDroppedByReason)
     {
         Fleet fleet { 1 };
--- a/src/flows/Packet.cpp
+++ b/src/flows/Packet.cpp
@@ -41,6 +41,8 @@
         return "flow_table_full";
     case Reason::SilentConnection:
         return "silent_connection";
+    case Reason::StaleAfterPause:
+        return "stale_after_pause";
     case Reason::NotMember:
         return "not_member";
     case Reason::Malformed:
--- a/src/flows/Packet.h
+++ b/src/flows/Packet.h
@@ -79,6 +79,7 @@
     AdmissionShare, ///< this VM's even share of the free capacity is used up
     FlowTableFull,
     SilentConnection,
+    StaleAfterPause, ///< it may have waited while this process did not run
     NotMember, ///< from an address that is in no current or previous view
     Malformed,
     Fragment,
