attempts: a request repeated through another front end is never reported as not run

Cause: a caller whose entry VM died, or that lost patience, repeats its request under the same identity through another entry VM, whose ledger does not know it: it ran again, or was reported as not run although the first front end had run it. A repeat of a request that was remembered and over was dropped, so that its caller heard nothing. Change: Request::m_isRepeat, which the caller sets. A repeat runs only if it is idempotent; otherwise its outcome is reported unknown, with the reason repeated_elsewhere. Nothing that was repeated is reported as not run. A repeat of a remembered request that is over is reported unknown. A caller that repeats without the mark is not protected; no front end can tell its request from a new one.

--- a/src/attempts/Attempt.cpp
+++ b/src/attempts/Attempt.cpp
@@ -9,6 +9,8 @@
         return "none";
     case AttemptReason::DuplicateRequest:
         return "duplicate_request";
+    case AttemptReason::RepeatedElsewhere:
+        return "repeated_elsewhere";
     case AttemptReason::LedgerFull:
         return "ledger_full";
     case AttemptReason::DeadlinePassed:
--- a/src/attempts/Attempt.h
+++ b/src/attempts/Attempt.h
@@ -23,6 +23,9 @@
     RequestId m_id;
     Deadline m_deadline {}; ///< no attempt starts at or after it
     bool m_isIdempotent = false; ///< running it twice does no harm
+
+    /// The caller sent it before, through another front end, and does not know what became of it there.
+    bool m_isRepeat = false;
 };
 
 /// One attempt to run a request. Travels with the request to the backend server and back with its answer.
@@ -48,6 +51,7 @@
 enum class AttemptReason : std::uint8_t {
     None,
     DuplicateRequest, ///< a request with this identity is remembered; it is not run again
+    RepeatedElsewhere, ///< the caller repeats a request that another front end may have run, and it is not idempotent
     LedgerFull, ///< refused before anything ran
     DeadlinePassed,
     Cancelled, ///< by the caller
--- a/src/attempts/AttemptLedger.cpp
+++ b/src/attempts/AttemptLedger.cpp
@@ -30,6 +30,8 @@
 
 bool AttemptLedger::Entry::mayHaveRun() const
 {
+    if (m_request.m_isRepeat)
+        return true;
     const auto end = m_attempts.begin() + m_attemptCount;
     return std::any_of(m_attempts.begin(), end, [](const AttemptRecord& record) {
         return isInFlight(record.m_state) || record.m_state == AttemptState::Unknown
@@ -40,16 +42,13 @@
 AttemptDecision AttemptLedger::open(const Request& request, Instant now)
 {
     const AttemptId first { request.m_id, 0 };
-    if (m_entries.contains(request.m_id.m_value))
-        return drop(first, AttemptReason::DuplicateRequest);
-    AttemptReason obstacle = AttemptReason::None;
-    if (m_entries.size() >= m_parameters.m_capacity)
-        obstacle = AttemptReason::LedgerFull;
-    else if (now >= request.m_deadline)
-        obstacle = AttemptReason::DeadlinePassed;
-    if (obstacle != AttemptReason::None) {
-        count(m_refusals, obstacle);
-        return { AttemptDirective::ReportNotRun, obstacle, first, {} };
+    if (Entry* const entry = find(request.m_id))
+        return openAgain(*entry, request);
+    if (const AttemptReason obstacle = obstacleToOpen(request, now); obstacle != AttemptReason::None) {
+        count(request.m_isRepeat ? m_unknowns : m_refusals, obstacle);
+        const AttemptDirective report
+            = request.m_isRepeat ? AttemptDirective::ReportUnknown : AttemptDirective::ReportNotRun;
+        return { report, obstacle, first, {} };
     }
     m_budget.deposit();
     Entry& entry = m_entries[request.m_id.m_value];
@@ -59,6 +58,18 @@
     return { AttemptDirective::Hand, AttemptReason::None, first, {} };
 }
 
+AttemptDecision AttemptLedger::openAgain(Entry& entry, const Request& request)
+{
+    if (!request.m_isRepeat)
+        return drop(entry.currentId(), AttemptReason::DuplicateRequest);
+    // From now on, another front end may have run it.
+    entry.m_request.m_isRepeat = true;
+    if (!entry.m_isOver)
+        return drop(entry.currentId(), AttemptReason::DuplicateRequest);
+    count(m_unknowns, AttemptReason::DuplicateRequest);
+    return { AttemptDirective::ReportUnknown, AttemptReason::DuplicateRequest, entry.currentId(), {} };
+}
+
 AttemptDecision AttemptLedger::hand(RequestId request, Endpoint backend, Instant now)
 {
     Entry* const entry = find(request);
@@ -218,6 +229,17 @@
     return handAgainOrEnd(*find(attempt.m_request), why, now);
 }
 
+AttemptReason AttemptLedger::obstacleToOpen(const Request& request, Instant now) const
+{
+    if (request.m_isRepeat && !request.m_isIdempotent)
+        return AttemptReason::RepeatedElsewhere;
+    if (m_entries.size() >= m_parameters.m_capacity)
+        return AttemptReason::LedgerFull;
+    if (now >= request.m_deadline)
+        return AttemptReason::DeadlinePassed;
+    return AttemptReason::None;
+}
+
 AttemptReason AttemptLedger::obstacleToRetry(const Entry& entry, Instant now)
 {
     if (entry.m_isCancelled)
--- a/src/attempts/AttemptLedger.h
+++ b/src/attempts/AttemptLedger.h
@@ -22,6 +22,8 @@
 ///   opening exchange, or shed with proof. Idempotent requests may also be repeated after an unknown attempt, if the
 ///   parameters say so.
 /// - Not-run is reported only when every attempt is proved not to have run; otherwise the outcome is unknown.
+/// - A request that its caller repeats through this front end may have run through another one: it is run only if it is
+///   idempotent, and never reported as not run.
 /// - An answer counts only for the attempt that it names and from the backend server that this was handed to.
 /// - A request's identity is remembered for a while after its end, so that a repeated one is not run again. When the
 ///   ledger is full, new requests are refused; nothing is forgotten early.
@@ -47,7 +49,9 @@
     explicit AttemptLedger(const Parameters& parameters);
 
     /// Takes a new request: Hand, or ReportNotRun when the ledger is full or the deadline has passed, or Drop for an
-    /// identity that is remembered.
+    /// identity that is remembered. ReportUnknown instead of ReportNotRun for a repeat; also for one that is not
+    /// idempotent, and for one of a request that is remembered and over. A repeat of one that is not over is dropped:
+    /// its caller is told when the outcome is known.
     AttemptDecision open(const Request& request, Instant now);
 
     /// Call right before the request is sent to a backend server. Wait means: send it, as m_attempt. ReportNotRun or
@@ -118,10 +122,12 @@
     using WakeupQueue = std::priority_queue<Wakeup, std::vector<Wakeup>, std::greater<>>;
 
     Entry* find(RequestId request);
+    AttemptDecision openAgain(Entry& entry, const Request& request);
     AttemptRecord* findHanded(AttemptId attempt, Endpoint backend, AttemptDecision& failure);
     AttemptDecision handAgainOrEnd(Entry& entry, AttemptReason why, Instant now);
     AttemptDecision proveNotRun(
         AttemptId attempt, AttemptRecord& record, AttemptState proof, AttemptReason why, Instant now);
+    AttemptReason obstacleToOpen(const Request& request, Instant now) const;
     AttemptReason obstacleToRetry(const Entry& entry, Instant now);
     AttemptDecision end(Entry& entry, AttemptReason why);
     AttemptDecision drop(AttemptId attempt, AttemptReason why);
--- a/src/attempts/AttemptLedgerTest.cpp
+++ b/src/attempts/AttemptLedgerTest.cpp
@@ -253,6 +253,38 @@
         EXPECT_EQ(ledger.expire(decisions, c_deadline), 1);
     }
 
+    Request repeatOf(RequestId id, bool isIdempotent)
+    {
+        return { id, c_deadline, isIdempotent, true };
+    }
+
+    TEST(RepeatedRequest, isNotRunUnlessItIsIdempotent)
+    {
+        AttemptLedger ledger;
+        const AttemptDecision decision = ledger.open(repeatOf(c_claim, false), c_start);
+        EXPECT_EQ(decision.m_directive, AttemptDirective::ReportUnknown);
+        EXPECT_EQ(countOf(ledger.unknowns(), AttemptReason::RepeatedElsewhere), 1);
+        EXPECT_EQ(ledger.open(repeatOf(c_claim, true), c_start).m_directive, AttemptDirective::Hand);
+    }
+
+    TEST(RepeatedRequest, isNeverReportedAsNotRun)
+    {
+        AttemptLedger ledger;
+        EXPECT_EQ(ledger.open(repeatOf({ 1 }, true), c_deadline).m_directive, AttemptDirective::ReportUnknown);
+        ledger.open(repeatOf({ 2 }, true), c_start);
+        EXPECT_EQ(ledger.cancel({ 2 }).m_directive, AttemptDirective::ReportUnknown);
+    }
+
+    TEST_F(HandedRequest, repeatedAfterAnotherFrontEndHadItIsToldOnceTheOutcomeIsKnown)
+    {
+        EXPECT_EQ(m_ledger.open(repeatOf(c_claim, false), c_start).m_directive, AttemptDirective::Drop);
+        m_ledger.cancel(c_claim);
+        EXPECT_EQ(m_ledger.noteRefused(m_attempt, c_first, c_start).m_directive, AttemptDirective::ReportUnknown);
+        const AttemptDecision again = m_ledger.open(repeatOf(c_claim, false), c_start);
+        EXPECT_EQ(again.m_directive, AttemptDirective::ReportUnknown);
+        EXPECT_EQ(again.m_reason, AttemptReason::DuplicateRequest);
+    }
+
     TEST(AttemptLedger, eachReasonHasItsOwnName)
     {
         for (std::size_t i = 0; i + 1 < static_cast<std::size_t>(AttemptReason::Count); ++i)
