bench: every fault at every step of an attempt

Cause: the fault matrix played faults against flows only; the slice attempts was driven by nothing but its own tests. A front end must ask the ledger before admission, else a copy of a request that admission refused may run; AttemptFrontEnd does so.

--- /dev/null
+++ b/src/bench/AttemptDecider.cpp
@@ -0,0 +1,134 @@
+#include "bench/AttemptDecider.h"
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr Duration c_retryTimeout = std::chrono::milliseconds { 300 };
+    constexpr std::uint8_t c_mostRetries = 8;
+
+} // namespace
+
+AttemptDecision LedgerDecider::open(const Request& request, Instant now)
+{
+    return m_ledger.open(request, now);
+}
+
+AttemptDecision LedgerDecider::hand(RequestId request, Endpoint backend, Instant now)
+{
+    return m_ledger.hand(request, backend, now);
+}
+
+AttemptDecision LedgerDecider::noteAccepted(const AttemptEvent& event)
+{
+    return m_ledger.noteAccepted(event.m_named, event.m_backend);
+}
+
+AttemptDecision LedgerDecider::noteRefused(const AttemptEvent& event, Instant now)
+{
+    return m_ledger.noteRefused(event.m_named, event.m_backend, now);
+}
+
+AttemptDecision LedgerDecider::noteShed(const AttemptEvent& event, Instant now)
+{
+    return m_ledger.noteShed(event.m_named, event.m_backend, now);
+}
+
+AttemptDecision LedgerDecider::noteAnswered(const AttemptEvent& event, bool isWhole, Instant now)
+{
+    if (!isWhole)
+        return m_ledger.noteLost(event.m_connection, event.m_backend, now);
+    return m_ledger.noteAnswered(event.m_named, event.m_backend);
+}
+
+AttemptDecision LedgerDecider::noteLost(const AttemptEvent& event, Instant now)
+{
+    return m_ledger.noteLost(event.m_connection, event.m_backend, now);
+}
+
+AttemptDecision LedgerDecider::cancel(RequestId request)
+{
+    return m_ledger.cancel(request);
+}
+
+std::size_t LedgerDecider::expire(std::span<AttemptDecision> decisions, Instant now)
+{
+    return m_ledger.expire(decisions, now);
+}
+
+AttemptDecision RetryOnTimeoutDecider::open(const Request& request, Instant now)
+{
+    m_open[request.m_id] = { request, 0, now + c_retryTimeout };
+    return { AttemptDirective::Hand, AttemptReason::None, { request.m_id, 0 }, {} };
+}
+
+AttemptDecision RetryOnTimeoutDecider::hand(RequestId request, Endpoint, Instant)
+{
+    const auto found = m_open.find(request);
+    if (found == m_open.end())
+        return { AttemptDirective::Drop, AttemptReason::UnknownRequest, { request, 0 }, {} };
+    return { AttemptDirective::Wait, AttemptReason::None, { request, found->second.m_number }, {} };
+}
+
+AttemptDecision RetryOnTimeoutDecider::noteAccepted(const AttemptEvent& event)
+{
+    return { AttemptDirective::Wait, AttemptReason::None, event.m_connection, {} };
+}
+
+AttemptDecision RetryOnTimeoutDecider::noteRefused(const AttemptEvent& event, Instant now)
+{
+    return handAgain(event.m_connection.m_request, now);
+}
+
+AttemptDecision RetryOnTimeoutDecider::noteShed(const AttemptEvent& event, Instant now)
+{
+    return handAgain(event.m_connection.m_request, now);
+}
+
+AttemptDecision RetryOnTimeoutDecider::noteAnswered(const AttemptEvent& event, bool, Instant)
+{
+    if (m_open.erase(event.m_connection.m_request) == 0)
+        return { AttemptDirective::Drop, AttemptReason::LateAnswer, event.m_connection, {} };
+    return { AttemptDirective::Deliver, AttemptReason::None, event.m_connection, {} };
+}
+
+AttemptDecision RetryOnTimeoutDecider::noteLost(const AttemptEvent& event, Instant now)
+{
+    return handAgain(event.m_connection.m_request, now);
+}
+
+AttemptDecision RetryOnTimeoutDecider::cancel(RequestId request)
+{
+    m_open.erase(request);
+    return { AttemptDirective::ReportNotRun, AttemptReason::Cancelled, { request, 0 }, {} };
+}
+
+std::size_t RetryOnTimeoutDecider::expire(std::span<AttemptDecision> decisions, Instant now)
+{
+    std::size_t written = 0;
+    for (auto position = m_open.begin(); position != m_open.end() && written < decisions.size();) {
+        Open& open = position->second;
+        if (now >= open.m_request.m_deadline) {
+            decisions[written++] = { AttemptDirective::ReportNotRun, AttemptReason::DeadlinePassed,
+                { open.m_request.m_id, open.m_number }, {} };
+            position = m_open.erase(position);
+            continue;
+        }
+        if (now >= open.m_retryAt && open.m_number < c_mostRetries)
+            decisions[written++] = handAgain(open.m_request.m_id, now);
+        ++position;
+    }
+    return written;
+}
+
+AttemptDecision RetryOnTimeoutDecider::handAgain(RequestId request, Instant now)
+{
+    const auto found = m_open.find(request);
+    if (found == m_open.end() || found->second.m_number >= c_mostRetries)
+        return { AttemptDirective::Wait, AttemptReason::None, { request, 0 }, {} };
+    ++found->second.m_number;
+    found->second.m_retryAt = now + c_retryTimeout;
+    return { AttemptDirective::Hand, AttemptReason::None, { request, found->second.m_number }, {} };
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/AttemptExperimentTest.cpp
@@ -0,0 +1,81 @@
+#include "bench/AttemptExperiment.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr std::uint64_t c_seed = 20261204;
+
+    template <typename Decider, typename... Arguments>
+    AttemptExperimentSettings settingsFor(AttemptFault fault, AttemptStep step, Arguments... arguments)
+    {
+        AttemptExperimentSettings settings;
+        settings.m_seed = c_seed;
+        settings.m_strikes = { { fault, step } };
+        settings.m_makeDecider = [arguments...] { return std::make_unique<Decider>(arguments...); };
+        return settings;
+    }
+
+    AttemptExperimentSettings productFor(AttemptFault fault, AttemptStep step)
+    {
+        AttemptLedger::Parameters parameters;
+        parameters.m_repeatsUnknownIdempotent = true;
+        return settingsFor<LedgerDecider>(fault, step, parameters);
+    }
+
+    TEST(AttemptExperiment, withoutAFaultNearlyAllAreAnsweredAndNoneIsUnknown)
+    {
+        const AttemptExperimentResult result
+            = AttemptExperiment { productFor(AttemptFault::None, AttemptStep::Queued) }.run();
+        EXPECT_EQ(result.violations(), 0);
+        // Callers that lose patience and repeat a request elsewhere hear that its outcome is unknown.
+        EXPECT_LT(result.m_reportedUnknown * 100, result.m_requests);
+        EXPECT_GT(result.m_answered * 100, result.m_requests * 98);
+    }
+
+    TEST(AttemptExperiment, isTheSameForTheSameSeed)
+    {
+        const AttemptExperimentSettings settings = productFor(AttemptFault::LosePackets, AttemptStep::Running);
+        const AttemptExperimentResult one = AttemptExperiment { settings }.run();
+        const AttemptExperimentResult other = AttemptExperiment { settings }.run();
+        EXPECT_EQ(one.m_answered, other.m_answered);
+        EXPECT_EQ(one.m_reportedUnknown, other.m_reportedUnknown);
+    }
+
+    TEST(AttemptExperiment, retryingOnTimeoutBreaksThePromises)
+    {
+        const AttemptExperimentResult lost
+            = AttemptExperiment { settingsFor<RetryOnTimeoutDecider>(AttemptFault::LosePackets, AttemptStep::Handed) }
+                  .run();
+        EXPECT_GT(lost.m_ranTwice, 0);
+        EXPECT_GT(lost.m_refusedButRan, 0);
+        EXPECT_GT(lost.m_retriesOverBudget, 0);
+        const AttemptExperimentResult crossed
+            = AttemptExperiment { settingsFor<RetryOnTimeoutDecider>(AttemptFault::CrossAnswers, AttemptStep::Running) }
+                  .run();
+        EXPECT_GT(crossed.m_wrongAnswers, 0);
+        const AttemptExperimentResult paused
+            = AttemptExperiment { settingsFor<RetryOnTimeoutDecider>(AttemptFault::PauseVm, AttemptStep::Queued) }
+                  .run();
+        EXPECT_GT(paused.m_startedLate, 0);
+    }
+
+    TEST(AttemptExperiment, aRepeatThatIsNotMarkedRunsTwice)
+    {
+        AttemptExperimentSettings settings = productFor(AttemptFault::CrossAnswers, AttemptStep::Queued);
+        EXPECT_EQ(AttemptExperiment { settings }.run().violations(), 0);
+        settings.m_marksRepeats = false;
+        EXPECT_GT(AttemptExperiment { settings }.run().m_ranTwice, 0);
+    }
+
+    TEST(AttemptExperiment, aDrainThatNobodyIsToldOfIsNoticed)
+    {
+        AttemptExperimentSettings settings = productFor(AttemptFault::DrainBackend, AttemptStep::Accepted);
+        EXPECT_EQ(AttemptExperiment { settings }.run().m_workAfterDrain, 0);
+        settings.m_tellsDrains = false;
+        EXPECT_GT(AttemptExperiment { settings }.run().m_workAfterDrain, 0);
+    }
+
+} // namespace
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/AttemptFrontEnd.cpp
@@ -0,0 +1,158 @@
+#include "bench/AttemptFrontEnd.h"
+
+#include "base/Hash.h"
+
+#include <array>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::uint32_t c_connectionLimit = 2000;
+    constexpr std::size_t c_frontEnds = 2;
+    constexpr std::size_t c_expiredAtOnce = 64;
+    constexpr std::uint64_t c_placementSeed = 0x617474656d707473;
+    // Backend servers are past their cold start when a run begins.
+    constexpr Instant c_declaredAt { -std::chrono::hours { 1 } };
+
+    /// From the decision to hand a request until it is sent.
+    constexpr Duration c_handing = std::chrono::microseconds { 500 };
+
+} // namespace
+
+AttemptFrontEnd::AttemptFrontEnd(VmIndex vm, std::uint64_t process, std::unique_ptr<AttemptDecider> decider,
+    std::span<const Endpoint> backends, const Timeline& timeline, AttemptNetwork& network)
+    : m_vm(vm)
+    , m_process(process)
+    , m_decider(std::move(decider))
+    , m_backends(backends.begin(), backends.end())
+    , m_timeline(timeline)
+    , m_network(network)
+{
+    m_board.setOwnerCount(c_frontEnds);
+    std::vector<ProbedBackend> probed;
+    for (const Endpoint backend : m_backends) {
+        m_board.declare(backend, AttemptServer::s_slots, c_connectionLimit, false, c_declaredAt);
+        probed.push_back({ backend, "asahikawa-a" });
+    }
+    m_health.assign(probed);
+}
+
+void AttemptFrontEnd::receive(const Request& request, CallerConnection connection)
+{
+    m_connections[request.m_id] = connection;
+    const AttemptDecision opened = m_decider->open(request, m_timeline.now());
+    if (opened.m_directive != AttemptDirective::Hand) {
+        carryOut(opened, nullptr);
+        return;
+    }
+    m_deadlines[request.m_id] = request.m_deadline;
+    // The ledger is asked first: a copy of a request that admission refuses must not run later.
+    if (m_admission.admit(m_backends, m_board, c_frontEnds, m_timeline.now()) != Admission::Admitted) {
+        cancel(request.m_id);
+        return;
+    }
+    carryOut(opened, nullptr);
+}
+
+void AttemptFrontEnd::receive(const ServerMessage& message)
+{
+    if (message.m_kind == ServerMessage::Kind::Accepted)
+        m_board.noteProven(message.m_connection.m_backend);
+    carryOut(decide(message), &message);
+}
+
+AttemptDecision AttemptFrontEnd::decide(const ServerMessage& message)
+{
+    const AttemptEvent event { message.m_named, message.m_connection.m_attempt, message.m_connection.m_backend };
+    switch (message.m_kind) {
+    case ServerMessage::Kind::Accepted:
+        return m_decider->noteAccepted(event);
+    case ServerMessage::Kind::Refused:
+        return m_decider->noteRefused(event, m_timeline.now());
+    case ServerMessage::Kind::Shed:
+        return m_decider->noteShed(event, m_timeline.now());
+    case ServerMessage::Kind::Answer:
+        return m_decider->noteAnswered(event, message.m_isWhole, m_timeline.now());
+    case ServerMessage::Kind::Lost:
+        break;
+    }
+    return m_decider->noteLost(event, m_timeline.now());
+}
+
+void AttemptFrontEnd::carryOut(const AttemptDecision& decision, const ServerMessage* answer)
+{
+    if (decision.m_cancelAt != Endpoint {})
+        m_network.sendCancel(decision.m_attempt, decision.m_cancelAt);
+    const RequestId request = decision.m_attempt.m_request;
+    switch (decision.m_directive) {
+    case AttemptDirective::Wait:
+    case AttemptDirective::Drop:
+        return;
+    case AttemptDirective::Hand:
+        close(request);
+        m_network.wakeLater(m_vm, c_handing, [this, request] { hand(request); });
+        m_network.noteQueued(m_vm, request);
+        return;
+    case AttemptDirective::Deliver:
+    case AttemptDirective::ReportNotRun:
+    case AttemptDirective::ReportUnknown:
+        close(request);
+        m_network.tell(m_connections[request], decision, answer);
+        return;
+    }
+}
+
+void AttemptFrontEnd::hand(RequestId request)
+{
+    const Instant now = m_timeline.now();
+    const std::uint64_t hash = hashPair(request.m_value, c_placementSeed);
+    const Endpoint preferred = m_backends[hash % m_backends.size()];
+    const std::optional<Endpoint> chosen = m_placement.choose({ m_backends, preferred, hash }, m_board, now);
+    if (!chosen) {
+        cancel(request);
+        return;
+    }
+    const AttemptDecision decision = m_decider->hand(request, *chosen, now);
+    if (decision.m_directive != AttemptDirective::Wait) {
+        carryOut(decision, nullptr);
+        return;
+    }
+    m_board.noteOpened(*chosen, now);
+    m_placed[request] = *chosen;
+    m_network.send({ decision.m_attempt, *chosen, m_deadlines[request], now, m_vm, m_process });
+}
+
+void AttemptFrontEnd::close(RequestId request)
+{
+    const auto found = m_placed.find(request);
+    if (found == m_placed.end())
+        return;
+    m_board.noteClosed(found->second, false, m_timeline.now());
+    m_placed.erase(found);
+}
+
+void AttemptFrontEnd::noteProbe(Endpoint backend, ProbeSignal signal, BackendReport report)
+{
+    m_health.note(backend, signal, m_timeline.now());
+    report.m_health = m_health.health(backend);
+    m_board.apply(report);
+}
+
+void AttemptFrontEnd::declare(Endpoint backend, bool isDraining)
+{
+    m_board.declare(backend, AttemptServer::s_slots, c_connectionLimit, isDraining, m_timeline.now());
+}
+
+void AttemptFrontEnd::tick()
+{
+    std::array<AttemptDecision, c_expiredAtOnce> decisions {};
+    std::size_t count = decisions.size();
+    while (count == decisions.size()) {
+        count = m_decider->expire(decisions, m_timeline.now());
+        for (const AttemptDecision& decision : std::span { decisions }.first(count))
+            carryOut(decision, nullptr);
+    }
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/AttemptMatrix.cpp
@@ -0,0 +1,140 @@
+#include "bench/AttemptMatrix.h"
+
+#include <fmt/format.h>
+#include <oneapi/tbb/parallel_for.h>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::size_t c_faultCount = static_cast<std::size_t>(AttemptFault::Count);
+    constexpr std::size_t c_stepCount = static_cast<std::size_t>(AttemptStep::Count);
+
+    std::unique_ptr<AttemptDecider> makeDecider(AttemptDesign design)
+    {
+        if (design == AttemptDesign::RetryOnTimeout)
+            return std::make_unique<RetryOnTimeoutDecider>();
+        AttemptLedger::Parameters parameters;
+        parameters.m_repeatsUnknownIdempotent = true;
+        return std::make_unique<LedgerDecider>(parameters);
+    }
+
+    void planPairs(std::vector<AttemptRun>& runs, const AttemptStrike& first, std::uint64_t seed)
+    {
+        const std::size_t firstStep = static_cast<std::size_t>(first.m_step);
+        for (std::size_t step = firstStep + 1; step < c_stepCount; ++step) {
+            for (std::size_t fault = 1; fault < c_faultCount; ++fault) {
+                const AttemptStrike second { static_cast<AttemptFault>(fault), static_cast<AttemptStep>(step) };
+                runs.push_back({ seed + runs.size(), { first, second }, {} });
+            }
+        }
+    }
+
+    std::vector<AttemptRun> planRuns(const AttemptMatrixSettings& settings)
+    {
+        constexpr std::uint64_t seedStride = 1'000'000;
+        const std::uint64_t seed = settings.m_seed * seedStride;
+        std::vector<AttemptRun> runs;
+        for (std::size_t fault = 0; fault < c_faultCount; ++fault) {
+            for (std::size_t step = 0; step < c_stepCount; ++step) {
+                const AttemptStrike first { static_cast<AttemptFault>(fault), static_cast<AttemptStep>(step) };
+                for (unsigned repeat = 0; repeat < settings.m_repeats; ++repeat)
+                    runs.push_back({ seed + runs.size(), { first }, {} });
+                if (settings.m_pairs && first.m_fault != AttemptFault::None)
+                    planPairs(runs, first, seed);
+            }
+        }
+        return runs;
+    }
+
+    std::string runName(const AttemptRun& run)
+    {
+        std::string name;
+        for (const AttemptStrike& strike : run.m_strikes)
+            name += fmt::format("{}{} at {}", name.empty() ? "" : " then ", attemptFaultName(strike.m_fault),
+                attemptStepName(strike.m_step));
+        return name;
+    }
+
+    std::string describe(const AttemptExperimentResult& result)
+    {
+        return fmt::format("ran twice {}, refused but ran {}, wrong answers {}, started late {}, work after drain {}, "
+                           "retries over budget {}, never told {}",
+            result.m_ranTwice, result.m_refusedButRan, result.m_wrongAnswers, result.m_startedLate,
+            result.m_workAfterDrain, result.m_retriesOverBudget, result.m_untold);
+    }
+
+    std::string cell(std::span<const AttemptRun> runs, AttemptFault fault, AttemptStep step)
+    {
+        std::size_t count = 0;
+        std::uint64_t broken = 0;
+        for (const AttemptRun& run : runs) {
+            const AttemptStrike& first = run.m_strikes.front();
+            if (first.m_fault != fault || first.m_step != step || !run.struckAll())
+                continue;
+            ++count;
+            broken += run.m_result.violations() > 0 ? 1 : 0;
+        }
+        return fmt::format("{}/{}", broken, count);
+    }
+
+    std::string reportTable(std::span<const AttemptRun> runs)
+    {
+        std::string text = fmt::format("{:<22}", "broke a promise/runs");
+        for (std::size_t step = 0; step < c_stepCount; ++step)
+            text += fmt::format(" {:>11}", attemptStepName(static_cast<AttemptStep>(step)));
+        text += '\n';
+        for (std::size_t fault = 0; fault < c_faultCount; ++fault) {
+            text += fmt::format("{:<22}", attemptFaultName(static_cast<AttemptFault>(fault)));
+            for (std::size_t step = 0; step < c_stepCount; ++step)
+                text += fmt::format(
+                    " {:>11}", cell(runs, static_cast<AttemptFault>(fault), static_cast<AttemptStep>(step)));
+            text += '\n';
+        }
+        return text;
+    }
+
+    std::string reportJson(std::span<const AttemptRun> runs)
+    {
+        std::string text;
+        for (const AttemptRun& run : runs) {
+            const AttemptExperimentResult& result = run.m_result;
+            text
+                += fmt::format("{{\"run\":\"{}\",\"seed\":{},\"struck\":{},\"requests\":{},\"answered\":{},\"not_run\":"
+                               "{},\"unknown\":{},\"violations\":{}}}\n",
+                    runName(run), run.m_seed, result.m_struck, result.m_requests, result.m_answered,
+                    result.m_reportedNotRun, result.m_reportedUnknown, result.violations());
+        }
+        return text;
+    }
+
+} // namespace
+
+std::vector<AttemptRun> runAttemptMatrix(const AttemptMatrixSettings& settings)
+{
+    std::vector<AttemptRun> runs = planRuns(settings);
+    tbb::parallel_for(std::size_t { 0 }, runs.size(), [&](std::size_t i) {
+        AttemptExperimentSettings experiment;
+        experiment.m_seed = runs[i].m_seed;
+        experiment.m_strikes = runs[i].m_strikes;
+        experiment.m_makeDecider = [design = settings.m_design] { return makeDecider(design); };
+        runs[i].m_result = AttemptExperiment { experiment }.run();
+    });
+    return runs;
+}
+
+std::string reportAttemptMatrix(std::span<const AttemptRun> runs, ReportFormat format)
+{
+    if (format == ReportFormat::Json)
+        return reportJson(runs);
+    std::string text = reportTable(runs);
+    for (const AttemptRun& run : runs) {
+        if (run.m_result.violations() > 0)
+            text += fmt::format("{}, seed {}: {}\n", runName(run), run.m_seed, describe(run.m_result));
+        else if (!run.struckAll())
+            text += fmt::format("{}, seed {}: not played, no attempt reached the step\n", runName(run), run.m_seed);
+    }
+    return text;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/AttemptServer.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "attempts/Attempt.h"
+#include "backends/BackendBoard.h"
+#include "bench/FleetDesign.h"
+#include "bench/Random.h"
+#include "bench/Timeline.h"
+
+#include <cstdint>
+#include <deque>
+#include <set>
+#include <vector>
+
+namespace cuminrelay {
+
+/// An attempt as it travels to a backend server, on a connection of its own.
+struct HandedAttempt {
+    AttemptId m_attempt;
+    Endpoint m_backend;
+    Deadline m_deadline {};
+    Instant m_handedAt {};
+    VmIndex m_vm = 0;
+    std::uint64_t m_process = 0; ///< of the entry VM; one that was started again has another
+};
+
+/// Learns what a modelled backend server does with an attempt.
+class AttemptServerListener {
+public:
+    AttemptServerListener() = default;
+    AttemptServerListener(const AttemptServerListener&) = delete;
+    AttemptServerListener& operator=(const AttemptServerListener&) = delete;
+    virtual ~AttemptServerListener() = default;
+
+    virtual void accepted(const HandedAttempt& attempt) = 0;
+    virtual void refused(const HandedAttempt& attempt) = 0;
+    virtual void shed(const HandedAttempt& attempt) = 0;
+    virtual void started(const HandedAttempt& attempt) = 0;
+    virtual void answered(const HandedAttempt& attempt, bool isWhole) = 0;
+    virtual void lost(const HandedAttempt& attempt) = 0;
+};
+
+/// A backend server that runs requests: slots and a bounded queue before them. It refuses in the opening exchange when
+/// the queue is full or nothing runs there, sheds queued attempts with proof, and starts none at or after its deadline.
+class AttemptServer {
+public:
+    static constexpr std::uint16_t s_slots = 2;
+
+    AttemptServer(Endpoint endpoint, std::uint64_t seed, Timeline& timeline, AttemptServerListener& listener);
+
+    /// A copy of an attempt that was received before is ignored, as its kernel would.
+    void receive(const HandedAttempt& attempt);
+
+    /// Sheds the attempt if it has not started.
+    void cancel(AttemptId attempt);
+
+    /// What runs or waits is lost; one answer is cut off on its way.
+    void kill();
+    void restart() { m_isRunning = true; }
+
+    void slowDownUntil(Deadline end) { m_slowUntil = end; }
+    void shedUntil(Deadline end);
+    void lieUntil(Deadline end) { m_lieUntil = end; }
+
+    Endpoint endpoint() const { return m_endpoint; }
+    bool isRunning() const { return m_isRunning; }
+    BackendReport report() const;
+
+private:
+    void startWaiting();
+    void start(const HandedAttempt& attempt);
+    void finish(const HandedAttempt& attempt, std::uint64_t process);
+
+    Endpoint m_endpoint;
+    Random m_random;
+    Timeline& m_timeline;
+    AttemptServerListener& m_listener;
+    std::deque<HandedAttempt> m_queue;
+    std::vector<HandedAttempt> m_started;
+    std::set<AttemptId> m_received;
+    std::uint64_t m_process = 0;
+    bool m_isRunning = true;
+    Deadline m_slowUntil {};
+    Deadline m_shedUntil {};
+    Deadline m_lieUntil {};
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/Timeline.cpp
@@ -0,0 +1,31 @@
+#include "bench/Timeline.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cuminrelay {
+
+bool Timeline::Later::operator()(const Planned& one, const Planned& other) const
+{
+    return std::tie(one.m_at, one.m_order) > std::tie(other.m_at, other.m_order);
+}
+
+void Timeline::at(Instant when, Action action)
+{
+    m_queue.push({ std::max(when, m_now), m_planned++, std::move(action) });
+}
+
+void Timeline::runUntil(Instant end)
+{
+    while (!m_queue.empty() && m_queue.top().m_at < end) {
+        // The queue gives out constant elements only, and the action must outlive its place in it.
+        Planned next = std::move(const_cast<Planned&>(m_queue.top()));
+        m_queue.pop();
+        m_now = next.m_at;
+        next.m_action();
+    }
+    m_now = end;
+}
+
+} // namespace cuminrelay
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -1,3 +1,4 @@
+#include "bench/AttemptMatrix.h"
 #include "bench/DesignCatalog.h"
 #include "bench/FaultMatrix.h"
 #include "bench/LoadReport.h"
@@ -31,7 +32,9 @@
         std::string m_first;
         std::string m_second;
         std::string m_knownFile;
+        std::string m_of;
         bool m_trace = false;
+        bool m_naive = false;
         ReportFormat m_format = ReportFormat::Table;
     };
 
@@ -100,6 +103,21 @@
         return violations == 0 ? ExitStatus::Success : ExitStatus::Failure;
     }
 
+    ExitStatus attemptFaults(const BenchOptions& given)
+    {
+        AttemptMatrixSettings settings;
+        settings.m_seed = given.m_seed;
+        settings.m_repeats = given.m_repeats;
+        settings.m_pairs = given.m_pairs;
+        settings.m_design = given.m_naive ? AttemptDesign::RetryOnTimeout : AttemptDesign::Ledger;
+        const std::vector<AttemptRun> runs = runAttemptMatrix(settings);
+        fmt::print("{}", reportAttemptMatrix(runs, given.m_format));
+        const std::ptrdiff_t violations = std::count_if(
+            runs.begin(), runs.end(), [](const AttemptRun& run) { return run.m_result.violations() > 0; });
+        fmt::print(stderr, "attempts: {} runs, {} broke a promise\n", runs.size(), violations);
+        return violations == 0 ? ExitStatus::Success : ExitStatus::Failure;
+    }
+
     ExitStatus packets(const BenchOptions& given)
     {
         fmt::print("{}", runPacketBench(given.m_flows, given.m_seed, given.m_format));
@@ -120,7 +138,10 @@
             "packets: only this many flows; 0: 10^3 to 10^6")("single", "faults: no pairs")(
             "first", options::value(&given.m_first), "faults: only runs that begin with this")(
             "second", options::value(&given.m_second), "faults: only runs that go on with this")("known",
-            options::value(&given.m_knownFile), "faults: a list of runs that may break a promise, KNOWN-RED.txt")(
+            options::value(&given.m_knownFile), "faults: a list of runs that may break a promise, KNOWN-RED.txt")("of",
+            options::value(&given.m_of)->default_value("flows"),
+            "faults: flows, or attempts for faults at each step of an attempt")(
+            "naive", "faults: of attempts, against a baseline that breaks the promises")(
             "trace", "faults: how flows broke, on standard error")("json", "one JSON object a line");
         options::options_description all;
         all.add(described).add_options()("command", options::value(&given.m_command));
@@ -151,6 +172,7 @@
             return values.count("help") > 0 ? 0 : static_cast<int>(ExitStatus::BadInput);
         }
         given.m_trace = values.count("trace") > 0;
+        given.m_naive = values.count("naive") > 0;
         given.m_pairs = values.count("single") == 0;
         given.m_format = values.count("json") > 0 ? ReportFormat::Json : ReportFormat::Table;
         const std::optional<FleetProfile> profile = findFleetProfile(given.m_profile);
@@ -167,7 +189,9 @@
         }
         if (given.m_command == "compare")
             return static_cast<int>(compare(given, *profile));
-        if (given.m_command == "faults")
+        if (given.m_command == "faults" && given.m_of == "attempts")
+            return static_cast<int>(attemptFaults(given));
+        if (given.m_command == "faults" && given.m_of == "flows")
             return static_cast<int>(faults(given, *profile));
         if (given.m_command == "load") {
             fmt::print("{}", runLoadComparison(*profile, given.m_seed, given.m_format));
