bench: every fault at every step of a configuration change, a join and a drain

Cause: the fault matrix played faults against flows; changes, joins and drains were covered as pairs of faults only, not step by step. Change: ChangeExperiment plays two operators, a modelled store and six VMs with the real ControlState, Membership, ConfigurationHolder, Backoff and edits. 13 faults strike at 8 steps of a change, 5 of a join and 4 of a drain, alone and with each second fault at each later step. The advance of a base is not a step here: it belongs to flows. A watch is modelled as reads in quick succession.

--- /dev/null
+++ b/src/bench/ChangeExperiment.cpp
@@ -0,0 +1,844 @@
+#include "bench/ChangeExperiment.h"
+
+#include "configuration/Lookup.h"
+#include "configuration/Selector.h"
+#include "control/Backoff.h"
+#include "control/ControlState.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::array<std::string_view, 3> c_zones { "asahikawa-a", "furano-c", "nayoro-b" };
+    constexpr std::size_t c_vmCount = 6;
+    constexpr std::size_t c_beatEverybodyUpTo = 16;
+    constexpr VmIndex c_replacedVm = 2;
+    constexpr std::uint32_t c_vmNetwork = 0x0a090000;
+    constexpr std::uint32_t c_hostNetwork = 0x0a010000;
+    constexpr std::size_t c_hostCount = 4;
+    constexpr std::string_view c_editedHost = "k-1";
+    constexpr std::string_view c_drainedHost = "k-3";
+
+    constexpr Instant c_firstStrike { std::chrono::seconds { 6 } };
+    constexpr Instant c_firstEdit { std::chrono::seconds { 7 } };
+    constexpr Instant c_replacedAt { std::chrono::milliseconds { 9'500 } };
+    constexpr Instant c_drainAt { std::chrono::milliseconds { 10'100 } };
+    constexpr Instant c_end { std::chrono::seconds { 32 } };
+    constexpr unsigned c_rounds = 6;
+    constexpr Duration c_roundInterval = std::chrono::seconds { 2 };
+
+    constexpr Duration c_oneWay = std::chrono::milliseconds { 1 };
+    constexpr Duration c_toPlatform = std::chrono::milliseconds { 2 };
+    constexpr Duration c_tickInterval = std::chrono::milliseconds { 100 };
+    constexpr Duration c_beatInterval = std::chrono::milliseconds { 500 };
+    constexpr Duration c_watchInterval = std::chrono::milliseconds { 100 };
+    constexpr Duration c_listInterval = std::chrono::seconds { 2 };
+    constexpr Duration c_installTime = std::chrono::milliseconds { 5 };
+    constexpr Duration c_sampleInterval = std::chrono::milliseconds { 50 };
+    constexpr Duration c_workInterval = std::chrono::milliseconds { 40 };
+    constexpr std::uint64_t c_longestWorkMicroseconds = 1'500'000;
+    constexpr Duration c_decideTime = std::chrono::milliseconds { 5 };
+    constexpr Backoff::Limits c_retry { std::chrono::milliseconds { 100 }, std::chrono::seconds { 3 } };
+
+    constexpr unsigned c_maximumWrites = 20;
+    constexpr Duration c_pauseAfterConflict = std::chrono::milliseconds { 20 };
+    constexpr Duration c_editPatience = std::chrono::seconds { 10 };
+
+    /// A change is in force on all reachable VMs after this, and a leaving backend server gets no new work after that.
+    constexpr Duration c_inForce = std::chrono::seconds { 4 };
+    constexpr Duration c_drainInForce = std::chrono::seconds { 3 };
+
+    constexpr Duration c_platformOutage = std::chrono::seconds { 3 };
+    constexpr Duration c_slowness = std::chrono::seconds { 4 };
+    constexpr Duration c_slowCall = std::chrono::seconds { 1 };
+    constexpr Duration c_answerLoss = std::chrono::milliseconds { 500 };
+    constexpr Duration c_staleness = std::chrono::seconds { 2 };
+    constexpr std::size_t c_restoredVersions = 2;
+    constexpr Duration c_listLag = std::chrono::seconds { 8 };
+    constexpr Duration c_controlRestart = std::chrono::milliseconds { 500 };
+    constexpr Duration c_vmRestart = std::chrono::milliseconds { 300 };
+    constexpr Duration c_pause = std::chrono::seconds { 3 };
+    constexpr Duration c_cut = std::chrono::seconds { 6 };
+    constexpr Duration c_unevenness = std::chrono::seconds { 4 };
+    constexpr std::uint64_t c_longestInstallMicroseconds = 1'500'000;
+
+    Member makeMember(VmIndex vm)
+    {
+        const std::uint32_t address = c_vmNetwork + static_cast<std::uint32_t>(vm) + 1;
+        Member member;
+        member.m_peers = { address, 7001 };
+        member.m_replica = { address, 7002 };
+        member.m_control = { address, 7003 };
+        member.m_name = fmt::format("vm-{}", vm);
+        member.m_zone = c_zones[vm % c_zones.size()];
+        return member;
+    }
+
+    Configuration makeFirstConfiguration()
+    {
+        Configuration configuration;
+        configuration.m_version = ConfigVersion { 1 };
+        configuration.m_zones.assign(c_zones.begin(), c_zones.end());
+        for (std::uint32_t i = 0; i < c_hostCount; ++i) {
+            BackendServer host;
+            host.m_name = fmt::format("k-{}", i);
+            host.m_zone = c_zones[i % c_zones.size()];
+            host.m_tunnel = { c_hostNetwork + i, 5555 };
+            host.m_report = { c_hostNetwork + i, 80 };
+            host.m_connectionLimit = 2000;
+            host.m_slots = 2;
+            host.m_labels = { { "app", "kanteisha" } };
+            configuration.m_backendServers.push_back(std::move(host));
+        }
+        Service service;
+        service.m_name = "kanteisha";
+        service.m_address = { c_hostNetwork + 1000, 80 };
+        service.m_selector = parseSelector("app=kanteisha").value();
+        configuration.m_services = { service };
+        return configuration;
+    }
+
+    std::optional<std::string> labelOf(const Configuration& configuration, std::string_view key)
+    {
+        const BackendServer* const host = findBackendServer(configuration.m_backendServers, c_editedHost);
+        const auto found = host->m_labels.find(key);
+        return found == host->m_labels.end() ? std::nullopt : std::optional { found->second };
+    }
+
+    bool isDraining(const Configuration& configuration)
+    {
+        const BackendServer* const host = findBackendServer(configuration.m_backendServers, c_drainedHost);
+        return host && host->m_draining;
+    }
+
+} // namespace
+
+/// One entry VM: its control process and its entry process.
+struct ChangeExperiment::Vm {
+    Member m_self;
+    std::unique_ptr<ControlState> m_control; ///< empty while no control process runs
+    std::uint64_t m_controlProcess = 0;
+    Deadline m_pausedUntil {}; ///< of the control process
+    std::unique_ptr<Backoff> m_watchRetry;
+    Deadline m_watchAt {};
+    std::vector<PeerCursor> m_cursors;
+
+    bool m_isUp = true;
+    std::uint64_t m_incarnation = 1;
+    std::unique_ptr<ConfigurationHolder> m_held; ///< what the entry process has taken
+    SharedConfiguration m_inForce;
+    bool m_isOwning = false;
+    bool m_isInstalling = false;
+
+    Instant m_coveredUntil {}; ///< a fault kept it from hearing of changes until then
+    ConfigVersion m_lateFor; ///< counted already
+    ChangeStep m_joinStep = ChangeStep::Count; ///< the next one; Count once it has joined
+};
+
+/// One edit of an operator, until it has an outcome.
+struct ChangeExperiment::EditRun {
+    Edit m_edit;
+    std::string m_key; ///< of the label; empty for a drain
+    std::optional<std::string> m_expected;
+    VmIndex m_near = 0; ///< whom a fault at one of its steps strikes
+    Deadline m_givenUpAt {};
+    unsigned m_writes = 0;
+    bool m_isPlanned = false;
+    bool m_isUnknown = false; ///< a write's answer was lost
+    std::optional<ConfigVersion> m_accepted;
+    std::optional<ErrorKind> m_failure;
+    bool m_namesOther = false; ///< the error says who changed it
+};
+
+std::string_view changeFaultName(ChangeFault fault)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(ChangeFault::Count)> names { "none",
+        "platform-down", "platform-slow", "lose-write-answer", "stale-read", "restore-store", "lag-vm-list",
+        "kill-control", "pause-control", "cut-zones", "cut-platform", "cut-both", "uneven-updates", "operator-race" };
+    return names.at(static_cast<std::size_t>(fault));
+}
+
+std::string_view changeStepName(ChangeStep step)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(ChangeStep::Count)> names { "read", "decide",
+        "write", "answer", "watched", "told", "installed", "everywhere", "starts", "hears-peers", "takes-kept",
+        "settled", "owns", "declared", "in-force", "last-new", "last-ended" };
+    return names.at(static_cast<std::size_t>(step));
+}
+
+bool isLaterStep(ChangeStep step, ChangeStep than)
+{
+    const bool sameChange = step < ChangeStep::JoinStarts;
+    const bool sameDrain = than >= ChangeStep::DrainDeclared;
+    const bool sameJoin = than >= ChangeStep::JoinStarts && step < ChangeStep::DrainDeclared;
+    return step > than && (sameChange || sameDrain || sameJoin);
+}
+
+std::uint64_t ChangeExperimentResult::violations() const
+{
+    return m_wentBack + m_lostEdits + m_doubledEdits + m_refusedButWritten + m_overwritten + m_disjointRefused
+        + m_unnamedConflicts + m_late + m_workAfterDrain;
+}
+
+ChangeExperiment::ChangeExperiment(ChangeExperimentSettings settings)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.m_seed)
+    , m_vms(c_vmCount)
+    , m_store(std::make_unique<ChangeStore>(makeFirstConfiguration()))
+{
+    for (VmIndex vm = 0; vm < c_vmCount; ++vm) {
+        m_vms[vm].m_self = makeMember(vm);
+        m_vms[vm].m_cursors.resize(c_vmCount);
+        startVm(vm);
+        m_vms[vm].m_joinStep = ChangeStep::Count;
+        const Duration spread = Duration { static_cast<std::int64_t>(m_random.below(c_beatInterval.count())) };
+        m_timeline.after(spread, [this, vm] {
+            tickRepeatedly(vm);
+            beatRepeatedly(vm);
+            watchRepeatedly(vm);
+            listRepeatedly(vm);
+            workRepeatedly(vm);
+        });
+    }
+    m_timeline.at(c_replacedAt, [this] { killVm(c_replacedVm); });
+    planEdits();
+    sampleRepeatedly();
+}
+
+ChangeExperiment::~ChangeExperiment() = default;
+
+ChangeExperimentResult ChangeExperiment::run()
+{
+    m_timeline.runUntil(c_end);
+    summarize();
+    return m_result;
+}
+
+void ChangeExperiment::startControl(VmIndex vm)
+{
+    Vm& started = m_vms[vm];
+    const Instant now = m_timeline.now();
+    m_sequences += 1'000'000;
+    ++started.m_controlProcess;
+    started.m_control = std::make_unique<ControlState>(started.m_self, c_beatEverybodyUpTo, m_sequences, now);
+    started.m_watchRetry = std::make_unique<Backoff>(c_retry, m_settings.m_seed + vm, now);
+    started.m_watchAt = now;
+    started.m_pausedUntil = {};
+    std::ranges::fill(started.m_cursors, PeerCursor {});
+    noteEntryStatus(vm);
+}
+
+void ChangeExperiment::killVm(VmIndex vm)
+{
+    m_vms[vm].m_isUp = false;
+    m_vms[vm].m_control.reset();
+    m_timeline.after(c_vmRestart, [this, vm] {
+        startVm(vm);
+        reach(ChangeStep::JoinStarts, vm);
+    });
+}
+
+void ChangeExperiment::startVm(VmIndex vm)
+{
+    Vm& started = m_vms[vm];
+    started.m_isUp = true;
+    ++started.m_incarnation;
+    started.m_held = std::make_unique<ConfigurationHolder>();
+    started.m_inForce = started.m_held->current();
+    started.m_isOwning = false;
+    started.m_isInstalling = false;
+    started.m_coveredUntil = m_timeline.now();
+    started.m_joinStep = ChangeStep::JoinHearsPeers;
+    startControl(vm);
+}
+
+bool ChangeExperiment::runs(VmIndex vm) const
+{
+    return m_vms[vm].m_control && m_timeline.now() >= m_vms[vm].m_pausedUntil;
+}
+
+bool ChangeExperiment::reaches(VmIndex from, VmIndex to) const
+{
+    const std::string& one = m_vms[from].m_self.m_zone;
+    const std::string& other = m_vms[to].m_self.m_zone;
+    const auto isCut = [this](const std::string& zone) {
+        const auto found = m_zoneCutEnds.find(zone);
+        return found != m_zoneCutEnds.end() && m_timeline.now() < found->second;
+    };
+    return runs(from) && runs(to) && (one == other || (!isCut(one) && !isCut(other)));
+}
+
+bool ChangeExperiment::reachesPlatform(VmIndex vm) const
+{
+    const auto found = m_platformCutEnds.find(m_vms[vm].m_self.m_zone);
+    return found == m_platformCutEnds.end() || m_timeline.now() >= found->second;
+}
+
+std::vector<Member> ChangeExperiment::listedMembers() const
+{
+    std::vector<Member> members;
+    for (const Vm& vm : m_vms)
+        members.push_back(vm.m_self);
+    if (m_timeline.now() < m_listLagEnds)
+        members[c_replacedVm] = makeMember(c_vmCount);
+    return members;
+}
+
+void ChangeExperiment::tickRepeatedly(VmIndex vm)
+{
+    if (runs(vm)) {
+        m_vms[vm].m_control->tick(m_timeline.now());
+        noteEntryStatus(vm);
+        checkJoin(vm);
+    }
+    m_timeline.after(c_tickInterval, [this, vm] { tickRepeatedly(vm); });
+}
+
+void ChangeExperiment::beatRepeatedly(VmIndex vm)
+{
+    for (VmIndex peer = 0; runs(vm) && peer < m_vms.size(); ++peer) {
+        const std::vector<Member> peers = m_vms[vm].m_control->membership().peersToBeat();
+        if (std::ranges::find(peers, m_vms[peer].m_self.m_peers, &Member::m_peers) != peers.end())
+            beat(vm, peer);
+    }
+    m_timeline.after(c_beatInterval, [this, vm] { beatRepeatedly(vm); });
+}
+
+/// One exchange of heartbeats, after which whoever is behind asks the other for its configuration.
+void ChangeExperiment::beat(VmIndex from, VmIndex to)
+{
+    if (!reaches(from, to))
+        return;
+    ControlState& sender = *m_vms[from].m_control;
+    ControlState& receiver = *m_vms[to].m_control;
+    const Instant now = m_timeline.now();
+    const Heartbeat beat = sender.heartbeatFor(m_vms[to].m_self.m_zone, m_vms[from].m_cursors[to], now);
+    receiver.applyHeartbeat(beat, now);
+    const Heartbeat answer = receiver.heartbeatFor(m_vms[from].m_self.m_zone, m_vms[to].m_cursors[from], now);
+    sender.applyHeartbeat(answer, now);
+    dispatch(from);
+    dispatch(to);
+    fetch(to, from, beat.m_beat.m_figures.m_configVersion);
+    fetch(from, to, answer.m_beat.m_figures.m_configVersion);
+}
+
+void ChangeExperiment::fetch(VmIndex from, VmIndex to, ConfigVersion offered)
+{
+    if (!runs(from) || !m_vms[from].m_control->startFetch(offered, m_timeline.now()))
+        return;
+    const std::uint64_t process = m_vms[from].m_controlProcess;
+    m_timeline.after(c_oneWay * 2, [this, from, to, offered, process] {
+        if (!reaches(from, to) || m_vms[from].m_controlProcess != process)
+            return;
+        const ConfigurationHolder& holder = m_vms[to].m_control->configuration();
+        const ConfigVersion known = m_vms[from].m_control->configuration().version();
+        const SharedConfiguration next = holder.next(known);
+        takeFetched(from, next ? next : holder.current());
+        if (m_vms[from].m_control->configuration().version() > known)
+            fetch(from, to, offered);
+    });
+}
+
+void ChangeExperiment::takeFetched(VmIndex from, const SharedConfiguration& configuration)
+{
+    ControlState& state = *m_vms[from].m_control;
+    state.fetchEnded();
+    const Outcome<bool> taken = state.offerConfiguration(*configuration);
+    dispatch(from);
+    if (taken && taken.value())
+        reach(ChangeStep::Told, from);
+}
+
+/// The watch of a zone reader, as reads in quick succession.
+void ChangeExperiment::watchRepeatedly(VmIndex vm)
+{
+    m_timeline.after(c_watchInterval, [this, vm] { watchRepeatedly(vm); });
+    if (!runs(vm) || m_timeline.now() < m_vms[vm].m_watchAt)
+        return;
+    Vm& reader = m_vms[vm];
+    Membership& membership = reader.m_control->membership();
+    const bool isStarted = reader.m_control->configuration().version() > ConfigVersion {}
+        || (membership.settled(m_timeline.now()) && membership.highestConfigVersionHeard() == ConfigVersion {});
+    if (!membership.mustReadPlatform() || !isStarted)
+        return;
+    const std::uint64_t process = reader.m_controlProcess;
+    const bool isReached = reachesPlatform(vm);
+    reader.m_watchAt = Deadline::max();
+    read([this, vm, process, isReached](const Outcome<SharedConfiguration>& answer) {
+        if (m_vms[vm].m_controlProcess != process || !m_vms[vm].m_control)
+            return;
+        m_vms[vm].m_watchAt = std::max(m_timeline.now(), m_vms[vm].m_pausedUntil);
+        const Error cut { ErrorKind::Unavailable, "the zone is cut off" };
+        m_timeline.at(m_vms[vm].m_watchAt, [this, vm, process, answer = isReached ? answer : cut] {
+            if (m_vms[vm].m_controlProcess == process && runs(vm))
+                takeWatched(vm, answer);
+        });
+    });
+}
+
+void ChangeExperiment::takeWatched(VmIndex vm, const Outcome<SharedConfiguration>& answer)
+{
+    Vm& reader = m_vms[vm];
+    if (!answer) {
+        reader.m_watchAt = reader.m_watchRetry->failed(m_timeline.now());
+        return;
+    }
+    reader.m_watchRetry->succeeded();
+    if (m_settings.m_design->installsEachAnswer())
+        install(vm, answer.value());
+    const Outcome<bool> taken = reader.m_control->offerConfiguration(*answer.value());
+    dispatch(vm);
+    if (taken && taken.value())
+        reach(ChangeStep::Watched, vm);
+}
+
+void ChangeExperiment::listRepeatedly(VmIndex vm)
+{
+    m_timeline.after(c_listInterval, [this, vm] { listRepeatedly(vm); });
+    if (!runs(vm) || !m_vms[vm].m_control->membership().mustReadPlatform() || !reachesPlatform(vm))
+        return;
+    read([this, vm](const Outcome<SharedConfiguration>& answer) {
+        if (!answer || !runs(vm))
+            return;
+        m_vms[vm].m_control->applyList(listedMembers(), m_timeline.now());
+        dispatch(vm);
+    });
+}
+
+void ChangeExperiment::dispatch(VmIndex vm)
+{
+    const ControlChanges changes = m_vms[vm].m_control->takeChanges();
+    if (changes.m_entry)
+        installNext(vm);
+    if (!changes.m_urgent)
+        return;
+    const std::uint64_t process = m_vms[vm].m_controlProcess;
+    m_timeline.after(c_oneWay, [this, vm, process] {
+        for (VmIndex peer = 0; peer < m_vms.size(); ++peer) {
+            if (peer != vm && m_vms[vm].m_controlProcess == process)
+                beat(vm, peer);
+        }
+    });
+}
+
+/// An entry process takes the kept versions one after the other.
+void ChangeExperiment::installNext(VmIndex vm)
+{
+    Vm& entry = m_vms[vm];
+    const SharedConfiguration next = entry.m_control->configuration().next(entry.m_inForce->m_version);
+    if (!next || entry.m_isInstalling)
+        return;
+    entry.m_isInstalling = true;
+    Duration delay = c_installTime;
+    if (entry.m_isOwning && m_timeline.now() < m_unevenUntil)
+        delay = Duration { static_cast<std::int64_t>(m_random.below(c_longestInstallMicroseconds)) };
+    m_timeline.after(delay, [this, vm, next, incarnation = entry.m_incarnation] {
+        Vm& installed = m_vms[vm];
+        if (installed.m_incarnation != incarnation)
+            return;
+        installed.m_isInstalling = false;
+        install(vm, next);
+        if (!runs(vm))
+            return;
+        noteEntryStatus(vm);
+        installNext(vm);
+    });
+}
+
+void ChangeExperiment::install(VmIndex vm, const SharedConfiguration& configuration)
+{
+    Vm& entry = m_vms[vm];
+    const ConfigVersion before = entry.m_inForce->m_version;
+    entry.m_inForce = m_settings.m_design->install(*entry.m_held, configuration);
+    m_result.m_wentBack += entry.m_inForce->m_version < before ? 1 : 0;
+    if (entry.m_inForce->m_version > before)
+        reach(ChangeStep::Installed, vm);
+}
+
+void ChangeExperiment::noteEntryStatus(VmIndex vm)
+{
+    Vm& entry = m_vms[vm];
+    const bool isSettled = entry.m_control->membership().settled(m_timeline.now());
+    entry.m_isOwning = entry.m_isOwning || (isSettled && entry.m_inForce->m_version > ConfigVersion {});
+    EntryProcessStatus status;
+    status.m_incarnation = entry.m_incarnation;
+    status.m_owning = entry.m_isOwning;
+    status.m_figures.m_configVersion = entry.m_inForce->m_version;
+    entry.m_control->applyEntryStatus(status, m_timeline.now());
+    dispatch(vm);
+}
+
+void ChangeExperiment::checkJoin(VmIndex vm)
+{
+    Vm& joining = m_vms[vm];
+    const Membership& membership = joining.m_control->membership();
+    bool isReached = false;
+    switch (joining.m_joinStep) {
+    case ChangeStep::JoinHearsPeers:
+        isReached = membership.highestConfigVersionHeard() > ConfigVersion {};
+        break;
+    case ChangeStep::JoinTakesKept:
+        isReached = joining.m_control->configuration().version() > ConfigVersion {};
+        break;
+    case ChangeStep::JoinSettled:
+        isReached = joining.m_control->membership().settled(m_timeline.now());
+        break;
+    case ChangeStep::JoinOwns:
+        isReached = membership.self().m_state == MemberState::Active;
+        break;
+    default:
+        return;
+    }
+    if (!isReached)
+        return;
+    reach(joining.m_joinStep, vm);
+    const bool isLast = joining.m_joinStep == ChangeStep::JoinOwns;
+    joining.m_joinStep
+        = isLast ? ChangeStep::Count : static_cast<ChangeStep>(static_cast<unsigned>(joining.m_joinStep) + 1);
+}
+
+void ChangeExperiment::read(ReadDone done)
+{
+    const Duration slowness = m_timeline.now() < m_slowUntil ? c_slowCall : Duration {};
+    m_timeline.after(c_toPlatform + slowness, [this, done = std::move(done)] {
+        const Outcome<SharedConfiguration> answer = m_store->read(m_timeline.now());
+        m_timeline.after(c_toPlatform, [done, answer] { done(answer); });
+    });
+}
+
+void ChangeExperiment::write(Configuration next, std::optional<ConfigVersion> expected, WriteDone done)
+{
+    const Duration slowness = m_timeline.now() < m_slowUntil ? c_slowCall : Duration {};
+    m_timeline.after(
+        c_toPlatform + slowness, [this, next = std::move(next), expected, done = std::move(done)]() mutable {
+            const bool drainsNow = isDraining(next) && !isDraining(*m_store->current());
+            Outcome<ConfigVersion> answer = m_store->write(std::move(next), expected, m_timeline.now());
+            if (answer && drainsNow && m_drainedAt == Instant::max())
+                m_drainedAt = m_timeline.now();
+            if (answer && drainsNow)
+                reach(ChangeStep::DrainDeclared, m_random.below(c_vmCount));
+            if (answer)
+                reach(ChangeStep::Answer, m_random.below(c_vmCount));
+            const bool isLost = m_timeline.now() < m_answerLossEnds;
+            m_timeline.after(c_toPlatform, [this, done, answer, isLost] {
+                if (isLost || m_timeline.now() < m_answerLossEnds)
+                    done(Error { ErrorKind::OutcomeUnknown, "no answer" });
+                else
+                    done(answer);
+            });
+        });
+}
+
+void ChangeExperiment::planEdits()
+{
+    for (unsigned round = 0; round < c_rounds; ++round) {
+        const bool isShared = round % 2 == 1;
+        const Duration lag = Duration { static_cast<std::int64_t>(m_random.below(10'000)) };
+        const Instant at = c_firstEdit + c_roundInterval * round;
+        const VmIndex near = m_random.below(c_vmCount);
+        m_timeline.at(at, [this, isShared, near] { startEdit("aiko", isShared ? "tier" : "pond", near); });
+        m_timeline.at(at + lag, [this, isShared, near] { startEdit("ben", isShared ? "tier" : "hall", near); });
+    }
+    m_timeline.at(c_drainAt, [this] { startDrain(m_random.below(c_vmCount)); });
+}
+
+void ChangeExperiment::startEdit(std::string_view author, std::string_view key, VmIndex near)
+{
+    const std::shared_ptr<EditRun> edit = std::make_shared<EditRun>();
+    edit->m_key = key;
+    edit->m_edit.m_author = author;
+    edit->m_near = near;
+    m_racedKey = key;
+    beginEdit(edit);
+}
+
+void ChangeExperiment::startDrain(VmIndex near)
+{
+    const std::shared_ptr<EditRun> edit = std::make_shared<EditRun>();
+    edit->m_edit.m_author = "aiko";
+    edit->m_edit.m_changes = { std::make_shared<DrainingChange>(std::string { c_drainedHost }, false, true) };
+    edit->m_near = near;
+    beginEdit(edit);
+}
+
+void ChangeExperiment::beginEdit(const std::shared_ptr<EditRun>& edit)
+{
+    edit->m_edit.m_id = fmt::format("edit-{}", m_edits.size());
+    edit->m_edit.m_summary = fmt::format("label {} of {}", edit->m_key, c_editedHost);
+    edit->m_givenUpAt = m_timeline.now() + c_editPatience;
+    m_edits.push_back(edit);
+    readAgain(edit);
+    reach(ChangeStep::Read, edit->m_near);
+}
+
+void ChangeExperiment::readAgain(const std::shared_ptr<EditRun>& edit)
+{
+    read([this, edit](const Outcome<SharedConfiguration>& answer) {
+        if (!answer) {
+            fail(*edit, answer.error());
+            return;
+        }
+        m_timeline.after(c_decideTime, [this, edit, read = answer.value()] { decide(edit, *read); });
+        reach(ChangeStep::Decide, edit->m_near);
+    });
+}
+
+void ChangeExperiment::decide(const std::shared_ptr<EditRun>& edit, const Configuration& read)
+{
+    if (!edit->m_isPlanned) {
+        edit->m_isPlanned = true;
+        edit->m_edit.m_base = read.m_version;
+        edit->m_expected = labelOf(read, edit->m_key);
+        if (!edit->m_key.empty())
+            edit->m_edit.m_changes = { std::make_shared<LabelChange>(
+                LabelOwner::Host, std::string { c_editedHost }, edit->m_key, edit->m_expected, edit->m_edit.m_id) };
+    }
+    const Outcome<EditResult> result = m_settings.m_design->edit(read, edit->m_edit);
+    if (!result) {
+        fail(*edit, result.error());
+        return;
+    }
+    if (result.value().m_kind != EditResult::Kind::Changed) {
+        edit->m_accepted = result.value().m_version;
+        return;
+    }
+    ++edit->m_writes;
+    write(result.value().m_configuration, m_settings.m_design->expectedVersion(result.value()),
+        [this, edit](const Outcome<ConfigVersion>& written) { finishWrite(edit, written); });
+    reach(ChangeStep::Write, edit->m_near);
+}
+
+void ChangeExperiment::finishWrite(const std::shared_ptr<EditRun>& edit, const Outcome<ConfigVersion>& written)
+{
+    if (written) {
+        edit->m_accepted = written.value();
+        return;
+    }
+    const ErrorKind kind = written.error().m_kind;
+    edit->m_isUnknown = edit->m_isUnknown || kind == ErrorKind::OutcomeUnknown;
+    const bool mayGoOn = kind == ErrorKind::OutcomeUnknown || kind == ErrorKind::Conflict;
+    if (!mayGoOn) {
+        fail(*edit, written.error());
+        return;
+    }
+    if (edit->m_writes >= c_maximumWrites || m_timeline.now() >= edit->m_givenUpAt) {
+        fail(*edit, { ErrorKind::Unavailable, "gave up after too many writes" });
+        return;
+    }
+    m_timeline.after(c_pauseAfterConflict * edit->m_writes, [this, edit] { readAgain(edit); });
+}
+
+void ChangeExperiment::fail(EditRun& edit, const Error& error)
+{
+    // A later failure to reach the store does not make the outcome of an earlier write known.
+    const bool isUnreachable = error.m_kind == ErrorKind::Unavailable || error.m_kind == ErrorKind::OutcomeUnknown;
+    edit.m_failure = edit.m_isUnknown && isUnreachable ? ErrorKind::OutcomeUnknown : error.m_kind;
+    edit.m_namesOther = std::ranges::any_of(m_edits, [&](const std::shared_ptr<EditRun>& other) {
+        return error.m_message.find(fmt::format("changed by {}", other->m_edit.m_author)) != std::string::npos;
+    });
+}
+
+void ChangeExperiment::workRepeatedly(VmIndex vm)
+{
+    if (m_vms[vm].m_isUp && m_vms[vm].m_isOwning)
+        placeWork(vm);
+    m_timeline.after(c_workInterval, [this, vm] { workRepeatedly(vm); });
+}
+
+void ChangeExperiment::placeWork(VmIndex vm)
+{
+    const Configuration& inForce = *m_vms[vm].m_inForce;
+    const std::size_t drawn = m_random.below(inForce.m_backendServers.size());
+    const BackendServer& host = inForce.m_backendServers[drawn];
+    if (host.m_name != c_drainedHost || host.m_draining)
+        return;
+    ++m_openWork;
+    m_timeline.after(
+        Duration { static_cast<std::int64_t>(m_random.below(c_longestWorkMicroseconds)) }, [this] { --m_openWork; });
+    // A drain that a restored store has lost is no drain any more.
+    const bool isLost = m_store->wasRestored() && !isDraining(*m_store->current());
+    const Instant now = m_timeline.now();
+    const bool isDue = now >= std::max(m_drainedAt, m_vms[vm].m_coveredUntil) + c_drainInForce;
+    if (m_drainedAt != Instant::max() && isDue && !isLost && !isCovered(vm))
+        ++m_result.m_workAfterDrain;
+}
+
+void ChangeExperiment::sampleRepeatedly()
+{
+    for (VmIndex vm = 0; vm < m_vms.size(); ++vm)
+        sample(vm);
+    noteProgress();
+    m_timeline.after(c_sampleInterval, [this] { sampleRepeatedly(); });
+}
+
+void ChangeExperiment::sample(VmIndex vm)
+{
+    Vm& sampled = m_vms[vm];
+    const Instant now = m_timeline.now();
+    if (isCovered(vm)) {
+        sampled.m_coveredUntil = now;
+        return;
+    }
+    if (now < sampled.m_coveredUntil + c_inForce)
+        return;
+    const ConfigVersion due = m_store->highestWrittenBy(now - c_inForce);
+    if (sampled.m_inForce->m_version >= due || sampled.m_lateFor >= due)
+        return;
+    sampled.m_lateFor = due;
+    ++m_result.m_late;
+}
+
+/// Whether a fault keeps a VM from hearing of changes now.
+bool ChangeExperiment::isCovered(VmIndex vm) const
+{
+    if (!runs(vm) || m_store->isFaulty(m_timeline.now()) || m_store->isBehind())
+        return true;
+    if (reachesPlatform(vm))
+        return false;
+    for (VmIndex peer = 0; peer < m_vms.size(); ++peer) {
+        if (reachesPlatform(peer) && reaches(vm, peer))
+            return false;
+    }
+    return true;
+}
+
+void ChangeExperiment::noteProgress()
+{
+    ConfigVersion lowest = m_store->current()->m_version;
+    for (const Vm& vm : m_vms)
+        lowest = std::min(lowest, vm.m_inForce->m_version);
+    if (lowest <= m_everywhere && m_drainIsOver)
+        return;
+    const bool isNew = lowest > m_everywhere;
+    m_everywhere = std::max(m_everywhere, lowest);
+    if (isNew)
+        reach(ChangeStep::Everywhere, m_random.below(c_vmCount));
+    noteDrainProgress(std::ranges::all_of(m_vms, [](const Vm& vm) { return isDraining(*vm.m_inForce); }));
+}
+
+void ChangeExperiment::noteDrainProgress(bool inForceEverywhere)
+{
+    if (!inForceEverywhere || m_drainIsOver)
+        return;
+    reach(ChangeStep::DrainInForce, m_random.below(c_vmCount));
+    m_timeline.after(c_sampleInterval, [this] { reach(ChangeStep::DrainLastNewWork, m_random.below(c_vmCount)); });
+    if (m_openWork > 0)
+        return;
+    m_drainIsOver = true;
+    reach(ChangeStep::DrainLastFlowEnded, m_random.below(c_vmCount));
+}
+
+void ChangeExperiment::reach(ChangeStep step, VmIndex vm)
+{
+    if (m_result.m_struck >= m_settings.m_strikes.size() || m_timeline.now() < c_firstStrike)
+        return;
+    const ChangeStrike next = m_settings.m_strikes[m_result.m_struck];
+    if (step != next.m_step)
+        return;
+    ++m_result.m_struck;
+    // Whoever reached the step first goes on: the strike must not pull the ground from under it.
+    m_timeline.after({}, [this, next, vm] { strike(next.m_fault, vm); });
+}
+
+void ChangeExperiment::strike(ChangeFault fault, VmIndex vm)
+{
+    if (fault >= ChangeFault::KillControl && fault <= ChangeFault::CutBoth)
+        strikeVm(fault, vm);
+    else
+        strikePlatform(fault);
+}
+
+void ChangeExperiment::strikePlatform(ChangeFault fault)
+{
+    const Instant now = m_timeline.now();
+    switch (fault) {
+    case ChangeFault::PlatformDown:
+        m_store->downUntil(now + c_platformOutage);
+        return;
+    case ChangeFault::PlatformSlow:
+        m_slowUntil = now + c_slowness;
+        return;
+    case ChangeFault::LoseWriteAnswer:
+        m_answerLossEnds = now + c_answerLoss;
+        return;
+    case ChangeFault::StaleRead:
+        m_store->staleUntil(now + c_staleness);
+        return;
+    case ChangeFault::RestoreStore:
+        m_store->restoreOlder(c_restoredVersions);
+        return;
+    case ChangeFault::LagVmList:
+        m_listLagEnds = now + c_listLag;
+        return;
+    case ChangeFault::UnevenUpdates:
+        m_unevenUntil = now + c_unevenness;
+        return;
+    case ChangeFault::OperatorRace:
+        startEdit("chiyo", m_racedKey.empty() ? "tier" : m_racedKey, m_random.below(c_vmCount));
+        return;
+    default:
+        return;
+    }
+}
+
+void ChangeExperiment::strikeVm(ChangeFault fault, VmIndex vm)
+{
+    const Instant now = m_timeline.now();
+    const std::string& zone = m_vms[vm].m_self.m_zone;
+    if (fault == ChangeFault::CutZones || fault == ChangeFault::CutBoth)
+        m_zoneCutEnds[zone] = now + c_cut;
+    if (fault == ChangeFault::CutPlatform || fault == ChangeFault::CutBoth)
+        m_platformCutEnds[zone] = now + c_cut;
+    if (fault == ChangeFault::PauseControl)
+        m_vms[vm].m_pausedUntil = now + c_pause;
+    if (fault != ChangeFault::KillControl)
+        return;
+    m_vms[vm].m_control.reset();
+    m_timeline.after(c_controlRestart, [this, vm] {
+        if (m_vms[vm].m_isUp && !m_vms[vm].m_control)
+            startControl(vm);
+    });
+}
+
+void ChangeExperiment::summarize()
+{
+    for (const std::shared_ptr<EditRun>& edit : m_edits)
+        summarize(*edit);
+}
+
+void ChangeExperiment::summarize(const EditRun& edit)
+{
+    const std::vector<EditRecord>& history = m_store->current()->m_history;
+    const std::ptrdiff_t records = std::ranges::count(history, edit.m_edit.m_id, &EditRecord::m_id);
+    ++m_result.m_edits;
+    m_result.m_doubledEdits += records > 1 ? 1 : 0;
+    if (edit.m_accepted) {
+        ++m_result.m_accepted;
+        std::uint64_t& lost = m_store->wasRestored() ? m_result.m_lostByStore : m_result.m_lostEdits;
+        lost += records == 0 ? 1 : 0;
+        const SharedConfiguration before = m_store->find(ConfigVersion { edit.m_accepted->m_number - 1 });
+        const bool sawIt = edit.m_key.empty() || !before || labelOf(*before, edit.m_key) == edit.m_expected;
+        m_result.m_overwritten += !sawIt && !m_store->wasRestored() ? 1 : 0;
+        return;
+    }
+    const ErrorKind failure = edit.m_failure.value_or(ErrorKind::OutcomeUnknown);
+    m_result.m_unknown += failure == ErrorKind::OutcomeUnknown ? 1 : 0;
+    m_result.m_unavailable += failure == ErrorKind::Unavailable ? 1 : 0;
+    m_result.m_refusedButWritten += failure != ErrorKind::OutcomeUnknown && records > 0 ? 1 : 0;
+    if (failure != ErrorKind::Conflict)
+        return;
+    ++m_result.m_conflicts;
+    // A restored store has lost who changed it.
+    m_result.m_unnamedConflicts += edit.m_namesOther || m_store->wasRestored() ? 0 : 1;
+    const bool wasTouched = std::ranges::any_of(m_edits, [&edit](const std::shared_ptr<EditRun>& other) {
+        const bool mayBeLater = !other->m_accepted || *other->m_accepted > edit.m_edit.m_base;
+        return other->m_edit.m_id != edit.m_edit.m_id && other->m_key == edit.m_key && mayBeLater;
+    });
+    m_result.m_disjointRefused += wasTouched || m_store->wasRestored() ? 0 : 1;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/ChangeMatrix.cpp
@@ -0,0 +1,161 @@
+#include "bench/ChangeMatrix.h"
+
+#include "bench/StepTable.h"
+
+#include <fmt/format.h>
+#include <oneapi/tbb/parallel_for.h>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::size_t c_faultCount = static_cast<std::size_t>(ChangeFault::Count);
+    constexpr std::size_t c_stepCount = static_cast<std::size_t>(ChangeStep::Count);
+
+    std::vector<ChangeStrike> allStrikes()
+    {
+        std::vector<ChangeStrike> strikes;
+        for (std::size_t fault = 0; fault < c_faultCount; ++fault) {
+            for (std::size_t step = 0; step < c_stepCount; ++step)
+                strikes.push_back({ static_cast<ChangeFault>(fault), static_cast<ChangeStep>(step) });
+        }
+        return strikes;
+    }
+
+    bool isPair(const ChangeStrike& first, const ChangeStrike& second)
+    {
+        return first.m_fault != ChangeFault::None && second.m_fault != ChangeFault::None
+            && isLaterStep(second.m_step, first.m_step);
+    }
+
+    void planPairs(
+        std::vector<ChangeRun>& runs, std::span<const ChangeStrike> strikes, const ChangeMatrixSettings& settings)
+    {
+        std::uint64_t pairs = settings.m_seed;
+        const std::uint64_t seed = runs.back().m_seed;
+        for (const ChangeStrike& first : strikes) {
+            for (const ChangeStrike& second : strikes) {
+                if (isPair(first, second) && ++pairs % settings.m_sparsity == 0)
+                    runs.push_back({ seed + pairs, { first, second }, {} });
+            }
+        }
+    }
+
+    std::vector<ChangeRun> planRuns(const ChangeMatrixSettings& settings)
+    {
+        constexpr std::uint64_t seedStride = 1'000'000;
+        const std::uint64_t seed = settings.m_seed * seedStride;
+        const std::vector<ChangeStrike> strikes = allStrikes();
+        std::vector<ChangeRun> runs;
+        for (const ChangeStrike& strike : strikes) {
+            for (unsigned repeat = 0; repeat < settings.m_repeats; ++repeat)
+                runs.push_back({ seed + runs.size(), { strike }, {} });
+        }
+        if (settings.m_pairs)
+            planPairs(runs, strikes, settings);
+        return runs;
+    }
+
+    std::string runName(const ChangeRun& run)
+    {
+        std::string name;
+        for (const ChangeStrike& strike : run.m_strikes)
+            name += fmt::format("{}{} at {}", name.empty() ? "" : " then ", changeFaultName(strike.m_fault),
+                changeStepName(strike.m_step));
+        return name;
+    }
+
+    std::string describe(const ChangeExperimentResult& result)
+    {
+        return fmt::format("went back {}, lost {}, doubled {}, refused but written {}, overwritten {}, disjoint "
+                           "refused {}, unnamed conflicts {}, late {}, work after drain {}",
+            result.m_wentBack, result.m_lostEdits, result.m_doubledEdits, result.m_refusedButWritten,
+            result.m_overwritten, result.m_disjointRefused, result.m_unnamedConflicts, result.m_late,
+            result.m_workAfterDrain);
+    }
+
+    StepCell countRuns(std::span<const ChangeRun> runs, ChangeFault fault, ChangeStep step)
+    {
+        StepCell cell;
+        for (const ChangeRun& run : runs) {
+            const ChangeStrike& first = run.m_strikes.front();
+            if (first.m_fault != fault || first.m_step != step || !run.struckAll())
+                continue;
+            ++cell.m_runs;
+            cell.m_broken += run.brokePromise() ? 1 : 0;
+        }
+        return cell;
+    }
+
+    std::string reportTable(std::span<const ChangeRun> runs)
+    {
+        std::vector<std::string_view> faults;
+        for (std::size_t fault = 0; fault < c_faultCount; ++fault)
+            faults.push_back(changeFaultName(static_cast<ChangeFault>(fault)));
+        std::vector<std::string_view> steps;
+        for (std::size_t step = 0; step < c_stepCount; ++step)
+            steps.push_back(changeStepName(static_cast<ChangeStep>(step)));
+        return formatStepTable(faults, steps, [runs](std::size_t fault, std::size_t step) {
+            return countRuns(runs, static_cast<ChangeFault>(fault), static_cast<ChangeStep>(step));
+        });
+    }
+
+    std::string reportJson(std::span<const ChangeRun> runs)
+    {
+        std::string text;
+        for (const ChangeRun& run : runs) {
+            const ChangeExperimentResult& result = run.m_result;
+            text += fmt::format(R"({{"run":"{}","seed":{},"struck":{},"edits":{},"accepted":{},"conflicts":{},)"
+                                R"("unknown":{},"unavailable":{},"lost_by_store":{},"violations":{}}})"
+                                "\n",
+                runName(run), run.m_seed, result.m_struck, result.m_edits, result.m_accepted, result.m_conflicts,
+                result.m_unknown, result.m_unavailable, result.m_lostByStore, result.violations());
+        }
+        return text;
+    }
+
+} // namespace
+
+std::vector<ChangeRun> runChangeMatrix(const ChangeMatrixSettings& settings)
+{
+    std::vector<ChangeRun> runs = planRuns(settings);
+    tbb::parallel_for(std::size_t { 0 }, runs.size(), [&](std::size_t i) {
+        ChangeExperimentSettings experiment;
+        experiment.m_seed = runs[i].m_seed;
+        experiment.m_strikes = runs[i].m_strikes;
+        experiment.m_design = settings.m_design;
+        runs[i].m_result = ChangeExperiment { experiment }.run();
+    });
+    return runs;
+}
+
+void markKnown(std::span<ChangeRun> runs, std::uint64_t seed, std::string_view list)
+{
+    const std::string command = fmt::format("faults --of changes --seed {} ", seed);
+    while (!list.empty()) {
+        const std::size_t end = std::min(list.find('\n'), list.size());
+        const std::string_view line = list.substr(0, end);
+        list.remove_prefix(std::min(end + 1, list.size()));
+        if (!line.starts_with(command))
+            continue;
+        for (ChangeRun& run : runs)
+            run.m_isKnown = run.m_isKnown || line.find(fmt::format("| {} |", runName(run))) != std::string_view::npos;
+    }
+}
+
+std::string reportChangeMatrix(std::span<const ChangeRun> runs, ReportFormat format)
+{
+    if (format == ReportFormat::Json)
+        return reportJson(runs);
+    std::string text = reportTable(runs);
+    for (const ChangeRun& run : runs) {
+        if (run.brokePromise())
+            text += fmt::format("{}, seed {}{}: {}\n", runName(run), run.m_seed, run.m_isKnown ? ", known" : "",
+                describe(run.m_result));
+        else if (!run.struckAll())
+            text += fmt::format("{}, seed {}: not played, nothing reached the step\n", runName(run), run.m_seed);
+    }
+    return text;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/ChangeStore.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/Error.h"
+#include "base/Time.h"
+#include "configuration/ConfigurationHolder.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace cuminrelay {
+
+/// The platform's store as far as an experiment of configuration changes needs it: one object with versions and
+/// conditional writes, and what can be wrong with it.
+class ChangeStore {
+public:
+    explicit ChangeStore(Configuration first);
+
+    /// Errors: Unavailable while the store is down.
+    Outcome<SharedConfiguration> read(Instant now) const;
+
+    /// expected: the version that must be stored still; nothing for an unconditional write. Errors: Unavailable,
+    /// Conflict.
+    Outcome<ConfigVersion> write(Configuration next, std::optional<ConfigVersion> expected, Instant now);
+
+    /// Goes back by some versions, as after a restore of an old copy.
+    void restoreOlder(std::size_t versions);
+
+    void downUntil(Deadline end) { m_downUntil = end; }
+    void staleUntil(Deadline end) { m_staleUntil = end; }
+
+    bool isFaulty(Instant now) const { return now < m_downUntil || now < m_staleUntil; }
+    bool isBehind() const { return m_versions.back()->m_version < m_highest; }
+    bool wasRestored() const { return m_wasRestored; }
+    const SharedConfiguration& current() const { return m_versions.back(); }
+
+    /// The configuration at a version, or nullptr.
+    SharedConfiguration find(ConfigVersion version) const;
+
+    /// The highest version that was written up to an instant.
+    ConfigVersion highestWrittenBy(Instant when) const;
+
+private:
+    struct Write {
+        Instant m_at {};
+        ConfigVersion m_version;
+    };
+
+    std::vector<SharedConfiguration> m_versions; ///< oldest first
+    std::vector<Write> m_writes;
+    ConfigVersion m_highest;
+    Deadline m_downUntil {};
+    Deadline m_staleUntil {};
+    bool m_wasRestored = false;
+};
+
+} // namespace cuminrelay
