operators: an edit of a store that went back is refused; reads that lag are no conflict

Lasting refusals of writes against what was just read are status 4 and say so. An edit costs one list and a read a zone more. That edits which the backup lacks go out of force when the versions pass is the store's and stays.

--- a/src/operators/CommandLine.cpp
+++ b/src/operators/CommandLine.cpp
@@ -89,7 +89,7 @@
             return;
         case VerbOption::Force:
             description.add_options()("force", options::bool_switch(&values.m_forced),
-                "also when a service would lose all its hosts or share an address");
+                "also when a service would lose all its hosts or share an address, or when the store went back");
             return;
         case VerbOption::Base:
             description.add_options()("base", options::value<std::uint64_t>()->value_name("VERSION"),
--- a/src/operators/CommandLineTest.cpp
+++ b/src/operators/CommandLineTest.cpp
@@ -295,6 +295,31 @@
         EXPECT_TRUE(prints("at version 9, but the store has only 1: it went back")) << all();
     }
 
+    TEST_F(CommandLineTest, editOfAStoreThatWentBackIsRefusedUnlessForced)
+    {
+        ASSERT_EQ(apply(), 0) << all();
+        addVm("entry-1", "furano-c", 1);
+        writeStatus("furano-c", "entry-1", 1, 0);
+        EXPECT_EQ(run({ "label", "host", "k-1", "tier=gold" }), 0) << all();
+        writeStatus("furano-c", "entry-1", 9, 1);
+        EXPECT_EQ(run({ "label", "host", "k-1", "tier=silver" }), 3) << all();
+        EXPECT_TRUE(prints("the store holds version 2, but entry-1 has 9 in force")) << all();
+        EXPECT_EQ(run({ "get", "host", "k-1", "--output", "json" }), 0) << all();
+        EXPECT_TRUE(prints("\"tier\":\"gold\"")) << all();
+        EXPECT_EQ(run({ "label", "host", "k-1", "tier=silver", "--force" }), 0) << all();
+    }
+
+    TEST_F(CommandLineTest, readsThatLagAreNoConflictWithSomebody)
+    {
+        ASSERT_EQ(apply(), 0) << all();
+        ASSERT_EQ(run({ "label", "host", "k-1", "tier=gold" }), 0) << all();
+        setSwitches(R"({"stale_reads": true})");
+        EXPECT_EQ(run({ "label", "host", "k-2", "tier=gold" }), 4) << all();
+        EXPECT_TRUE(prints("its reads lag")) << all();
+        setSwitches(R"({"stale_reads": false})");
+        EXPECT_EQ(run({ "label", "host", "k-2", "tier=gold" }), 0) << all();
+    }
+
     TEST_F(CommandLineTest, statusAndExplainSayWhatIsKnown)
     {
         ASSERT_EQ(apply(), 0) << all();
--- a/src/operators/EditSession.cpp
+++ b/src/operators/EditSession.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
+#include <optional>
 #include <utility>
 
 namespace cuminrelay::operators {
@@ -17,6 +18,7 @@
 namespace {
 
     constexpr unsigned c_maximumWrites = 20;
+    constexpr unsigned c_maximumReads = 5;
     constexpr Duration c_pauseAfterConflict = std::chrono::milliseconds { 20 };
     constexpr std::int64_t c_msPerSecond = 1000;
 
@@ -38,6 +40,39 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, canceled));
     }
 
+    /// An entry VM that is ahead of the store, as far as the status objects can be read.
+    asio::awaitable<std::optional<MemberStatus>> readMemberAhead(
+        PlatformClient& platform, const Configuration& current, Deadline deadline)
+    {
+        const Outcome<std::vector<Member>> vms = co_await platform.listMembers(deadline);
+        std::vector<std::string> zones = zoneNames(current, vms ? vms.value() : std::vector<Member> {});
+        const Outcome<std::vector<ZoneStatus>> statuses
+            = co_await readZoneStatuses(platform, std::move(zones), deadline);
+        co_return statuses ? findMemberAhead(statuses.value(), current.m_version) : std::nullopt;
+    }
+
+    /// The stored configuration, as the one that entry VMs would take an edit of. Errors: as readOrEmpty; Conflict when
+    /// the store went back, so that entry VMs would ignore the edit.
+    asio::awaitable<Outcome<Configuration>> readForEdit(const CommandContext& context)
+    {
+        std::optional<MemberStatus> ahead;
+        Outcome<Configuration> current = Configuration {};
+        // A read may also lag for a moment.
+        for (unsigned attempt = 1; attempt <= c_maximumReads; ++attempt) {
+            current = co_await readOrEmpty(context.m_platform, context.m_deadline);
+            if (!current || context.m_options.m_forced)
+                co_return current;
+            ahead = co_await readMemberAhead(context.m_platform, current.value(), context.m_deadline);
+            if (!ahead)
+                co_return current;
+            co_await pause(attempt);
+        }
+        co_return Error { ErrorKind::Conflict,
+            fmt::format("the store holds version {}, but {} has {} in force: the store went back, and entry VMs would "
+                        "ignore this edit; see \"The store was restored\" on the operators' page, or give --force",
+                current.value().m_version.m_number, ahead->m_name, ahead->m_configVersion.m_number) };
+    }
+
     /// A later failure does not make the outcome of an earlier write known.
     Error finalError(Error error, bool outcomeUnknown, const Edit& edit)
     {
@@ -80,7 +115,7 @@
 
 asio::awaitable<Outcome<EditOutcome>> runEdit(CommandContext& context, const ChangePlan& plan)
 {
-    Outcome<Configuration> current = co_await readOrEmpty(context.m_platform, context.m_deadline);
+    Outcome<Configuration> current = co_await readForEdit(context);
     if (!current)
         co_return current.error();
     Outcome<ChangeList> changes = plan.plan(current.value());
@@ -112,6 +147,12 @@
         if (!current)
             co_return finalError(current.error(), outcomeUnknown, edit);
     }
+    if (lastError.m_kind == ErrorKind::Conflict) {
+        lastError = { ErrorKind::Unavailable,
+            fmt::format("the store refused {} writes against what it had just answered: others write all the time, or "
+                        "its reads lag; nothing was changed, run it again",
+                c_maximumWrites) };
+    }
     co_return finalError(std::move(lastError), outcomeUnknown, edit);
 }
 
--- a/src/operators/Fleet.cpp
+++ b/src/operators/Fleet.cpp
@@ -118,4 +118,15 @@
     return lagging;
 }
 
+std::optional<MemberStatus> findMemberAhead(std::span<const ZoneStatus> zones, ConfigVersion stored)
+{
+    for (const ZoneStatus& zone : zones) {
+        const auto member = std::ranges::find_if(
+            zone.m_members, [stored](const MemberStatus& status) { return status.m_configVersion > stored; });
+        if (member != zone.m_members.end())
+            return *member;
+    }
+    return std::nullopt;
+}
+
 } // namespace cuminrelay::operators
--- a/src/operators/Fleet.h
+++ b/src/operators/Fleet.h
@@ -8,6 +8,7 @@
 #include "platform/PlatformClient.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -47,4 +48,7 @@
 /// The VMs of the list that are active and do not have the version in force, as far as the status objects say.
 std::vector<LaggingMember> laggingMembers(const Fleet& fleet, ConfigVersion version);
 
+/// An entry VM that has a higher version in force than the store holds, or nothing.
+std::optional<MemberStatus> findMemberAhead(std::span<const ZoneStatus> zones, ConfigVersion stored);
+
 } // namespace cuminrelay::operators
