--- /dev/null
+++ b/src/bench/MembersExperiment.cpp
@@ -0,0 +1,614 @@
+#include "bench/MembersExperiment.h"
+
+#include "bench/Random.h"
+#include "control/ControlState.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <ctime>
+#include <deque>
+#include <fmt/format.h>
+#include <functional>
+#include <kj/io.h>
+#include <map>
+#include <memory>
+#include <oneapi/tbb/parallel_for.h>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr Instant c_begin { std::chrono::seconds { 1000 } };
+    constexpr Duration c_step = std::chrono::milliseconds { 50 };
+    constexpr Duration c_beatInterval = std::chrono::milliseconds { 500 };
+    constexpr Duration c_tickInterval = std::chrono::milliseconds { 250 };
+    constexpr Duration c_probeInterval = std::chrono::seconds { 1 };
+    constexpr Duration c_listInterval = std::chrono::seconds { 2 };
+
+    /// From a configuration fetched to its being in force in the entry process.
+    constexpr Duration c_installTime = std::chrono::milliseconds { 100 };
+
+    /// How often views are searched for false alarms.
+    constexpr Duration c_alarmInterval = std::chrono::milliseconds { 500 };
+
+    constexpr Duration c_warmUp = std::chrono::seconds { 20 };
+    constexpr Duration c_steady = std::chrono::seconds { 20 };
+    constexpr Duration c_patience = std::chrono::seconds { 15 };
+
+    constexpr std::size_t c_probersOfABackend = 2;
+    constexpr std::size_t c_backendsOfAVm = 5;
+
+    /// What Cap'n Proto's RPC adds to a call and its answer, packed, and each message's length: call, return, finish.
+    constexpr std::uint64_t c_callBytes = 22;
+    constexpr std::uint64_t c_returnBytes = 14;
+    constexpr std::uint64_t c_finishBytes = 10;
+
+    /// Opening a connection: TCP's three segments at 40 bytes, asking for the peer's interface and the answer, and the
+    /// release and the end of it all.
+    constexpr std::uint64_t c_openBytes = 300;
+
+    struct FleetShape {
+        std::string_view m_name;
+        std::size_t m_vms = 0;
+        std::size_t m_zones = 0;
+        std::size_t m_beatEverybodyUpTo = 16;
+    };
+
+    /// Bytes of heartbeats by part. A part's bytes are what the message shrinks by without it.
+    struct BeatBytes {
+        std::uint64_t m_beats = 0; ///< sender, call and connections
+        std::uint64_t m_reports = 0;
+        std::uint64_t m_summaries = 0;
+
+        std::uint64_t total() const { return m_beats + m_reports + m_summaries; }
+
+        BeatBytes& operator+=(const BeatBytes& other)
+        {
+            m_beats += other.m_beats;
+            m_reports += other.m_reports;
+            m_summaries += other.m_summaries;
+            return *this;
+        }
+    };
+
+    struct Link {
+        PeerCursor m_opener;
+        PeerCursor m_other;
+        std::string m_openerZone; ///< as the other end knows it; empty until the first heartbeat
+        std::string m_otherZone;
+        Deadline m_nextBeat {};
+    };
+
+    struct Vm {
+        Member m_member;
+        std::unique_ptr<ControlState> m_state;
+        std::map<std::size_t, Link> m_links; ///< opened by this VM, by the other VM
+        std::vector<Endpoint> m_backends; ///< probed by this VM
+        std::optional<Configuration> m_fetched;
+        Deadline m_inForceAt {};
+        Deadline m_nextTick {};
+        Deadline m_nextProbe {};
+        Deadline m_nextList {};
+        bool m_runs = true;
+        std::vector<Member> m_peers; ///< to beat to
+        BeatBytes m_bytes; ///< sent and received
+    };
+
+    /// One fleet on one thread of virtual time.
+    class MembersFleet {
+    public:
+        MembersFleet(const FleetShape& shape, std::uint64_t seed);
+
+        void runFor(Duration time);
+        Instant now() const { return m_now; }
+        std::vector<Vm>& vms() { return m_vms; }
+        std::vector<std::size_t> membersOf(std::string_view zone) const;
+
+        void setLoss(double loss) { m_loss = loss; }
+        void cutZone(std::string_view zone) { m_cutZone = zone; }
+        void countBytes(bool counts) { m_countsBytes = counts; }
+
+        /// The configuration appears on the platform: readers take it.
+        void publish(std::uint64_t version);
+
+        /// When each VM that runs and matters first saw what is asked for, after now; empty when one never did.
+        std::vector<double> secondsUntil(
+            const std::function<bool(const Vm&)>& matters, const std::function<bool(const Vm&)>& sees);
+
+        /// How often a view called a VM that runs Unreachable.
+        std::uint64_t falseAlarms() const { return m_falseAlarms; }
+        void countFalseAlarms() { m_countsFalseAlarms = true; }
+
+    private:
+        void step();
+        void stepVm(std::size_t index);
+        void probe(Vm& vm);
+        void beatToPeers(std::size_t index);
+        bool beat(std::size_t from, std::size_t to, Link& link, bool closing);
+        bool canReach(const Vm& from, const Vm& to) const;
+        bool deliver(const Heartbeat& heartbeat, Vm& from, Vm& to, std::uint64_t callBytes, Heartbeat& arrived);
+        void countBytes(const Heartbeat& heartbeat, std::uint64_t callBytes, Vm& from, Vm& to) const;
+        void takeConfiguration(Vm& vm, const Vm& from);
+        void noteFalseAlarms();
+
+        Random m_random;
+        Instant m_now = c_begin;
+        std::vector<Vm> m_vms;
+        std::map<Endpoint, std::size_t> m_byControl;
+        std::vector<Member> m_list;
+        std::string m_cutZone;
+        double m_loss = 0;
+        bool m_countsFalseAlarms = false;
+        bool m_countsBytes = false;
+        std::uint64_t m_falseAlarms = 0;
+        std::set<std::pair<std::size_t, Endpoint>> m_alarmed;
+    };
+
+    Configuration configurationAt(std::uint64_t version)
+    {
+        Configuration configuration;
+        configuration.m_version = ConfigVersion { version };
+        return configuration;
+    }
+
+    std::uint64_t packedBytes(const Heartbeat& heartbeat, Instant now)
+    {
+        capnp::MallocMessageBuilder message;
+        writeHeartbeat(heartbeat, now, message.initRoot<wire::Heartbeat>());
+        kj::VectorOutputStream out;
+        capnp::writePackedMessage(out, message);
+        return out.getArray().size();
+    }
+
+    MembersFleet::MembersFleet(const FleetShape& shape, std::uint64_t seed)
+        : m_random(seed)
+    {
+        m_vms.resize(shape.m_vms);
+        for (std::size_t i = 0; i < shape.m_vms; ++i) {
+            Member member;
+            member.m_peers = Endpoint { static_cast<std::uint32_t>(0x0a000000 + i), 4001 };
+            member.m_replica = Endpoint { member.m_peers.m_address, 4002 };
+            member.m_control = Endpoint { member.m_peers.m_address, 4003 };
+            member.m_name = fmt::format("entry-{:03}", i);
+            member.m_zone = fmt::format("zone-{}", i % shape.m_zones);
+            member.m_incarnation = 1'700'000'000'000'000 + i;
+            Vm& vm = m_vms[i];
+            vm.m_member = member;
+            vm.m_state = std::make_unique<ControlState>(
+                member, shape.m_beatEverybodyUpTo, 1'700'000'000'000'000 + m_random.below(1'000'000'000), m_now);
+            (void)vm.m_state->offerConfiguration(configurationAt(1));
+            vm.m_nextTick = m_now + Duration { static_cast<std::int64_t>(m_random.below(250'000)) };
+            vm.m_nextProbe = m_now + Duration { static_cast<std::int64_t>(m_random.below(1'000'000)) };
+            m_byControl[member.m_control] = i;
+            m_list.push_back(member);
+        }
+        for (std::size_t backend = 0; backend < shape.m_vms * c_backendsOfAVm; ++backend) {
+            const Endpoint tunnel { static_cast<std::uint32_t>(0x0a100000 + backend), 5555 };
+            const std::vector<std::size_t> zone = membersOf(fmt::format("zone-{}", backend % shape.m_zones));
+            const std::size_t first = m_random.below(zone.size());
+            for (std::size_t prober = 0; prober < std::min(c_probersOfABackend, zone.size()); ++prober)
+                m_vms[zone[(first + prober) % zone.size()]].m_backends.push_back(tunnel);
+        }
+    }
+
+    std::vector<std::size_t> MembersFleet::membersOf(std::string_view zone) const
+    {
+        std::vector<std::size_t> members;
+        for (std::size_t i = 0; i < m_vms.size(); ++i) {
+            if (m_vms[i].m_member.m_zone == zone)
+                members.push_back(i);
+        }
+        return members;
+    }
+
+    void MembersFleet::runFor(Duration time)
+    {
+        const Instant end = m_now + time;
+        while (m_now < end)
+            step();
+    }
+
+    std::vector<double> MembersFleet::secondsUntil(
+        const std::function<bool(const Vm&)>& matters, const std::function<bool(const Vm&)>& sees)
+    {
+        const Instant from = m_now;
+        std::vector<std::size_t> waiting;
+        for (std::size_t i = 0; i < m_vms.size(); ++i) {
+            if (m_vms[i].m_runs && matters(m_vms[i]))
+                waiting.push_back(i);
+        }
+        std::vector<double> seconds;
+        while (!waiting.empty() && m_now < from + c_patience) {
+            step();
+            const std::size_t seen = std::erase_if(waiting, [&](std::size_t index) { return sees(m_vms[index]); });
+            seconds.insert(seconds.end(), seen, static_cast<double>((m_now - from).count()) / 1e6);
+        }
+        return waiting.empty() ? seconds : std::vector<double> {};
+    }
+
+    void MembersFleet::publish(std::uint64_t version)
+    {
+        for (Vm& vm : m_vms) {
+            if (vm.m_runs && vm.m_state->membership().mustReadPlatform()) {
+                vm.m_fetched = configurationAt(version);
+                vm.m_inForceAt = m_now + c_installTime;
+            }
+        }
+    }
+
+    void MembersFleet::step()
+    {
+        m_now += c_step;
+        for (std::size_t i = 0; i < m_vms.size(); ++i) {
+            if (m_vms[i].m_runs)
+                stepVm(i);
+        }
+        if (m_countsFalseAlarms && (m_now - c_begin) % c_alarmInterval == Duration { 0 })
+            noteFalseAlarms();
+    }
+
+    void MembersFleet::stepVm(std::size_t index)
+    {
+        Vm& vm = m_vms[index];
+        if (vm.m_fetched && m_now >= vm.m_inForceAt) {
+            const ConfigVersion version = vm.m_fetched->m_version;
+            (void)vm.m_state->offerConfiguration(std::move(*vm.m_fetched));
+            vm.m_fetched.reset();
+            vm.m_state->applyEntryStatus(
+                EntryProcessStatus { vm.m_member.m_incarnation, false, true, { version, 6000, 1800 } }, m_now);
+        }
+        if (m_now >= vm.m_nextTick) {
+            vm.m_nextTick += c_tickInterval;
+            const ConfigVersion version = vm.m_state->configuration().version();
+            vm.m_state->applyEntryStatus(EntryProcessStatus { vm.m_member.m_incarnation, false, true,
+                                             { version, 6000 + m_random.below(200), 1800 + m_random.below(50) } },
+                m_now);
+            vm.m_state->tick(m_now);
+        }
+        if (m_now >= vm.m_nextList && vm.m_state->membership().mustReadPlatform()) {
+            vm.m_nextList = m_now + c_listInterval;
+            vm.m_state->applyList(m_list, m_now);
+        }
+        if (m_now >= vm.m_nextProbe) {
+            vm.m_nextProbe += c_probeInterval;
+            probe(vm);
+        }
+        beatToPeers(index);
+    }
+
+    void MembersFleet::probe(Vm& vm)
+    {
+        std::vector<BackendReport> reports;
+        for (const Endpoint backend : vm.m_backends) {
+            BackendReport report { backend, BackendHealth::Healthy, false, 0, 0, 0, m_now };
+            report.m_connections = static_cast<std::uint32_t>(1200 + m_random.below(60));
+            report.m_busySlots = static_cast<std::uint16_t>(m_random.below(3));
+            report.m_queued = static_cast<std::uint16_t>(m_random.below(3));
+            reports.push_back(report);
+        }
+        vm.m_state->applyOwnReports(reports, m_now);
+    }
+
+    void MembersFleet::beatToPeers(std::size_t index)
+    {
+        Vm& vm = m_vms[index];
+        const ControlChanges changes = vm.m_state->takeChanges();
+        const bool urgent = changes.m_urgent;
+        if (changes.m_peers)
+            vm.m_peers = vm.m_state->membership().peersToBeat();
+        std::set<std::size_t> wanted;
+        for (const Member& peer : vm.m_peers) {
+            const std::size_t other = m_byControl.at(peer.m_control);
+            const bool drawn = vm.m_state->membership().passesOn() && peer.m_zone == vm.m_member.m_zone;
+            const bool otherOpens
+                = drawn ? m_vms[other].m_links.contains(index) : peer.m_control < vm.m_member.m_control;
+            if (!otherOpens || (!drawn && !m_vms[other].m_runs))
+                wanted.insert(other);
+        }
+        for (const std::size_t other : wanted) {
+            const auto [found, added] = vm.m_links.try_emplace(other);
+            if (added)
+                found->second.m_nextBeat = m_now + Duration { static_cast<std::int64_t>(m_random.below(50'000)) };
+        }
+        for (auto entry = vm.m_links.begin(); entry != vm.m_links.end();) {
+            Link& link = entry->second;
+            const bool closing = !wanted.contains(entry->first);
+            const bool due = m_now >= link.m_nextBeat || urgent;
+            bool connected = true;
+            if (due) {
+                connected = beat(index, entry->first, link, closing);
+                link.m_nextBeat = m_now + c_beatInterval;
+            }
+            if (closing && due && connected)
+                vm.m_state->membership().stopWatching(m_vms[entry->first].m_member.m_peers, m_now);
+            entry = (closing && due) || !connected ? vm.m_links.erase(entry) : std::next(entry);
+        }
+        // Those that the other end opened beat back at once when something is urgent.
+        for (std::size_t other = 0; urgent && other < m_vms.size(); ++other) {
+            const auto link = m_vms[other].m_links.find(index);
+            if (m_vms[other].m_runs && link != m_vms[other].m_links.end())
+                (void)beat(other, index, link->second, false);
+        }
+    }
+
+    bool MembersFleet::canReach(const Vm& from, const Vm& to) const
+    {
+        const bool crosses = from.m_member.m_zone != to.m_member.m_zone;
+        const bool cut = crosses && (from.m_member.m_zone == m_cutZone || to.m_member.m_zone == m_cutZone);
+        return from.m_runs && to.m_runs && !cut;
+    }
+
+    bool MembersFleet::deliver(
+        const Heartbeat& heartbeat, Vm& from, Vm& to, std::uint64_t callBytes, Heartbeat& arrived)
+    {
+        capnp::MallocMessageBuilder message;
+        writeHeartbeat(heartbeat, m_now, message.initRoot<wire::Heartbeat>());
+        if (m_countsBytes)
+            countBytes(heartbeat, callBytes, from, to);
+        Outcome<Heartbeat> read = readHeartbeat(message.getRoot<wire::Heartbeat>().asReader(), m_now);
+        arrived = std::move(read).value();
+        return !m_random.chance(m_loss);
+    }
+
+    void MembersFleet::countBytes(const Heartbeat& heartbeat, std::uint64_t callBytes, Vm& from, Vm& to) const
+    {
+        Heartbeat bare = heartbeat;
+        bare.m_reports.clear();
+        bare.m_passedReports.clear();
+        const std::uint64_t whole = packedBytes(heartbeat, m_now);
+        const std::uint64_t withoutReports = packedBytes(bare, m_now);
+        bare.m_summaries.clear();
+        const std::uint64_t alone = packedBytes(bare, m_now);
+        const BeatBytes bytes { alone + callBytes, whole - withoutReports, withoutReports - alone };
+        from.m_bytes += bytes;
+        to.m_bytes += bytes;
+    }
+
+    bool MembersFleet::beat(std::size_t from, std::size_t to, Link& link, bool closing)
+    {
+        Vm& opener = m_vms[from];
+        Vm& other = m_vms[to];
+        if (!canReach(opener, other))
+            return false;
+        if (link.m_otherZone.empty()) {
+            opener.m_bytes.m_beats += c_openBytes;
+            other.m_bytes.m_beats += c_openBytes;
+        }
+        Heartbeat sent = opener.m_state->heartbeatFor(link.m_otherZone, link.m_opener, m_now);
+        sent.m_closing = closing;
+        Heartbeat arrived;
+        // A lost message is repeated by TCP: the peer gets what it held with the next one.
+        const PeerCursor openerBefore = link.m_opener;
+        if (!deliver(sent, opener, other, c_callBytes + c_finishBytes, arrived)) {
+            link.m_opener = openerBefore;
+            return true;
+        }
+        link.m_openerZone = opener.m_member.m_zone;
+        link.m_other.m_accepted = true;
+        other.m_state->greet(arrived, link.m_other);
+        other.m_state->applyHeartbeat(arrived, m_now);
+        takeConfiguration(other, opener);
+        const PeerCursor otherBefore = link.m_other;
+        const Heartbeat answer = other.m_state->heartbeatFor(link.m_openerZone, link.m_other, m_now);
+        if (!deliver(answer, other, opener, c_returnBytes, arrived)) {
+            link.m_other = otherBefore;
+            return true;
+        }
+        link.m_otherZone = other.m_member.m_zone;
+        opener.m_state->greet(arrived, link.m_opener);
+        opener.m_state->applyHeartbeat(arrived, m_now);
+        takeConfiguration(opener, other);
+        return true;
+    }
+
+    void MembersFleet::takeConfiguration(Vm& vm, const Vm& from)
+    {
+        const ConfigVersion offered = from.m_state->configuration().version();
+        if (vm.m_fetched || !vm.m_state->startFetch(offered, m_now))
+            return;
+        vm.m_state->fetchEnded();
+        vm.m_fetched = configurationAt(offered.m_number);
+        vm.m_inForceAt = m_now + c_installTime;
+    }
+
+    void MembersFleet::noteFalseAlarms()
+    {
+        for (std::size_t i = 0; i < m_vms.size(); ++i) {
+            for (const Member& member : m_vms[i].m_state->membership().view().m_members) {
+                const bool alarmed
+                    = member.m_state == MemberState::Unreachable && m_vms[m_byControl.at(member.m_control)].m_runs;
+                if (!alarmed)
+                    m_alarmed.erase({ i, member.m_peers });
+                else if (m_alarmed.insert({ i, member.m_peers }).second)
+                    ++m_falseAlarms;
+            }
+        }
+    }
+
+    struct Row {
+        std::string m_fleet;
+        std::string m_way;
+        BeatBytes m_mean;
+        double m_meanBytes = 0;
+        double m_worstBytes = 0;
+        std::size_t m_links = 0; ///< the most that a VM holds
+        std::vector<double> m_killed; ///< until all members of the zone see it
+        std::vector<double> m_readerKilled;
+        std::vector<double> m_version; ///< until it is known everywhere
+        std::vector<double> m_health; ///< until a backend server's failure is known in the zone
+        std::vector<double> m_cut; ///< until the other zones see it; empty with one zone
+        std::uint64_t m_falseAlarms = 0;
+        double m_processor = 0; ///< seconds a second and VM
+    };
+
+    bool sees(const Vm& vm, Endpoint peers, MemberState state)
+    {
+        const std::vector<Member>& members = vm.m_state->membership().view().m_members;
+        const auto found = std::ranges::find(members, peers, &Member::m_peers);
+        return found == members.end() ? state == MemberState::Unreachable : found->m_state == state;
+    }
+
+    double threadSeconds()
+    {
+        timespec spent {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+        return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) / 1e9;
+    }
+
+    void measureSteady(MembersFleet& fleet, Row& row)
+    {
+        fleet.countFalseAlarms();
+        const double before = threadSeconds();
+        fleet.runFor(c_steady);
+        const double spent = threadSeconds() - before;
+        fleet.countBytes(true);
+        fleet.runFor(c_steady);
+        fleet.countBytes(false);
+        const double seconds = static_cast<double>(c_steady.count()) / 1e6;
+        const double count = static_cast<double>(fleet.vms().size());
+        row.m_processor = spent / seconds / count;
+        std::vector<std::size_t> links(fleet.vms().size());
+        for (std::size_t i = 0; i < fleet.vms().size(); ++i) {
+            const Vm& vm = fleet.vms()[i];
+            row.m_mean += vm.m_bytes;
+            row.m_worstBytes = std::max(row.m_worstBytes, static_cast<double>(vm.m_bytes.total()) / seconds);
+            links[i] += vm.m_links.size();
+            for (const auto& [other, link] : vm.m_links)
+                ++links[other];
+        }
+        row.m_links = *std::ranges::max_element(links);
+        row.m_meanBytes = static_cast<double>(row.m_mean.total()) / seconds / count;
+        const std::uint64_t divisor = static_cast<std::uint64_t>(seconds * count);
+        row.m_mean = { row.m_mean.m_beats / divisor, row.m_mean.m_reports / divisor, row.m_mean.m_summaries / divisor };
+    }
+
+    std::vector<double> kill(MembersFleet& fleet, std::size_t victim)
+    {
+        Vm& vm = fleet.vms()[victim];
+        vm.m_runs = false;
+        const Endpoint peers = vm.m_member.m_peers;
+        const std::string zone = vm.m_member.m_zone;
+        return fleet.secondsUntil([&](const Vm& other) { return other.m_member.m_zone == zone; },
+            [&](const Vm& other) { return sees(other, peers, MemberState::Unreachable); });
+    }
+
+    std::vector<double> failBackend(MembersFleet& fleet)
+    {
+        const Endpoint backend = fleet.vms().front().m_backends.front();
+        const std::string zone = fleet.vms().front().m_member.m_zone;
+        for (Vm& vm : fleet.vms()) {
+            if (!vm.m_runs || std::erase(vm.m_backends, backend) == 0)
+                continue;
+            const std::vector<BackendReport> reports { BackendReport {
+                backend, BackendHealth::Unhealthy, false, 0, 0, 0, fleet.now() } };
+            vm.m_state->applyOwnReports(reports, fleet.now());
+        }
+        return fleet.secondsUntil([&](const Vm& vm) { return vm.m_member.m_zone == zone; },
+            [&](const Vm& vm) {
+                const std::vector<BackendReport> reports = vm.m_state->reports(fleet.now());
+                const auto found = std::ranges::find(reports, backend, &BackendReport::m_backend);
+                return found != reports.end() && found->m_health == BackendHealth::Unhealthy;
+            });
+    }
+
+    Row play(const FleetShape& shape, std::uint64_t seed)
+    {
+        Row row;
+        row.m_fleet = fmt::format("{} in {}", shape.m_vms, shape.m_zones);
+        row.m_way = shape.m_name;
+        MembersFleet fleet { shape, seed };
+        fleet.runFor(c_warmUp);
+        measureSteady(fleet, row);
+        fleet.publish(2);
+        row.m_version = fleet.secondsUntil([](const Vm&) { return true; },
+            [](const Vm& vm) { return vm.m_state->configuration().version() == ConfigVersion { 2 }; });
+        row.m_health = failBackend(fleet);
+        fleet.runFor(std::chrono::seconds { 5 });
+        const std::vector<std::size_t> zone = fleet.membersOf("zone-0");
+        const auto reader = std::ranges::find_if(
+            zone, [&](std::size_t index) { return fleet.vms()[index].m_state->membership().isFirstReader(); });
+        row.m_readerKilled = kill(fleet, *reader);
+        const auto other = std::ranges::find_if(zone, [&](std::size_t index) {
+            return fleet.vms()[index].m_runs && !fleet.vms()[index].m_state->membership().isReader();
+        });
+        if (other != zone.end())
+            row.m_killed = kill(fleet, *other);
+        fleet.runFor(std::chrono::seconds { 5 });
+        fleet.setLoss(0.05);
+        fleet.runFor(c_steady);
+        fleet.setLoss(0);
+        row.m_falseAlarms = fleet.falseAlarms();
+        if (shape.m_zones == 1)
+            return row;
+        const std::string cut = fmt::format("zone-{}", shape.m_zones - 1);
+        fleet.cutZone(cut);
+        row.m_cut = fleet.secondsUntil([&](const Vm& vm) { return vm.m_member.m_zone != cut; },
+            [&](const Vm& vm) {
+                const std::vector<std::string> zones = vm.m_state->membership().cutOffZones();
+                return std::ranges::find(zones, cut) != zones.end();
+            });
+        return row;
+    }
+
+    std::string formatTimes(std::vector<double> seconds)
+    {
+        if (seconds.empty())
+            return "-";
+        std::ranges::sort(seconds);
+        return fmt::format("{:.2f} {:.2f}", seconds[seconds.size() / 2], seconds.back());
+    }
+
+    std::string jsonTimes(std::vector<double> seconds)
+    {
+        if (seconds.empty())
+            return "null";
+        std::ranges::sort(seconds);
+        return fmt::format("[{:.2f},{:.2f}]", seconds[seconds.size() / 2], seconds.back());
+    }
+
+    std::string formatRow(const Row& row, ReportFormat format)
+    {
+        if (format == ReportFormat::Json)
+            return fmt::format(
+                "{{\"fleet\":\"{}\",\"way\":\"{}\",\"bytes_per_s\":{:.0f},\"worst_bytes_per_s\":{:.0f},\"beats\":{},"
+                "\"reports\":{},\"summaries\":{},\"links\":{},\"killed_s\":{},\"reader_killed_s\":{},\"version_s\":{},"
+                "\"health_s\":{},\"cut_s\":{},\"false_alarms\":{},\"processor_percent\":{:.3f}}}\n",
+                row.m_fleet, row.m_way, row.m_meanBytes, row.m_worstBytes, row.m_mean.m_beats, row.m_mean.m_reports,
+                row.m_mean.m_summaries, row.m_links, jsonTimes(row.m_killed), jsonTimes(row.m_readerKilled),
+                jsonTimes(row.m_version), jsonTimes(row.m_health), jsonTimes(row.m_cut), row.m_falseAlarms,
+                row.m_processor * 100);
+        return fmt::format("{:<9} {:<9} {:>6.0f} {:>6.0f} {:>6} {:>7} {:>9} {:>5} {:>11} {:>11} {:>11} {:>11} {:>11} "
+                           "{:>6} {:>6.3f}\n",
+            row.m_fleet, row.m_way, row.m_meanBytes, row.m_worstBytes, row.m_mean.m_beats, row.m_mean.m_reports,
+            row.m_mean.m_summaries, row.m_links, formatTimes(row.m_killed), formatTimes(row.m_readerKilled),
+            formatTimes(row.m_version), formatTimes(row.m_health), formatTimes(row.m_cut), row.m_falseAlarms,
+            row.m_processor * 100);
+    }
+
+} // namespace
+
+std::string runMembersExperiment(std::size_t onlyVms, std::uint64_t seed, ReportFormat format)
+{
+    std::vector<FleetShape> shapes { { "everybody", 8, 3, 16 }, { "drawn", 24, 1, 16 }, { "everybody", 88, 1, 4096 },
+        { "drawn", 88, 1, 16 }, { "drawn", 700, 8, 16 } };
+    if (onlyVms > 0)
+        std::erase_if(shapes, [onlyVms](const FleetShape& shape) { return shape.m_vms != onlyVms; });
+    std::vector<Row> rows(shapes.size());
+    oneapi::tbb::parallel_for(
+        std::size_t { 0 }, shapes.size(), [&](std::size_t i) { rows[i] = play(shapes[i], seed); });
+    std::string text;
+    if (format == ReportFormat::Table)
+        text = fmt::format("{:<9} {:<9} {:>6} {:>6} {:>6} {:>7} {:>9} {:>5} {:>11} {:>11} {:>11} {:>11} {:>11} {:>6} "
+                           "{:>6}\n",
+            "VMs", "beats to", "B/s", "worst", "beats", "reports", "summaries", "links", "killed", "reader", "version",
+            "health", "cut", "false", "cpu%");
+    for (const Row& row : rows)
+        text += formatRow(row, format);
+    return text;
+}
+
+} // namespace cuminrelay
--- a/src/bench/Slopes.cpp
+++ b/src/bench/Slopes.cpp
@@ -161,7 +161,8 @@
         heartbeat.m_beat.m_sender = makeMembers(1).m_members.front();
         ZoneSummary summary;
         summary.m_zone = "zone-0";
-        summary.m_members = makeMembers(members).m_members;
+        for (const Member& member : makeMembers(members).m_members)
+            summary.m_members.push_back({ member, 1, {} });
         heartbeat.m_summaries.push_back(summary);
         capnp::MallocMessageBuilder message;
         writeHeartbeat(heartbeat, Instant {}, message.initRoot<wire::Heartbeat>());
--- a/src/control/ControlHub.cpp
+++ b/src/control/ControlHub.cpp
@@ -98,6 +98,7 @@
         link.m_control = sender.m_control;
         ++m_acceptedLinks[link.m_control];
     }
+    m_state.greet(heartbeat, link.m_cursor);
     m_state.applyHeartbeat(heartbeat, now());
     link.m_heard.wake();
     dispatch();
@@ -117,8 +118,10 @@
     if (!link.m_accepted || found == m_acceptedLinks.end())
         return;
     --found->second;
-    if (found->second == 0)
-        m_acceptedLinks.erase(found);
+    if (found->second > 0)
+        return;
+    m_acceptedLinks.erase(found);
+    m_peers.wake();
 }
 
 bool ControlHub::isHeard(Endpoint control) const
@@ -128,6 +131,12 @@
     });
 }
 
+bool ControlHub::beatsTo(Endpoint control) const
+{
+    const bool seed = std::ranges::find(m_options.m_seedPeers, control) != m_options.m_seedPeers.end();
+    return (seed && !m_state.membership().passesOn()) || m_state.membership().beatsTo(control);
+}
+
 void ControlHub::dispatch()
 {
     const ControlChanges changes = m_state.takeChanges();
--- a/src/control/ControlHub.h
+++ b/src/control/ControlHub.h
@@ -75,6 +75,15 @@
     bool hasAcceptedLink(Endpoint control) const { return m_acceptedLinks.contains(control); }
     void linkEnded(const PeerLink& link);
 
+    /// Whether this VM beats to the peer with this control endpoint: a seed, or one of those that the state names.
+    bool beatsTo(Endpoint control) const;
+
+    /// Whether the members that this VM beats to are drawn at random.
+    bool drawsPeers() const { return m_state.membership().passesOn(); }
+
+    /// See Membership::stopWatching.
+    void stopWatching(Endpoint peers) { m_state.membership().stopWatching(peers, now()); }
+
     /// Whether a heartbeat of the peer with this control endpoint came lately.
     bool isHeard(Endpoint control) const;
 
--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -4,9 +4,21 @@
 
 namespace cuminrelay {
 
+namespace {
+
+    /// The most of each that one heartbeat tells; the rest goes with the next ones.
+    constexpr std::size_t c_membersInHeartbeat = 64;
+    constexpr std::size_t c_passedReportsInHeartbeat = 64;
+
+    /// A zone that was heard of is told again only when it was heard of this much later.
+    constexpr Duration c_zoneToldAgain = std::chrono::milliseconds { 750 };
+
+} // namespace
+
 ControlState::ControlState(const Member& self, std::size_t beatEverybodyUpTo, std::uint64_t firstSequence, Instant now)
     : m_membership(self, beatEverybodyUpTo, now)
     , m_reports(self.m_peers)
+    , m_spread(self.m_peers)
     , m_sequence(firstSequence)
 {
     m_membership.updateSelf(0, MemberState::Unreachable, {});
@@ -21,8 +33,10 @@
 
 void ControlState::applyOwnReports(std::span<const BackendReport> reports, Instant now)
 {
-    for (const BackendReport& report : reports)
+    for (const BackendReport& report : reports) {
         m_reports.apply(m_membership.self().m_peers, report, now);
+        m_spread.offerOwn(report, now);
+    }
     m_changes.m_entry = true;
 }
 
@@ -48,15 +62,39 @@
 
 void ControlState::applyHeartbeat(const Heartbeat& heartbeat, Instant now)
 {
+    const Endpoint sender = heartbeat.m_beat.m_sender.m_peers;
     m_membership.applyBeat(heartbeat.m_beat, now);
-    for (const ZoneSummary& summary : heartbeat.m_summaries)
+    if (heartbeat.m_closing)
+        m_membership.stopWatching(sender, now);
+    for (const ZoneSummary& summary : heartbeat.m_summaries) {
         m_membership.applySummary(summary.m_members, now);
+        m_membership.applyZoneHeard(summary.m_zone, std::min(summary.m_heardAt, now));
+    }
     for (const BackendReport& report : heartbeat.m_reports)
-        m_reports.apply(heartbeat.m_beat.m_sender.m_peers, report, now);
-    m_changes.m_entry |= !heartbeat.m_reports.empty();
+        takeReport({ sender, report }, sender, now);
+    for (const PassedReport& passed : heartbeat.m_passedReports)
+        takeReport(passed, sender, now);
+    m_changes.m_entry |= !heartbeat.m_reports.empty() || !heartbeat.m_passedReports.empty();
     noteMembership();
 }
 
+void ControlState::takeReport(const PassedReport& passed, Endpoint from, Instant now)
+{
+    if (passed.m_prober == m_membership.self().m_peers)
+        return;
+    if (m_reports.apply(passed.m_prober, passed.m_report, now) && m_membership.passesOn())
+        m_spread.pass(passed, from, now);
+}
+
+void ControlState::greet(const Heartbeat& heartbeat, PeerCursor& cursor) const
+{
+    const bool first = cursor.m_peer == Endpoint {};
+    cursor.m_peer = heartbeat.m_beat.m_sender.m_peers;
+    const bool sameZone = heartbeat.m_beat.m_sender.m_zone == m_membership.self().m_zone;
+    if (first && sameZone && m_membership.passesOn() && heartbeat.m_viewDigest == m_membership.digest())
+        cursor.m_members = m_membership.revision();
+}
+
 void ControlState::tick(Instant now)
 {
     m_membership.tick(now);
@@ -72,6 +110,7 @@
     for (const BackendServer& server : m_configuration.current()->m_backendServers)
         backends.push_back(server.m_tunnel);
     m_reports.retainBackends(backends);
+    m_spread.retainBackends(backends);
     m_changes.m_entry = true;
     m_changes.m_roles = true;
     return taken;
@@ -88,32 +127,67 @@
     return true;
 }
 
-Heartbeat ControlState::heartbeatFor(std::string_view zone, PeerCursor& cursor, Instant)
+Heartbeat ControlState::heartbeatFor(std::string_view zone, PeerCursor& cursor, Instant now)
 {
+    const bool ownZone = zone == m_membership.self().m_zone;
     Heartbeat heartbeat;
     heartbeat.m_beat = MemberBeat { m_membership.self(), ++m_sequence, m_entry.m_figures };
-    heartbeat.m_reports = m_reports.ownSince(cursor.m_reports);
-    addSummaries(heartbeat, zone, cursor);
+    heartbeat.m_viewDigest = m_membership.passesOn() ? m_membership.digest() : 0;
+    addReports(heartbeat, ownZone, cursor);
+    if (!zone.empty())
+        addSummaries(heartbeat, ownZone, cursor, now);
     return heartbeat;
 }
 
-void ControlState::addSummaries(Heartbeat& heartbeat, std::string_view zone, PeerCursor& cursor) const
+void ControlState::addReports(Heartbeat& heartbeat, bool ownZone, PeerCursor& cursor) const
 {
-    const bool ownZone = zone == m_membership.self().m_zone;
-    const bool readerOfOtherZone = !ownZone && !m_membership.beatsToEverybody();
-    if (!m_membership.isReader() || zone.empty() || (!ownZone && !readerOfOtherZone)) {
+    if (m_membership.beatsToEverybody() || (ownZone && !m_membership.passesOn())) {
+        heartbeat.m_reports = m_reports.ownSince(cursor.m_reports);
+        return;
+    }
+    if (!ownZone)
+        return;
+    const ReportSpread::Extent extent
+        = cursor.m_accepted ? ReportSpread::Extent::All : ReportSpread::Extent::OwnAndHealth;
+    for (const PassedReport& passed :
+        m_spread.since(cursor.m_passedReports, cursor.m_peer, extent, c_passedReportsInHeartbeat)) {
+        if (passed.m_prober == m_membership.self().m_peers)
+            heartbeat.m_reports.push_back(passed.m_report);
+        else
+            heartbeat.m_passedReports.push_back(passed);
+    }
+}
+
+void ControlState::addSummaries(Heartbeat& heartbeat, bool ownZone, PeerCursor& cursor, Instant now) const
+{
+    const bool everybody = m_membership.beatsToEverybody();
+    const bool passesOn = ownZone && m_membership.passesOn();
+    if (!passesOn && (!m_membership.isReader() || (!ownZone && everybody))) {
         cursor.m_members = 0;
         return;
     }
-    ZoneSummary summary { m_membership.self().m_zone, {}, m_membership.lowestConfigVersionOfZone() };
-    for (const Member& member : m_membership.view().m_members) {
-        const bool wanted = ownZone || member.m_zone == m_membership.self().m_zone;
-        if (wanted && m_memberRevisions.at(member.m_peers) > cursor.m_members)
-            summary.m_members.push_back(member);
+    ZoneSummary summary { m_membership.self().m_zone,
+        m_membership.changedSince(cursor.m_members, !ownZone, c_membersInHeartbeat),
+        m_membership.lowestConfigVersionOfZone(), now };
+    for (MemberBeat& news : summary.m_members) {
+        if (news.m_sender.m_peers == heartbeat.m_beat.m_sender.m_peers)
+            news.m_sequence = heartbeat.m_beat.m_sequence;
     }
-    cursor.m_members = m_revision;
     if (!summary.m_members.empty())
         heartbeat.m_summaries.push_back(std::move(summary));
+    if (ownZone && !everybody)
+        addZonesHeard(heartbeat, cursor);
+}
+
+void ControlState::addZonesHeard(Heartbeat& heartbeat, PeerCursor& cursor) const
+{
+    for (const auto& [zone, heardAt] : m_membership.zonesHeard()) {
+        const auto [told, added] = cursor.m_zones.try_emplace(zone, heardAt);
+        if (!added && heardAt < told->second + c_zoneToldAgain)
+            continue;
+        told->second = heardAt;
+        heartbeat.m_summaries.push_back({ zone, {}, {}, heardAt });
+    }
 }
 
 ControlChanges ControlState::takeChanges()
@@ -124,21 +198,16 @@
 void ControlState::noteMembership()
 {
     const MemberView& view = m_membership.view();
+    m_changes.m_peers |= m_membership.drawRevision() != m_seenDraw;
+    m_seenDraw = m_membership.drawRevision();
     if (view.m_epoch == m_seenEpoch)
         return;
     m_seenEpoch = view.m_epoch;
-    ++m_revision;
-    std::map<Endpoint, std::uint64_t> revisions;
     std::vector<Endpoint> reachable;
     for (const Member& member : view.m_members) {
-        const bool unchanged = std::ranges::binary_search(m_seenMembers, member.m_peers, {}, &Member::m_peers)
-            && *std::ranges::lower_bound(m_seenMembers, member.m_peers, {}, &Member::m_peers) == member;
-        revisions[member.m_peers] = unchanged ? m_memberRevisions[member.m_peers] : m_revision;
         if (member.m_state != MemberState::Unreachable)
             reachable.push_back(member.m_peers);
     }
-    m_memberRevisions = std::move(revisions);
-    m_seenMembers = view.m_members;
     m_reports.retainProbers(reachable);
     m_changes.m_entry = true;
     m_changes.m_peers = true;
--- a/src/control/ControlState.h
+++ b/src/control/ControlState.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "configuration/ConfigurationHolder.h"
 #include "control/ReportBook.h"
+#include "control/ReportSpread.h"
 #include "members/HeartbeatMessage.h"
 #include "members/Membership.h"
 
@@ -34,7 +35,11 @@
 /// How much of what there is to tell a peer has been told on its connection.
 struct PeerCursor {
     std::uint64_t m_reports = 0;
+    std::uint64_t m_passedReports = 0;
     std::uint64_t m_members = 0;
+    std::map<std::string, Instant> m_zones; ///< when other zones were heard of, as told last
+    bool m_accepted = false; ///< the peer opened the connection
+    Endpoint m_peer; ///< m_peers of the peer; zero until its first heartbeat
 };
 
 /// Everything that a control process knows and what it makes of it: members, configuration, reports, its own entry
@@ -55,6 +60,10 @@
     void entryLost(Instant now);
 
     void applyHeartbeat(const Heartbeat& heartbeat, Instant now);
+
+    /// Call before applyHeartbeat for each heartbeat on a connection: a new connection need not tell a peer that takes
+    /// the same members for reachable of each of them.
+    void greet(const Heartbeat& heartbeat, PeerCursor& cursor) const;
     void tick(Instant now);
 
     /// Takes a configuration from the platform or a peer; see ConfigurationHolder::offer.
@@ -83,17 +92,19 @@
 
 private:
     void noteMembership();
-    void addSummaries(Heartbeat& heartbeat, std::string_view zone, PeerCursor& cursor) const;
+    void addReports(Heartbeat& heartbeat, bool ownZone, PeerCursor& cursor) const;
+    void addSummaries(Heartbeat& heartbeat, bool ownZone, PeerCursor& cursor, Instant now) const;
+    void addZonesHeard(Heartbeat& heartbeat, PeerCursor& cursor) const;
+    void takeReport(const PassedReport& passed, Endpoint from, Instant now);
 
     Membership m_membership;
     ConfigurationHolder m_configuration;
     ReportBook m_reports;
+    ReportSpread m_spread;
     ControlChanges m_changes;
     EntryProcessStatus m_entry;
-    std::vector<Member> m_seenMembers; ///< the view at the last noteMembership()
-    std::uint64_t m_seenEpoch = 0;
-    std::map<Endpoint, std::uint64_t> m_memberRevisions;
-    std::uint64_t m_revision = 0;
+    std::uint64_t m_seenEpoch = 0; ///< of the view at the last noteMembership()
+    std::uint64_t m_seenDraw = 0;
     std::uint64_t m_sequence;
     ConfigVersion m_fetching;
     Deadline m_fetchGivenUpAt {};
--- a/src/control/ControlStateTest.cpp
+++ b/src/control/ControlStateTest.cpp
@@ -17,7 +17,7 @@
     Heartbeat heartbeatOf(const Member& member, std::uint64_t sequence, std::uint64_t configVersion = 0)
     {
         return Heartbeat { MemberBeat { member, sequence, MemberFigures { ConfigVersion { configVersion }, 0, 0 } }, {},
-            {} };
+            {}, {}, 0, false };
     }
 
     Configuration configurationAt(std::uint64_t version)
@@ -146,7 +146,7 @@
         const Heartbeat heartbeat = state.heartbeatFor("a", cursor, c_start);
         ASSERT_EQ(heartbeat.m_summaries.size(), 1U);
         ASSERT_EQ(heartbeat.m_summaries[0].m_members.size(), 1U);
-        EXPECT_EQ(heartbeat.m_summaries[0].m_members[0], memberOf(2, "b"));
+        EXPECT_EQ(heartbeat.m_summaries[0].m_members[0].m_sender, memberOf(2, "b"));
         PeerCursor other;
         EXPECT_TRUE(state.heartbeatFor("b", other, c_start).m_summaries.empty());
     }
@@ -160,7 +160,7 @@
         const Heartbeat heartbeat = state.heartbeatFor("b", cursor, c_start);
         ASSERT_EQ(heartbeat.m_summaries.size(), 1U);
         ASSERT_EQ(heartbeat.m_summaries[0].m_members.size(), 1U);
-        EXPECT_EQ(heartbeat.m_summaries[0].m_members[0].m_name, "entry-1");
+        EXPECT_EQ(heartbeat.m_summaries[0].m_members[0].m_sender.m_name, "entry-1");
     }
 
     TEST(ControlState, aProberThatFellSilentNoLongerCounts)
--- a/src/control/PeerConversation.cpp
+++ b/src/control/PeerConversation.cpp
@@ -19,6 +19,7 @@
         std::shared_ptr<PeerLink> link = std::make_shared<PeerLink>();
         link->m_address = remoteAddress(stream);
         link->m_accepted = accepted;
+        link->m_cursor.m_accepted = accepted;
         link->m_silentAt = now + c_firstHeartbeatTimeout;
         return link;
     }
@@ -87,7 +88,10 @@
     while (connected && m_hub.now() < m_link->m_silentAt && !isSuperseded()) {
         if (m_hub.now() >= nextBeat || m_hub.urgent().revision() > urgentSeen) {
             urgentSeen = m_hub.urgent().revision();
+            m_closing = !m_link->m_accepted && m_link->m_control != Endpoint {} && !m_hub.beatsTo(m_link->m_control);
             beat(scope);
+            if (m_closing)
+                break;
             if (!m_link->m_accepted)
                 nextBeat = m_hub.now() + m_hub.options().m_heartbeatInterval;
         }
@@ -101,6 +105,8 @@
             .exclusiveJoin(disconnected.addBranch().then([&connected] { connected = false; }))
             .wait(scope);
     }
+    if (m_closing)
+        m_hub.stopWatching(m_link->m_cursor.m_peer);
 }
 
 bool PeerConversation::isSuperseded() const
@@ -112,7 +118,8 @@
 
 void PeerConversation::beat(kj::WaitScope& scope)
 {
-    const Heartbeat heartbeat = m_hub.state().heartbeatFor(m_link->m_zone, m_link->m_cursor, m_hub.now());
+    Heartbeat heartbeat = m_hub.state().heartbeatFor(m_link->m_zone, m_link->m_cursor, m_hub.now());
+    heartbeat.m_closing = m_closing;
     capnp::Request<wire::ControlPeer::BeatParams, wire::ControlPeer::BeatResults> request = m_remote.beatRequest();
     writeHeartbeat(heartbeat, m_hub.now(), request.initBeat());
     kj::Promise<capnp::Response<wire::ControlPeer::BeatResults>> sent = request.send();
--- a/src/control/PeerConversation.h
+++ b/src/control/PeerConversation.h
@@ -44,6 +44,7 @@
     ControlHub& m_hub;
     std::shared_ptr<PeerLink> m_link;
     PeerConnection m_connection;
+    bool m_closing = false; ///< this end opened the connection and goes on to another member
     wire::ControlPeer::Client m_remote;
 };
 
--- a/src/control/PeerTasks.cpp
+++ b/src/control/PeerTasks.cpp
@@ -81,12 +81,17 @@
 {
     while (true) {
         const std::uint64_t seen = m_hub.peers().revision();
-        const std::set<Endpoint> wanted = wantedPeers();
-        std::erase_if(m_peerTasks, [&](const auto& task) { return !wanted.contains(task.first); });
-        for (const Endpoint control : wanted) {
+        for (const Endpoint ended : m_endedPeers)
+            m_peerTasks.erase(ended);
+        m_endedPeers.clear();
+        for (const Endpoint control : wantedPeers()) {
             if (m_peerTasks.contains(control))
                 continue;
-            Task task = startFiberTask([this, control](kj::WaitScope& fiber) { beatToPeer(control, fiber); });
+            Task task = startFiberTask([this, control](kj::WaitScope& fiber) {
+                beatToPeer(control, fiber);
+                m_endedPeers.push_back(control);
+                m_hub.peers().wake();
+            });
             m_peerTasks.emplace(control, task.eagerlyEvaluate(nullptr));
         }
         m_hub.peers().wait(seen).wait(scope);
@@ -95,7 +100,11 @@
 
 std::set<Endpoint> PeerTasks::wantedPeers() const
 {
-    std::set<Endpoint> wanted { m_hub.options().m_seedPeers.begin(), m_hub.options().m_seedPeers.end() };
+    std::set<Endpoint> wanted;
+    for (const Endpoint seed : m_hub.options().m_seedPeers) {
+        if (m_hub.beatsTo(seed))
+            wanted.insert(seed);
+    }
     for (const Member& member : m_hub.state().membership().peersToBeat()) {
         if (member.m_control != Endpoint {})
             wanted.insert(member.m_control);
@@ -109,6 +118,8 @@
     Backoff backoff { c_reconnect, control.packed() ^ m_hub.options().m_self.m_control.packed(), m_hub.now() };
     while (true) {
         waitForTurn(control, scope);
+        if (!m_hub.beatsTo(control))
+            return;
         const kj::Maybe<kj::Exception> failed = kj::runCatchingExceptions([&] { converseOnce(control, scope); });
         KJ_IF_MAYBE (failure, failed) {
             m_hub.count("cuminrelay_peer_retries_total", reasonOf(*failure));
@@ -123,10 +134,14 @@
 
 void PeerTasks::waitForTurn(Endpoint control, kj::WaitScope& scope)
 {
+    if (m_hub.drawsPeers()) {
+        waitForAcceptedLink(control, scope);
+        return;
+    }
     if (m_hub.options().m_self.m_control < control)
         return;
     Deadline patienceEnds = m_hub.now() + c_waitForOther;
-    while (m_hub.now() < patienceEnds) {
+    while (m_hub.now() < patienceEnds && m_hub.beatsTo(control)) {
         const std::uint64_t seen = m_hub.peers().revision();
         if (m_hub.isHeard(control) || m_hub.hasAcceptedLink(control)) {
             m_hub.peers().wait(seen).wait(scope);
@@ -137,6 +152,14 @@
     }
 }
 
+void PeerTasks::waitForAcceptedLink(Endpoint control, kj::WaitScope& scope)
+{
+    while (m_hub.beatsTo(control) && m_hub.hasAcceptedLink(control)) {
+        const std::uint64_t seen = m_hub.peers().revision();
+        m_hub.peers().wait(seen).wait(scope);
+    }
+}
+
 void PeerTasks::converseOnce(Endpoint control, kj::WaitScope& scope)
 {
     kj::Promise<kj::Own<kj::AsyncIoStream>> connecting
--- a/src/control/PeerTasks.h
+++ b/src/control/PeerTasks.h
@@ -28,12 +28,16 @@
     std::set<Endpoint> wantedPeers() const;
     void beatToPeer(Endpoint control, kj::WaitScope& scope);
     void waitForTurn(Endpoint control, kj::WaitScope& scope);
+
+    /// Waits while the peer beats to this VM on a connection that it opened.
+    void waitForAcceptedLink(Endpoint control, kj::WaitScope& scope);
     void converseOnce(Endpoint control, kj::WaitScope& scope);
     void converseAccepted(kj::Own<kj::AsyncIoStream> stream, kj::WaitScope& scope);
 
     ControlHub& m_hub;
     kj::AsyncIoContext& m_io;
     std::map<Endpoint, Task> m_peerTasks;
+    std::vector<Endpoint> m_endedPeers;
     std::map<std::uint64_t, Task> m_acceptedTasks;
     std::vector<std::uint64_t> m_endedAccepted;
     std::uint64_t m_nextAccepted = 0;
--- a/src/control/ReportBook.cpp
+++ b/src/control/ReportBook.cpp
@@ -11,6 +11,9 @@
     constexpr std::uint32_t c_noticeableConnections = 8;
     constexpr std::uint32_t c_noticeableDivisor = 16;
 
+    /// Instants that differ by less are of the same measurement: ages shift a little on the way between clocks.
+    constexpr Duration c_sameMeasurement = std::chrono::milliseconds { 100 };
+
     /// The better of two healths: an answer that one prober got counts more than another one's silence.
     BackendHealth better(BackendHealth left, BackendHealth right)
     {
@@ -28,17 +31,19 @@
 {
 }
 
-void ReportBook::apply(Endpoint prober, const BackendReport& report, Instant now)
+bool ReportBook::apply(Endpoint prober, const BackendReport& report, Instant now)
 {
     Entry& entry = m_entries[report.m_backend];
     const auto [found, added] = entry.m_byProber.try_emplace(prober);
     Held& held = found->second;
     if (!added && report.m_measuredAt < held.m_report.m_measuredAt)
-        return;
+        return false;
+    const bool newer = added || report.m_measuredAt > held.m_report.m_measuredAt + c_sameMeasurement;
     held = Held { report, now + s_expiry };
     entry.m_changed = true;
     if (prober == m_self)
         noteOwn(report, now);
+    return newer;
 }
 
 void ReportBook::noteOwn(const BackendReport& report, Instant now)
--- a/src/control/ReportBook.h
+++ b/src/control/ReportBook.h
@@ -23,8 +23,12 @@
     /// self: this VM's m_peers endpoint, as a prober.
     explicit ReportBook(Endpoint self);
 
-    /// Takes a report of a prober; an older one than the held is ignored.
-    void apply(Endpoint prober, const BackendReport& report, Instant now);
+    /// Whether a report says something else than the held one that is worth a message.
+    static bool differsNoticeably(const BackendReport& held, const BackendReport& report);
+
+    /// Takes a report of a prober; an older one than the held is ignored. Returns whether it is newer than the held
+    /// one.
+    bool apply(Endpoint prober, const BackendReport& report, Instant now);
 
     /// Forgets the reports of probers that are not in the list; this VM's own stay.
     void retainProbers(std::span<const Endpoint> probers);
@@ -62,7 +66,6 @@
         bool m_changed = false;
     };
 
-    static bool differsNoticeably(const BackendReport& held, const BackendReport& report);
     static BackendReport merge(const Entry& entry, Instant now);
     void noteOwn(const BackendReport& report, Instant now);
 
--- a/src/members/HeartbeatMessage.cpp
+++ b/src/members/HeartbeatMessage.cpp
@@ -3,27 +3,94 @@
 #include "backends/BackendMessage.h"
 #include "members/MemberMessage.h"
 
+#include <algorithm>
+#include <chrono>
 #include <fmt/format.h>
+#include <limits>
 
 namespace cuminrelay {
 
 namespace {
 
     constexpr std::size_t c_maximumSummaries = 256;
+    constexpr std::int64_t c_maximumAgeMilliseconds = std::numeric_limits<std::uint32_t>::max();
 
-    void writeSummary(const ZoneSummary& summary, wire::ZoneSummary::Builder out)
+    std::uint32_t ageMilliseconds(Instant at, Instant now)
+    {
+        const std::int64_t age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, c_maximumAgeMilliseconds));
+    }
+
+    void writeNews(const MemberBeat& news, wire::MemberNews::Builder out)
+    {
+        writeMember(news.m_sender, out.initMember());
+        out.setSequence(news.m_sequence);
+        out.setConfigVersion(news.m_figures.m_configVersion.m_number);
+        out.setFlows(news.m_figures.m_flows);
+        out.setExceptions(news.m_figures.m_exceptions);
+    }
+
+    Outcome<MemberBeat> readNews(wire::MemberNews::Reader in)
+    {
+        Outcome<Member> member = readMember(in.getMember());
+        if (!member)
+            return member.error();
+        return MemberBeat { std::move(member).value(), in.getSequence(),
+            MemberFigures { ConfigVersion { in.getConfigVersion() }, in.getFlows(), in.getExceptions() } };
+    }
+
+    void writeSummary(const ZoneSummary& summary, Instant now, wire::ZoneSummary::Builder out)
     {
         out.setZone(summary.m_zone);
         out.setLowestConfigVersion(summary.m_lowestConfigVersion.m_number);
-        writeMembers(summary.m_members, out.initMembers(static_cast<unsigned>(summary.m_members.size())));
+        out.setAgeMilliseconds(ageMilliseconds(summary.m_heardAt, now));
+        if (summary.m_members.empty())
+            return;
+        capnp::List<wire::MemberNews>::Builder members
+            = out.initMembers(static_cast<unsigned>(summary.m_members.size()));
+        for (unsigned i = 0; i < members.size(); ++i)
+            writeNews(summary.m_members[i], members[i]);
+    }
+
+    Outcome<ZoneSummary> readSummary(wire::ZoneSummary::Reader in, Instant now)
+    {
+        if (in.getMembers().size() > c_maximumMembersInMessage)
+            return Error { ErrorKind::InvalidInput,
+                fmt::format("{} members; allowed are {}", in.getMembers().size(), c_maximumMembersInMessage) };
+        ZoneSummary summary { in.getZone(), {}, ConfigVersion { in.getLowestConfigVersion() },
+            now - std::chrono::milliseconds { in.getAgeMilliseconds() } };
+        for (const wire::MemberNews::Reader entry : in.getMembers()) {
+            Outcome<MemberBeat> news = readNews(entry);
+            if (!news)
+                return news.error();
+            summary.m_members.push_back(std::move(news).value());
+        }
+        return summary;
+    }
+
+    void writePassedReports(std::span<const PassedReport> passed, Instant now, wire::Heartbeat::Builder out)
+    {
+        capnp::List<wire::BackendReport>::Builder reports = out.initPassedReports(static_cast<unsigned>(passed.size()));
+        capnp::List<std::uint64_t>::Builder probers = out.initPassedProbers(static_cast<unsigned>(passed.size()));
+        for (unsigned i = 0; i < reports.size(); ++i) {
+            writeBackendReport(passed[i].m_report, now, reports[i]);
+            probers.set(i, passed[i].m_prober.packed());
+        }
     }
 
-    Outcome<ZoneSummary> readSummary(wire::ZoneSummary::Reader in)
+    Outcome<std::vector<PassedReport>> readPassedReports(wire::Heartbeat::Reader in, Instant now)
     {
-        Outcome<std::vector<Member>> members = readMembers(in.getMembers());
-        if (!members)
-            return members.error();
-        return ZoneSummary { in.getZone(), std::move(members).value(), ConfigVersion { in.getLowestConfigVersion() } };
+        Outcome<std::vector<BackendReport>> reports = readBackendReports(in.getPassedReports(), now);
+        if (!reports)
+            return reports.error();
+        const capnp::List<std::uint64_t>::Reader probers = in.getPassedProbers();
+        if (probers.size() != reports.value().size())
+            return Error { ErrorKind::InvalidInput,
+                fmt::format("{} reports are passed on with {} probers", reports.value().size(), probers.size()) };
+        std::vector<PassedReport> passed;
+        for (unsigned i = 0; i < probers.size(); ++i)
+            passed.push_back({ Endpoint::fromPacked(probers[i]), reports.value()[i] });
+        return passed;
     }
 
 } // namespace
@@ -38,12 +105,16 @@
     if (!heartbeat.m_reports.empty())
         writeBackendReports(
             heartbeat.m_reports, now, out.initReports(static_cast<unsigned>(heartbeat.m_reports.size())));
+    out.setViewDigest(heartbeat.m_viewDigest);
+    out.setClosing(heartbeat.m_closing);
+    if (!heartbeat.m_passedReports.empty())
+        writePassedReports(heartbeat.m_passedReports, now, out);
     if (heartbeat.m_summaries.empty())
         return;
     capnp::List<wire::ZoneSummary>::Builder summaries
         = out.initZoneVersions(static_cast<unsigned>(heartbeat.m_summaries.size()));
     for (unsigned i = 0; i < summaries.size(); ++i)
-        writeSummary(heartbeat.m_summaries[i], summaries[i]);
+        writeSummary(heartbeat.m_summaries[i], now, summaries[i]);
 }
 
 Outcome<Heartbeat> readHeartbeat(wire::Heartbeat::Reader in, Instant now)
@@ -54,6 +125,9 @@
     Outcome<std::vector<BackendReport>> reports = readBackendReports(in.getReports(), now);
     if (!reports)
         return reports.error();
+    Outcome<std::vector<PassedReport>> passed = readPassedReports(in, now);
+    if (!passed)
+        return passed.error();
     if (in.getZoneVersions().size() > c_maximumSummaries)
         return Error { ErrorKind::InvalidInput,
             fmt::format("{} zone summaries; allowed are {}", in.getZoneVersions().size(), c_maximumSummaries) };
@@ -63,8 +137,11 @@
     heartbeat.m_beat.m_figures
         = MemberFigures { ConfigVersion { in.getConfigVersion() }, in.getFlows(), in.getExceptions() };
     heartbeat.m_reports = std::move(reports).value();
+    heartbeat.m_passedReports = std::move(passed).value();
+    heartbeat.m_viewDigest = in.getViewDigest();
+    heartbeat.m_closing = in.getClosing();
     for (const wire::ZoneSummary::Reader entry : in.getZoneVersions()) {
-        Outcome<ZoneSummary> summary = readSummary(entry);
+        Outcome<ZoneSummary> summary = readSummary(entry, now);
         if (!summary)
             return summary.error();
         heartbeat.m_summaries.push_back(std::move(summary).value());
--- a/src/members/HeartbeatMessageTest.cpp
+++ b/src/members/HeartbeatMessageTest.cpp
@@ -11,9 +11,11 @@
     Heartbeat sampleHeartbeat()
     {
         const Member member { { 1, 1 }, { 1, 2 }, { 1, 3 }, "entry-1", "khomas-a", 7, MemberState::Active };
-        return Heartbeat { MemberBeat { member, 12, MemberFigures { ConfigVersion { 3 }, 4, 5 } },
-            { BackendReport { { 9, 80 }, BackendHealth::Unhealthy, false, 1, 2, 3, c_now } },
-            { ZoneSummary { "khomas-a", { member }, ConfigVersion { 2 } } } };
+        const MemberBeat beat { member, 12, MemberFigures { ConfigVersion { 3 }, 4, 5 } };
+        const BackendReport report { { 9, 80 }, BackendHealth::Unhealthy, false, 1, 2, 3, c_now };
+        const Instant heardAt = c_now - std::chrono::milliseconds { 250 };
+        return Heartbeat { beat, { report }, { ZoneSummary { "khomas-a", { beat }, ConfigVersion { 2 }, heardAt } },
+            { PassedReport { { 2, 1 }, report } }, 77, true };
     }
 
     TEST(HeartbeatMessage, aHeartbeatSurvivesTheWayThroughAMessage)
@@ -28,6 +30,11 @@
         ASSERT_EQ(read.value().m_reports.size(), 1U);
         EXPECT_EQ(read.value().m_reports[0].m_backend, sent.m_reports[0].m_backend);
         EXPECT_EQ(read.value().m_reports[0].m_measuredAt, c_now);
+        ASSERT_EQ(read.value().m_passedReports.size(), 1U);
+        EXPECT_EQ(read.value().m_passedReports[0].m_prober, (Endpoint { 2, 1 }));
+        EXPECT_EQ(read.value().m_passedReports[0].m_report.m_backend, sent.m_reports[0].m_backend);
+        EXPECT_EQ(read.value().m_viewDigest, sent.m_viewDigest);
+        EXPECT_TRUE(read.value().m_closing);
     }
 
     TEST(HeartbeatMessage, aMalformedPartRefusesTheWhole)
@@ -35,12 +42,15 @@
         capnp::MallocMessageBuilder message;
         wire::Heartbeat::Builder builder = message.initRoot<wire::Heartbeat>();
         writeHeartbeat(sampleHeartbeat(), c_now, builder);
-        builder.getZoneVersions()[0].getMembers()[0].setName("");
+        builder.getZoneVersions()[0].getMembers()[0].getMember().setName("");
         EXPECT_EQ(readHeartbeat(builder.asReader(), c_now).error().m_kind, ErrorKind::InvalidInput);
         writeHeartbeat(sampleHeartbeat(), c_now, builder);
         builder.getReports()[0].setBackend(0);
         EXPECT_EQ(readHeartbeat(builder.asReader(), c_now).error().m_kind, ErrorKind::InvalidInput);
         writeHeartbeat(sampleHeartbeat(), c_now, builder);
+        builder.initPassedProbers(2);
+        EXPECT_EQ(readHeartbeat(builder.asReader(), c_now).error().m_kind, ErrorKind::InvalidInput);
+        writeHeartbeat(sampleHeartbeat(), c_now, builder);
         builder.getSender().setState(9);
         EXPECT_EQ(readHeartbeat(builder.asReader(), c_now).error().m_kind, ErrorKind::InvalidInput);
     }
--- a/src/members/MemberMessageTest.cpp
+++ b/src/members/MemberMessageTest.cpp
@@ -17,9 +17,10 @@
     {
         const std::array<Member, 2> members { sampleMember(1), sampleMember(9) };
         capnp::MallocMessageBuilder message;
-        wire::ZoneSummary::Builder builder = message.initRoot<wire::ZoneSummary>();
-        writeMembers(members, builder.initMembers(members.size()));
-        const Outcome<std::vector<Member>> read = readMembers(builder.asReader().getMembers());
+        capnp::Orphan<capnp::List<wire::Member>> list
+            = message.getOrphanage().newOrphan<capnp::List<wire::Member>>(members.size());
+        writeMembers(members, list.get());
+        const Outcome<std::vector<Member>> read = readMembers(list.getReader());
         ASSERT_TRUE(read.has_value());
         EXPECT_EQ(read.value(), std::vector<Member>(members.begin(), members.end()));
     }
--- a/src/members/Members.capnp
+++ b/src/members/Members.capnp
@@ -23,13 +23,27 @@
   sequence @4 :UInt64; # grows with each heartbeat of the sender
   flows @5 :UInt64; # held by the sender's entry process
   exceptions @6 :UInt64;
+  passedReports @7 :List(Backends.BackendReport); # what other members of the zone probed; only where reports are passed on
+  passedProbers @8 :List(Configuration.PackedEndpoint); # who probed; one for each of passedReports
+  viewDigest @9 :UInt64; # of the members that the sender takes for reachable
+  closing @10 :Bool; # the sender goes on to another member: its silence from here on means nothing
 }
 
-# What a zone reader says of its zone to readers of other zones.
+# What was last heard of a member, straight from it or from others.
+struct MemberNews {
+  member @0 :Member;
+  sequence @1 :UInt64; # of the member's heartbeat that the news stem from
+  configVersion @2 :UInt64;
+  flows @3 :UInt64;
+  exceptions @4 :UInt64;
+}
+
+# What is said of a zone: by its reader to readers of other zones, and of all zones within a zone.
 struct ZoneSummary {
   zone @0 :Text;
-  members @1 :List(Member);
+  members @1 :List(MemberNews);
   lowestConfigVersion @2 :UInt64;
+  ageMilliseconds @3 :UInt32; # since a member of the zone was last heard of straight
 }
 
 # Spoken between the control processes.
--- a/src/members/Members.capnp.h
+++ b/src/members/Members.capnp.h
@@ -23,6 +23,7 @@
 
 CAPNP_DECLARE_SCHEMA(cc52c7f8dbf4770b);
 CAPNP_DECLARE_SCHEMA(c5cc52d4e502319c);
+CAPNP_DECLARE_SCHEMA(d84206eec5fb401c);
 CAPNP_DECLARE_SCHEMA(de6aeee30aee605c);
 CAPNP_DECLARE_SCHEMA(b8a4522b75e4f718);
 CAPNP_DECLARE_SCHEMA(c4321d108e8f41ab);
@@ -59,7 +60,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5cc52d4e502319c, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c5cc52d4e502319c, 6, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MemberNews {
+  MemberNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d84206eec5fb401c, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -74,7 +90,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de6aeee30aee605c, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(de6aeee30aee605c, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -314,6 +330,16 @@
 
   inline  ::uint64_t getExceptions() const;
 
+  inline bool hasPassedReports() const;
+  inline  ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>::Reader getPassedReports() const;
+
+  inline bool hasPassedProbers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPassedProbers() const;
+
+  inline  ::uint64_t getViewDigest() const;
+
+  inline bool getClosing() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -375,6 +401,27 @@
   inline  ::uint64_t getExceptions();
   inline void setExceptions( ::uint64_t value);
 
+  inline bool hasPassedReports();
+  inline  ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>::Builder getPassedReports();
+  inline void setPassedReports( ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>::Builder initPassedReports(unsigned int size);
+  inline void adoptPassedReports(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>> disownPassedReports();
+
+  inline bool hasPassedProbers();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPassedProbers();
+  inline void setPassedProbers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPassedProbers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPassedProbers(unsigned int size);
+  inline void adoptPassedProbers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPassedProbers();
+
+  inline  ::uint64_t getViewDigest();
+  inline void setViewDigest( ::uint64_t value);
+
+  inline bool getClosing();
+  inline void setClosing(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -402,6 +449,108 @@
 };
 #endif  // !CAPNP_LITE
 
+class MemberNews::Reader {
+public:
+  typedef MemberNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMember() const;
+  inline  ::cuminrelay::wire::Member::Reader getMember() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline  ::uint64_t getFlows() const;
+
+  inline  ::uint64_t getExceptions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MemberNews::Builder {
+public:
+  typedef MemberNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMember();
+  inline  ::cuminrelay::wire::Member::Builder getMember();
+  inline void setMember( ::cuminrelay::wire::Member::Reader value);
+  inline  ::cuminrelay::wire::Member::Builder initMember();
+  inline void adoptMember(::capnp::Orphan< ::cuminrelay::wire::Member>&& value);
+  inline ::capnp::Orphan< ::cuminrelay::wire::Member> disownMember();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline  ::uint64_t getFlows();
+  inline void setFlows( ::uint64_t value);
+
+  inline  ::uint64_t getExceptions();
+  inline void setExceptions( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MemberNews::Pipeline {
+public:
+  typedef MemberNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cuminrelay::wire::Member::Pipeline getMember();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ZoneSummary::Reader {
 public:
   typedef ZoneSummary Reads;
@@ -423,10 +572,12 @@
   inline  ::capnp::Text::Reader getZone() const;
 
   inline bool hasMembers() const;
-  inline  ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline  ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
   inline  ::uint64_t getLowestConfigVersion() const;
 
+  inline  ::uint32_t getAgeMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -463,15 +614,18 @@
   inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
   inline bool hasMembers();
-  inline  ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+  inline  ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>> disownMembers();
 
   inline  ::uint64_t getLowestConfigVersion();
   inline void setLowestConfigVersion( ::uint64_t value);
 
+  inline  ::uint32_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1182,6 +1336,201 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::hasPassedReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasPassedReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getPassedReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getPassedReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setPassedReports( ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initPassedReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptPassedReports(
+    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownPassedReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::BackendReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::hasPassedProbers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasPassedProbers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Heartbeat::Reader::getPassedProbers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::getPassedProbers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setPassedProbers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setPassedProbers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::initPassedProbers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptPassedProbers(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Heartbeat::Builder::disownPassedProbers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getViewDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getViewDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setViewDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::getClosing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getClosing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setClosing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberNews::Reader::hasMember() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberNews::Builder::hasMember() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cuminrelay::wire::Member::Reader MemberNews::Reader::getMember() const {
+  return ::capnp::_::PointerHelpers< ::cuminrelay::wire::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cuminrelay::wire::Member::Builder MemberNews::Builder::getMember() {
+  return ::capnp::_::PointerHelpers< ::cuminrelay::wire::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cuminrelay::wire::Member::Pipeline MemberNews::Pipeline::getMember() {
+  return  ::cuminrelay::wire::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void MemberNews::Builder::setMember( ::cuminrelay::wire::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::cuminrelay::wire::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cuminrelay::wire::Member::Builder MemberNews::Builder::initMember() {
+  return ::capnp::_::PointerHelpers< ::cuminrelay::wire::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MemberNews::Builder::adoptMember(
+    ::capnp::Orphan< ::cuminrelay::wire::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::cuminrelay::wire::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cuminrelay::wire::Member> MemberNews::Builder::disownMember() {
+  return ::capnp::_::PointerHelpers< ::cuminrelay::wire::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MemberNews::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberNews::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberNews::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MemberNews::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberNews::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MemberNews::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MemberNews::Reader::getFlows() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberNews::Builder::getFlows() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void MemberNews::Builder::setFlows( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MemberNews::Reader::getExceptions() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberNews::Builder::getExceptions() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MemberNews::Builder::setExceptions( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ZoneSummary::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1224,29 +1573,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>::Reader ZoneSummary::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>::Reader ZoneSummary::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>::Builder ZoneSummary::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>::Builder ZoneSummary::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ZoneSummary::Builder::setMembers( ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ZoneSummary::Builder::setMembers( ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>::Builder ZoneSummary::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>::Builder ZoneSummary::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ZoneSummary::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>> ZoneSummary::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>> ZoneSummary::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::MemberNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -1264,6 +1613,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ZoneSummary::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ZoneSummary::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ZoneSummary::Builder::setAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline ControlPeer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/members/MembershipTest.cpp
+++ b/src/members/MembershipTest.cpp
@@ -277,17 +277,126 @@
         Member far = memberOf(7, "b");
         far.m_incarnation = 3;
         const Member near = memberOf(8, "a");
-        membership.applySummary(std::vector<Member> { near, far }, c_start);
+        const MemberFigures figures;
+        membership.applySummary(
+            std::vector<MemberBeat> { MemberBeat { near, 5, figures }, MemberBeat { far, 5, figures } }, c_start);
         EXPECT_EQ(stateOf(membership, 7), MemberState::Active);
         EXPECT_EQ(stateOf(membership, 8), MemberState::Unreachable);
         EXPECT_NE(findMember(membership, 8), nullptr);
         far.m_state = MemberState::Unreachable;
-        membership.applySummary(std::vector<Member> { far }, c_start);
+        membership.applySummary(std::vector<MemberBeat> { MemberBeat { far, 5, figures } }, c_start);
         EXPECT_EQ(stateOf(membership, 7), MemberState::Unreachable);
         tickUntil(membership, c_start, c_start + Membership::s_forget);
         EXPECT_EQ(findMember(membership, 7), nullptr);
     }
 
+    /// This VM (1) in a zone of 12, all of which others have told of.
+    Membership largeZone()
+    {
+        Membership membership = startedMembership(1);
+        std::vector<MemberBeat> told;
+        for (std::uint32_t number = 2; number <= 12; ++number)
+            told.push_back(beatOf(memberOf(number, "a"), 10));
+        membership.applySummary(told, c_start);
+        membership.applySummary(told, c_start);
+        told.clear();
+        for (std::uint32_t number = 2; number <= 12; ++number)
+            told.push_back(beatOf(memberOf(number, "a"), 11));
+        membership.applySummary(told, c_start);
+        return membership;
+    }
+
+    MemberBeat claimOf(std::uint32_t number, std::uint64_t sequence)
+    {
+        return beatOf(memberOf(number, "a"), sequence, 1, MemberState::Unreachable);
+    }
+
+    TEST(Membership, inALargeZoneAFewDrawnMembersAreBeatenTo)
+    {
+        Membership membership = largeZone();
+        ASSERT_TRUE(membership.passesOn());
+        membership.tick(c_start);
+        EXPECT_GE(membership.peersToBeat().size(), PeerSampler::s_fanOut);
+        EXPECT_LE(membership.peersToBeat().size(), PeerSampler::s_fanOut + 1);
+    }
+
+    TEST(Membership, aClaimIsASuspicionThatANewerHeartbeatRefutes)
+    {
+        Membership membership = largeZone();
+        membership.applySummary(std::vector<MemberBeat> { claimOf(5, 11) }, c_start);
+        EXPECT_EQ(stateOf(membership, 5), MemberState::Active);
+        const Instant refuted = c_start + Membership::s_confirm / 2;
+        membership.applySummary(std::vector<MemberBeat> { beatOf(memberOf(5, "a"), 12) }, refuted);
+        membership.tick(c_start + Membership::s_confirm);
+        EXPECT_EQ(stateOf(membership, 5), MemberState::Active);
+        membership.applySummary(std::vector<MemberBeat> { claimOf(5, 12) }, c_start + Membership::s_confirm);
+        membership.tick(c_start + 2 * Membership::s_confirm);
+        EXPECT_EQ(stateOf(membership, 5), MemberState::Unreachable);
+        const Instant back = c_start + 2 * Membership::s_confirm;
+        membership.applySummary(std::vector<MemberBeat> { beatOf(memberOf(5, "a"), 13) }, back);
+        EXPECT_EQ(stateOf(membership, 5), MemberState::Active);
+    }
+
+    TEST(Membership, anOldClaimIsAnsweredWithWhatIsKnown)
+    {
+        Membership membership = largeZone();
+        std::uint64_t revision = membership.revision();
+        membership.applySummary(std::vector<MemberBeat> { claimOf(5, 7) }, c_start);
+        const std::vector<MemberBeat> told = membership.changedSince(revision, false, 8);
+        ASSERT_EQ(told.size(), 1U);
+        EXPECT_EQ(told[0].m_sender.m_state, MemberState::Active);
+        EXPECT_EQ(told[0].m_sequence, 11U);
+    }
+
+    TEST(Membership, aWatchedMemberThatFallsSilentIsSuspectedAndToldOf)
+    {
+        Membership membership = largeZone();
+        membership.applyBeat(beatOf(memberOf(5, "a"), 20), c_start);
+        std::uint64_t revision = membership.revision();
+        tickUntil(membership, c_start, c_start + Membership::s_silence);
+        EXPECT_EQ(stateOf(membership, 5), MemberState::Active);
+        const std::vector<MemberBeat> told = membership.changedSince(revision, false, 64);
+        const auto claim = std::ranges::find_if(told, [](const MemberBeat& beat) {
+            return beat.m_sender.m_peers == Endpoint { 5, 1 };
+        });
+        ASSERT_NE(claim, told.end());
+        EXPECT_EQ(claim->m_sender.m_state, MemberState::Unreachable);
+        EXPECT_EQ(claim->m_sequence, 20U);
+        tickUntil(membership, c_start + Membership::s_silence, c_start + Membership::s_silence + Membership::s_confirm);
+        EXPECT_EQ(stateOf(membership, 5), MemberState::Unreachable);
+    }
+
+    TEST(Membership, aMemberThatBeatsToOthersIsNotMissed)
+    {
+        Membership membership = largeZone();
+        membership.tick(c_start);
+        const std::vector<Member> drawn = membership.peersToBeat();
+        const auto other = std::ranges::find_if(membership.view().m_members, [&](const Member& member) {
+            return member.m_peers != Endpoint { 1, 1 }
+            && std::ranges::find(drawn, member.m_peers, &Member::m_peers) == drawn.end();
+        });
+        const Endpoint peers = other->m_peers;
+        membership.applyBeat(beatOf(memberOf(peers.m_address, "a"), 20), c_start);
+        membership.stopWatching(peers, c_start);
+        tickUntil(membership, c_start, c_start + Membership::s_silence + Membership::s_confirm);
+        EXPECT_EQ(stateOf(membership, peers.m_address), MemberState::Active);
+    }
+
+    TEST(Membership, inALargeFleetAZoneThatNobodyHearsOfIsCutOffAndReturns)
+    {
+        Membership membership = startedMembership(1);
+        membership.applySummary(
+            std::vector<MemberBeat> { beatOf(memberOf(2, "a"), 5), beatOf(memberOf(7, "b"), 5) }, c_start);
+        membership.applyZoneHeard("b", c_start);
+        tickUntil(membership, c_start, c_start + Membership::s_zoneSilence - std::chrono::milliseconds { 250 });
+        EXPECT_TRUE(membership.cutOffZones().empty());
+        membership.tick(c_start + Membership::s_zoneSilence);
+        EXPECT_EQ(membership.cutOffZones(), std::vector<std::string> { "b" });
+        membership.applyZoneHeard("b", c_start + Membership::s_zoneSilence);
+        membership.tick(c_start + Membership::s_zoneSilence);
+        EXPECT_EQ(stateOf(membership, 7), MemberState::Active);
+    }
+
     TEST(Membership, aViewSettlesWhenTheListedAreHeardOfOrHadTheirTime)
     {
         Membership alone = startedMembership();
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -3,6 +3,7 @@
 #include "bench/DesignCatalog.h"
 #include "bench/FaultMatrix.h"
 #include "bench/LoadReport.h"
+#include "bench/MembersExperiment.h"
 #include "bench/PacketBench.h"
 #include "bench/Reports.h"
 #include "bench/Slopes.h"
@@ -29,6 +30,7 @@
         unsigned m_repeats = 1;
         double m_arrivalsPerSecond = 0;
         std::size_t m_flows = 0;
+        std::size_t m_vms = 0;
         bool m_pairs = true;
         std::string m_first;
         std::string m_second;
@@ -46,6 +48,7 @@
   faults    the fault matrix: every fault alone and with a second one later; status 1 when a promise breaks
   load      placement and admission under ordinary load, stragglers and a crest
   slopes    how messages, tables and processor time grow with the fleet
+  members   heartbeats between control processes: bytes, times to detection and spreading, false alarms
   packets   the cost of a decision on an established packet, by open flows
 
 example: cuminrelay-bench faults --profile kalahari --seed 7
@@ -174,7 +177,8 @@
             "repeats", options::value(&given.m_repeats)->default_value(1), "seeds of each single fault")("arrivals",
             options::value(&given.m_arrivalsPerSecond)->default_value(300),
             "new flows a second over the fleet")("flows", options::value(&given.m_flows)->default_value(0),
-            "packets: only this many flows; 0: 10^3 to 10^6")("single", "faults: no pairs")(
+            "packets: only this many flows; 0: 10^3 to 10^6")("vms", options::value(&given.m_vms)->default_value(0),
+            "members: only fleets of this many entry VMs; 0: 8 to 700")("single", "faults: no pairs")(
             "first", options::value(&given.m_first), "faults: only runs that begin with this")(
             "second", options::value(&given.m_second), "faults: only runs that go on with this")("known",
             options::value(&given.m_knownFile), "faults: a list of runs that may break a promise, KNOWN-RED.txt")("of",
@@ -243,6 +247,10 @@
             fmt::print("{}", runSlopes(given.m_format));
             return 0;
         }
+        if (given.m_command == "members") {
+            fmt::print("{}", runMembersExperiment(given.m_vms, given.m_seed, given.m_format));
+            return 0;
+        }
         if (given.m_command == "packets")
             return static_cast<int>(packets(given));
         fmt::print(stderr, "cuminrelay-bench: no command \"{}\"; see --help\n", given.m_command);
