standins: linter's finding

Cause: clang-tidy, performance-no-automatic-move in CallersStandin::newFlow. Change: the local that is returned is not const.

--- a/src/standins/CallersStandin.cpp
+++ b/src/standins/CallersStandin.cpp
@@ -141,7 +141,7 @@
 
 std::shared_ptr<CallersStandin::Flow> CallersStandin::newFlow(const ServiceLoad& service, Endpoint caller)
 {
-    const std::shared_ptr<Flow> flow = std::make_shared<Flow>();
+    std::shared_ptr<Flow> flow = std::make_shared<Flow>();
     if (service.m_protocol == Protocol::Tcp) {
         flow->m_stream = std::make_shared<TcpStream>(TcpConnection::active(static_cast<std::uint32_t>(m_random())),
             std::make_unique<TunnelSink>(m_tunnel, m_options.m_fabric, caller, service.m_address));
