flows: after a pause, datagrams of flows that others forwarded are not refused

A way in which that happens: the successor forwards a datagram by default during the pause; it keeps that state to itself, since only exceptions are handed over; the woken owner, which unlike a new owner did not trust the default for a while, asked for admission when the caller retransmitted, and refused. Change: after a pause an owner trusts the default for 10 s, as after a takeover.

--- a/src/flows/FlowRouterBuckets.cpp
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -293,6 +293,7 @@
     for (std::size_t index = 0; index < c_bucketCount; ++index) {
         const Bucket bucket = static_cast<Bucket>(index);
         const Endpoint standIn = successor(bucket);
+        m_buckets[bucket].m_trustDefaultUntil = now + c_openingRetransmission;
         if (owner(bucket) == m_self && standIn != Endpoint {} && m_buckets[bucket].m_warmingFrom == Endpoint {})
             warmFrom(bucket, standIn);
     }
--- a/src/flows/FlowRouterTest.cpp
+++ b/src/flows/FlowRouterTest.cpp
@@ -304,6 +304,32 @@
         EXPECT_NE(fleet.send(paused, refused).m_reason, Reason::StaleAfterPause);
     }
 
+    TEST(FlowRouter, aDatagramThatTheStandInForwardedIsNotRefusedAfterAPause)
+    {
+        Fleet fleet { 2 };
+        while (fleet.m_now < c_start + std::chrono::seconds { 20 })
+            fleet.settle();
+        const PacketSummary datagram = packetOf(1, PacketKind::Datagram);
+        const std::size_t paused = fleet.ownerOf(datagram.m_flow);
+        const std::size_t standIn = 1 - paused;
+        MemberView without = fleet.m_view;
+        without.m_members[paused].m_state = MemberState::Unreachable;
+        FlowRouter& other = *fleet.vm(standIn).m_router;
+        other.installMembers(without, fleet.m_now);
+        const Verdict forwarded = fleet.send(standIn, datagram);
+        EXPECT_EQ(forwarded.m_kind, VerdictKind::ToBackend);
+        for (unsigned i = 0; i < 60; ++i) {
+            fleet.m_now += std::chrono::milliseconds { 50 };
+            other.tick(fleet.m_now);
+        }
+        other.installMembers(fleet.m_view, fleet.m_now);
+        fleet.settle();
+        fleet.vm(paused).m_admission.m_answer = Admission::QueueFull;
+        const Verdict repeated = fleet.send(paused, datagram);
+        EXPECT_EQ(repeated.m_kind, VerdictKind::ToBackend);
+        EXPECT_EQ(repeated.m_backend, forwarded.m_backend);
+    }
+
     TEST(FlowRouter, anUnknownServiceIsDroppedByReason)
     {
         Fleet fleet { 1 };
