flows: a cut that overlaps with another fault breaks no established flow

Cause: traces of the known pairs of faults showed these classes. (1) A source of a bucket's exceptions (previous owner, stand-in beyond a cut) that vanished was not replaced by the VM that holds its copies. (2) An owner that took over after the cut did not ask the stand-in; a dead VM could pass for the stand-in. (3) A successor that was paused, or that had not been told everything yet, decided as if it held all. (4) While a cut was noticed VM by VM, a far VM that was asked as previous owner opened a flow within the second in which the owner still could. (5) An opening sent again could reach both sides. (6) A stand-in opened a flow for its owner against another base without a record. (7) A datagram whose backend server is beyond the cut was placed elsewhere after a takeover. Change: sources are replaced by the next in rank; the stand-ins are those of the members that came back from this cut; a successor knows whose exceptions it holds all (m_copyOf); unknown mid-stream packets are held back for 5 s where a holder is away and for 10 s where an owner took over in a cut; a stand-in places an opening once it is sent again 1.5 s later; a VM that starts asks the two next in rank. Two new drop reasons. The three new tests fail with the former router and pass with this one. Price: callers confined to the side of a stand-in wait 3 s for an opening during a cut. Known: the copies of an opening that reach both sides at once; two holders that die within the same second.

--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -28,6 +28,13 @@
     /// How much later than this VM the other side of a cut may notice it. Before, both would open the same flows.
     constexpr Duration c_cutNoticed = std::chrono::seconds { 1 };
 
+    /// Shorter than callers wait before they send an opening again.
+    constexpr Duration c_openingHeld = std::chrono::milliseconds { 1500 };
+
+    /// How long an owner that took over during a cut lets mid-stream packets of unknown flows wait; callers wait
+    /// longer.
+    constexpr Duration c_cutHoldBack = std::chrono::seconds { 10 };
+
     /// A sender that has retransmitted for so long without progress is taken for lost track of.
     constexpr Duration c_silence = std::chrono::seconds { 20 };
     constexpr std::uint8_t c_silentRetransmissions = 6;
@@ -170,6 +177,8 @@
     FlowState* const state = lookUp(context);
     if (state && !(warming && state->m_stage == FlowStage::Opening) && !mustReopen(context, *state))
         return decideKnown(context, *state, replica);
+    if (!state && mayBeOpenBeyondCut(context))
+        return drop(Reason::OwnerBeyondCut);
     if (warming)
         return Verdict { VerdictKind::AskPrevious, Reason::None, bucket.m_warmingFrom, {} };
     const bool replacesCopy = state && state->m_exception && state->m_replica != Endpoint {};
@@ -189,6 +198,25 @@
     return forwardUntracked(context);
 }
 
+bool FlowRouter::mayBeOpenBeyondCut(const Context& context)
+{
+    const BucketState& bucket = m_buckets[context.m_bucket];
+    if (!bucket.m_beyondCut)
+        return false;
+    if (context.m_packet.m_kind == PacketKind::Datagram)
+        return context.m_now < bucket.m_acquiredAt + c_datagramIdle;
+    if (context.m_now < bucket.m_acquiredAt + c_cutNoticed)
+        return true;
+    if (context.m_packet.m_kind != PacketKind::Opening)
+        return false;
+    // Another copy of the opening may have reached the owner; who got no answer sends it again.
+    if (m_heldOpenings.size() >= m_limits.m_flows)
+        m_heldOpenings.clear();
+    const Deadline opensAt
+        = m_heldOpenings.try_emplace(context.m_hash.m_value, context.m_now + c_openingHeld).first->second;
+    return context.m_now < opensAt;
+}
+
 bool FlowRouter::mustReopen(const Context& context, const FlowState& state) const
 {
     if (context.m_packet.m_kind != PacketKind::Opening)
@@ -219,9 +247,15 @@
 Verdict FlowRouter::decideMidstream(const Context& context, Endpoint replica)
 {
     const BucketState& bucket = m_buckets[context.m_bucket];
-    const bool ownedBeforeCut = m_cutSince != Instant {} && bucket.m_acquiredAt < m_cutSince;
-    if (bucket.m_beyondCut || ownedBeforeCut)
+    // While the fleet is cut the flow may have been opened on the other side. An owner that took over meanwhile misses
+    // the flows that are on their default as well, and may not let them wait for ever.
+    const bool mayKnowAll = bucket.m_acquiredAt >= m_cutSince && context.m_now >= bucket.m_acquiredAt + c_cutHoldBack;
+    if (bucket.m_beyondCut || (m_cutSince != Instant {} && !mayKnowAll))
         return drop(Reason::UnknownFlowDuringCut);
+    const bool asked = context.m_packet.m_arrival == Arrival::AskPrevious;
+    const bool mayMissSome = asked && !owns(context.m_bucket) && bucket.m_copyOf != context.m_packet.m_peer;
+    if (mayMissSome || bucket.m_warmingFrom != Endpoint {} || context.m_now < bucket.m_holdBackUntil)
+        return drop(Reason::UnknownFlowHolderAway);
     const Endpoint backend = m_history.defaultSince(bucket.m_base, context.m_packet.m_flow, context.m_hash);
     if (backend == Endpoint {})
         return drop(Reason::UnknownService);
@@ -246,8 +280,6 @@
 
     const BucketState& bucket = m_buckets[context.m_bucket];
     const bool isDatagram = packet.m_kind == PacketKind::Datagram;
-    if (bucket.m_beyondCut && context.m_now < bucket.m_acquiredAt + (isDatagram ? c_datagramIdle : c_cutNoticed))
-        return drop(Reason::OwnerBeyondCut);
 
     // A datagram, or an opening soon after a takeover, may belong to a flow that the previous owner placed.
     const bool trustDefault = context.m_now < bucket.m_trustDefaultUntil;
@@ -257,6 +289,8 @@
         if (std::binary_search(service->tunnels().begin(), service->tunnels().end(), based))
             preferred = based;
     }
+    if (isDatagram && context.m_now < bucket.m_acquiredAt + c_datagramIdle && isBeyondCut(preferred))
+        return drop(Reason::BackendBeyondCut);
     const bool preferredIsUsable = isUsable(preferred);
     if (!trustDefault || !preferredIsUsable) {
         const Admission admission = m_admission.admit(service->tunnels(), m_board, m_ownerCount, context.m_now);
@@ -277,8 +311,10 @@
         return computable ? toBackend(chosen) : refuse(Reason::FlowTableFull);
     }
     FlowState& state = track(context, chosen, stageOf(packet.m_kind), true);
-    // The replica still holds the flow's former place and must learn the new one, even where it is the default.
-    if (replacesCopy)
+    // The replica still holds the flow's former place and must learn the new one, even where it is the default. So must
+    // an owner that was cut off: its base may differ.
+    const bool openedForOwner = packet.m_arrival == Arrival::AskPrevious && bucket.m_beyondCut;
+    if (replacesCopy || openedForOwner)
         setException(state, true);
     return forward(context, state, replica);
 }
@@ -453,6 +489,12 @@
     return status && status->m_report.m_health == BackendHealth::Healthy && !status->m_draining;
 }
 
+bool FlowRouter::isBeyondCut(Endpoint backend) const
+{
+    const BackendStatus* const status = m_board.find(backend);
+    return status && status->m_report.m_health == BackendHealth::BeyondCut;
+}
+
 Endpoint FlowRouter::decider(Bucket bucket, Instant now) const
 {
     const BucketState& state = m_buckets[bucket];
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -112,7 +112,9 @@
     void noteSilence(const Context& context, FlowState& state, bool progress) const;
     bool isSilent(const Context& context, const FlowState& state) const;
     bool mustReopen(const Context& context, const FlowState& state) const;
+    bool mayBeOpenBeyondCut(const Context& context);
     bool isUsable(Endpoint backend) const;
+    bool isBeyondCut(Endpoint backend) const;
     void setException(FlowState& state, bool exception);
     void forget(FlowHash hash, FlowState& state, Instant now);
     void endFlow(FlowHash hash, FlowState& state, Instant now);
@@ -120,11 +122,14 @@
     void notePause(Instant now);
 
     void takeBucket(Bucket bucket, Endpoint previousOwner, Instant now);
-    void loseBucket(Bucket bucket);
+    void loseBucket(Bucket bucket, Instant now);
     void warmFrom(Bucket bucket, Endpoint previousOwner);
     void finishWarming(Bucket bucket);
-    void noteCut(bool cut, Instant now);
-    void warmAfterCut(std::span<const Member> previousMembers);
+    void replaceSource(Bucket bucket, Instant now);
+    void noteCut(std::span<const Endpoint> cutOff, Instant now);
+    void noteBeyondCut(std::span<const Endpoint> cutOff);
+    void warmAfterCut(Instant now);
+    void warmFromThirds();
     void forgetReplica(Endpoint peer);
     void requestSettling(Bucket bucket);
     void settleShard(std::size_t index);
@@ -165,7 +170,11 @@
     Deadline m_staleUntil {}; ///< until then packets may have waited while this process did not run
     Instant m_cutSince {}; ///< since when some zone is cut off; epoch when none is
     Deadline m_cutOverAt {}; ///< when a cut that has ended is forgotten; epoch while none has
-    OwnerMap m_beyondCut; ///< who owns what on the other side of a cut
+    std::vector<Endpoint> m_wereCutOff; ///< the members that were beyond the cut; empty when there was none
+    OwnerMap m_standIns; ///< who of m_wereCutOff and back again owned what on the other side
+    /// From when on openings of flows whose owner is beyond the cut are placed here, by flow; empty when there is no
+    /// cut.
+    boost::unordered_flat_map<std::uint64_t, Deadline> m_heldOpenings;
     bool m_leaving = false;
 };
 
--- a/src/flows/FlowRouterBuckets.cpp
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -3,6 +3,7 @@
 #include "flows/FlowRouter.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cuminrelay {
 
@@ -23,6 +24,9 @@
     /// Longer than the views of two sides of a cut take to follow each other once it is over.
     constexpr Duration c_cutRecovery = std::chrono::seconds { 3 };
 
+    /// Longer than a member that was paused takes to come back with what it holds, and shorter than callers wait.
+    constexpr Duration c_holdBack = std::chrono::seconds { 5 };
+
     /// How much of the flow table one tick walks to copy exceptions to a new successor: all of it in eight ticks.
     constexpr unsigned c_shardsPerTick = FlowTable::s_shardCount / 8;
 
@@ -55,23 +59,32 @@
         return listed;
     }
 
-    bool isAnyZoneCutOff(std::span<const Member> members)
+    /// The members of the zones that are cut off, sorted.
+    std::vector<Endpoint> cutOffMembers(std::span<const Member> members)
     {
-        return std::any_of(
-            members.begin(), members.end(), [&](const Member& member) { return isCutOff(members, member.m_zone); });
+        std::vector<Endpoint> cutOff;
+        for (const Member& member : members) {
+            if (isCutOff(members, member.m_zone))
+                cutOff.push_back(member.m_peers);
+        }
+        std::sort(cutOff.begin(), cutOff.end());
+        return cutOff;
     }
 
-    /// The members that cannot be reached, as they see themselves: active.
-    std::vector<Member> beyondCut(std::span<const Member> members)
+    /// The members with those that cannot be reached as they see themselves: active.
+    std::vector<Member> withUnreachable(std::span<const Member> members)
     {
-        std::vector<Member> others;
-        for (const Member& member : members) {
-            if (member.m_state != MemberState::Unreachable)
-                continue;
-            others.push_back(member);
-            others.back().m_state = MemberState::Active;
+        std::vector<Member> all { members.begin(), members.end() };
+        for (Member& member : all) {
+            if (member.m_state == MemberState::Unreachable)
+                member.m_state = MemberState::Active;
         }
-        return others;
+        return all;
+    }
+
+    bool contains(std::span<const Endpoint> sorted, Endpoint member)
+    {
+        return std::binary_search(sorted.begin(), sorted.end(), member);
     }
 
     /// Moves into a batch the pending buckets that share the first one's base.
@@ -145,15 +158,12 @@
             forgetReplica(before.m_peers);
     }
     const bool first = m_members.empty();
-    const std::vector<Member> previousMembers = std::exchange(m_members, view.m_members);
+    m_members = view.m_members;
     const OwnerMap previous = std::exchange(m_owners, OwnerMap { m_members });
     noteShare();
     std::erase_if(m_outboxes,
         [&](const std::pair<const Endpoint, ReplicaOutbox>& outbox) { return !findMember(m_members, outbox.first); });
 
-    const bool cut = isAnyZoneCutOff(m_members);
-    noteCut(cut, now);
-
     for (std::size_t index = 0; index < c_bucketCount; ++index) {
         const Bucket bucket = static_cast<Bucket>(index);
         const MemberIndex ownerBefore = previous.owners(bucket).m_owner;
@@ -164,19 +174,38 @@
         if (after == m_self && before != m_self)
             takeBucket(bucket, first ? successor(bucket) : before, now);
         else if (after != m_self && before == m_self)
-            loseBucket(bucket);
+            loseBucket(bucket, now);
+        BucketState& state = m_buckets[bucket];
         if (after == m_self) {
-            BucketState& state = m_buckets[bucket];
-            if (!cut)
-                state.m_beyondCut = false;
             if (state.m_warmingFrom != Endpoint {} && !isReachable(state.m_warmingFrom))
-                finishWarming(bucket);
+                replaceSource(bucket, now);
             if (state.m_settledWith != successor(bucket))
                 requestSettling(bucket);
+        } else if (successor(bucket) != m_self) {
+            state.m_copyOf = {};
         }
     }
+    const std::vector<Endpoint> cutOff = cutOffMembers(m_members);
+    noteCut(cutOff, now);
+    noteBeyondCut(cutOff);
     if (m_cutSince != Instant {})
-        warmAfterCut(previousMembers);
+        warmAfterCut(now);
+    if (first)
+        warmFromThirds();
+}
+
+void FlowRouter::warmFromThirds()
+{
+    // A VM that starts again asks its successors; one that was away itself has missed what the next in rank was told.
+    std::vector<Member> others = m_members;
+    std::erase_if(others, [this](const Member& member) { return member.m_peers == m_self; });
+    const OwnerMap withoutSelf { others };
+    for (std::size_t index = 0; index < c_bucketCount; ++index) {
+        const Bucket bucket = static_cast<Bucket>(index);
+        const MemberIndex third = withoutSelf.owners(bucket).m_successor;
+        if (owns(bucket) && third != c_noMember && m_buckets[bucket].m_warmingFrom != Endpoint {})
+            m_buckets[bucket].m_warmingNext = withoutSelf.member(third);
+    }
 }
 
 void FlowRouter::noteShare()
@@ -198,12 +227,12 @@
     state.m_handedTo = {};
     state.m_beyondCut = false;
     state.m_warmingFrom = {};
+    state.m_warmingNext = {};
     if (previousOwner != Endpoint {} && previousOwner != m_self) {
-        const Member* const before = findMember(m_members, previousOwner);
-        if (before && before->m_state != MemberState::Unreachable)
+        if (isReachable(previousOwner))
             warmFrom(bucket, previousOwner);
-        else
-            state.m_beyondCut = before && isCutOff(m_members, before->m_zone);
+        else if (std::exchange(state.m_copyOf, {}) != previousOwner)
+            replaceSource(bucket, now);
     }
     if (state.m_warmingFrom == Endpoint {})
         finishWarming(bucket);
@@ -218,51 +247,101 @@
     outbox.m_wantAgainAt = {};
 }
 
+void FlowRouter::replaceSource(Bucket bucket, Instant now)
+{
+    // The successor may hold what the source had; or the source was paused and comes back with it.
+    BucketState& state = m_buckets[bucket];
+    const Endpoint gone = std::exchange(state.m_warmingFrom, {});
+    const auto outbox = m_outboxes.find(gone);
+    if (outbox != m_outboxes.end())
+        outbox->second.m_wanted.erase(bucket);
+    state.m_holdBackUntil = now + c_holdBack;
+    const Endpoint next = successor(bucket);
+    if (next != Endpoint {} && next != gone)
+        warmFrom(bucket, next);
+    else
+        finishWarming(bucket);
+}
+
 void FlowRouter::finishWarming(Bucket bucket)
 {
     BucketState& state = m_buckets[bucket];
     state.m_warmingFrom = {};
     if (!m_history.find(state.m_base))
         state.m_base = configVersion();
+    const Endpoint next = std::exchange(state.m_warmingNext, {});
+    if (next != Endpoint {} && isReachable(next))
+        warmFrom(bucket, next);
 }
 
-void FlowRouter::loseBucket(Bucket bucket)
+void FlowRouter::loseBucket(Bucket bucket, Instant now)
 {
     BucketState& state = m_buckets[bucket];
+    const bool isComplete = state.m_warmingFrom == Endpoint {} && now >= state.m_holdBackUntil;
+    state.m_copyOf = isComplete ? owner(bucket) : Endpoint {};
     state.m_warmingFrom = {};
+    state.m_warmingNext = {};
     state.m_settledWith = {};
     state.m_owed = m_leaving;
 }
 
-void FlowRouter::noteCut(bool cut, Instant now)
+void FlowRouter::noteCut(std::span<const Endpoint> cutOff, Instant now)
 {
-    if (!cut) {
+    if (cutOff.empty()) {
         // Members come back one by one; what is left beyond the cut is forgotten a while later.
         if (m_cutSince != Instant {} && m_cutOverAt == Deadline {})
             m_cutOverAt = now + c_cutRecovery;
         return;
     }
+    // Another cut: whoever came back from an earlier one owns nothing beyond this one.
+    if (m_cutSince == Instant {} || m_cutOverAt != Deadline {}) {
+        m_wereCutOff.clear();
+        m_standIns = OwnerMap {};
+    }
     m_cutOverAt = {};
     if (m_cutSince == Instant {})
         m_cutSince = now;
-    const std::vector<Member> beyond = beyondCut(m_members);
-    if (beyond.size() >= m_beyondCut.members().size())
-        m_beyondCut = OwnerMap { beyond };
+    std::vector<Endpoint> all;
+    std::set_union(m_wereCutOff.begin(), m_wereCutOff.end(), cutOff.begin(), cutOff.end(), std::back_inserter(all));
+    m_wereCutOff = std::move(all);
 }
 
-void FlowRouter::warmAfterCut(std::span<const Member> previousMembers)
+void FlowRouter::noteBeyondCut(std::span<const Endpoint> cutOff)
+{
+    const OwnerMap uncut = cutOff.empty() ? OwnerMap {} : OwnerMap { withUnreachable(m_members) };
+    for (std::size_t index = 0; index < c_bucketCount; ++index) {
+        const Bucket bucket = static_cast<Bucket>(index);
+        if (!owns(bucket))
+            continue;
+        const MemberIndex home = uncut.owners(bucket).m_owner;
+        m_buckets[bucket].m_beyondCut = home != c_noMember && contains(cutOff, uncut.member(home));
+    }
+}
+
+void FlowRouter::warmAfterCut(Instant now)
 {
     // While the fleet was cut, the other side may have opened flows for buckets of this VM. Whoever owned a bucket
-    // there is the owner in a view of that side alone.
+    // there is the owner in a view of that side alone, or was and is gone by now.
+    std::vector<Member> returned;
+    std::copy_if(m_members.begin(), m_members.end(), std::back_inserter(returned), [&](const Member& member) {
+        return member.m_state == MemberState::Active && contains(m_wereCutOff, member.m_peers);
+    });
+    const OwnerMap previous = std::exchange(m_standIns, OwnerMap { returned });
     for (std::size_t index = 0; index < c_bucketCount; ++index) {
         const Bucket bucket = static_cast<Bucket>(index);
-        const MemberIndex stand = m_beyondCut.owners(bucket).m_owner;
-        if (!owns(bucket) || stand == c_noMember || m_buckets[bucket].m_warmingFrom != Endpoint {})
+        const MemberIndex stand = m_standIns.owners(bucket).m_owner;
+        if (!owns(bucket) || stand == c_noMember || m_standIns.member(stand) == m_self)
             continue;
-        const Endpoint standIn = m_beyondCut.member(stand);
-        const Member* const before = findMember(previousMembers, standIn);
-        if (before && before->m_state == MemberState::Unreachable && isReachable(standIn))
+        BucketState& state = m_buckets[bucket];
+        const Endpoint standIn = m_standIns.member(stand);
+        const MemberIndex before = previous.owners(bucket).m_owner;
+        const bool wasAsked = state.m_acquiredAt < now && before != c_noMember && previous.member(before) == standIn;
+        if (wasAsked || state.m_warmingFrom == standIn)
+            continue;
+        if (state.m_warmingFrom == Endpoint {})
             warmFrom(bucket, standIn);
+        else
+            state.m_warmingNext = standIn;
     }
 }
 
@@ -292,6 +371,7 @@
     m_staleUntil = now + c_queueDrain;
     for (std::size_t index = 0; index < c_bucketCount; ++index) {
         const Bucket bucket = static_cast<Bucket>(index);
+        m_buckets[bucket].m_copyOf = {};
         const Endpoint standIn = successor(bucket);
         if (owner(bucket) == m_self && standIn != Endpoint {} && m_buckets[bucket].m_warmingFrom == Endpoint {})
             warmFrom(bucket, standIn);
@@ -303,7 +383,9 @@
     notePause(now);
     if (m_cutOverAt != Deadline {} && now >= m_cutOverAt) {
         m_cutSince = m_cutOverAt = {};
-        m_beyondCut = OwnerMap {};
+        m_wereCutOff.clear();
+        m_heldOpenings.clear();
+        m_standIns = OwnerMap {};
     }
     expireShard(m_expireShard, now);
     m_expireShard = (m_expireShard + 1) % FlowTable::s_shardCount;
@@ -450,8 +532,10 @@
     for (const FlowRecord& record : batch.m_records)
         acceptFlowRecord(peer, record, now);
     for (const Bucket bucket : batch.m_settled) {
-        if (!owns(bucket))
-            m_buckets[bucket].m_base = settledBase;
+        if (owns(bucket))
+            continue;
+        m_buckets[bucket].m_base = settledBase;
+        m_buckets[bucket].m_copyOf = peer;
     }
     for (const Bucket bucket : batch.m_handedOver) {
         BucketState& state = m_buckets[bucket];
--- a/src/flows/FlowRouterTest.cpp
+++ b/src/flows/FlowRouterTest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
+#include <string_view>
 
 namespace cuminrelay {
 namespace {
@@ -62,14 +63,14 @@
             std::unique_ptr<FlowRouter> m_router;
         };
 
-        explicit Fleet(std::size_t count)
+        explicit Fleet(std::size_t count, std::string_view zones = "aaa")
         {
             for (std::size_t i = 0; i < count; ++i) {
                 m_vms.push_back(std::make_unique<Vm>());
                 m_vms[i]->m_address = Endpoint { static_cast<std::uint32_t>(i + 1), 4001 };
                 Member member;
                 member.m_peers = m_vms[i]->m_address;
-                member.m_zone = "a";
+                member.m_zone = zones.substr(i, 1);
                 member.m_incarnation = 1;
                 m_view.m_members.push_back(member);
             }
@@ -264,6 +265,106 @@
 
     INSTANTIATE_TEST_SUITE_P(Placements, FlowRouterPlacement, testing::Bool());
 
+    TEST(FlowRouter, unknownMidstreamPacketsWaitWhileBothHoldersAreGone)
+    {
+        Fleet fleet { 3 };
+        const PacketSummary packet = packetOf(1, PacketKind::Midstream);
+        fleet.kill(fleet.ownerOf(packet.m_flow));
+        fleet.kill(fleet.ownerOf(packet.m_flow));
+        const std::size_t last = fleet.ownerOf(packet.m_flow);
+        EXPECT_EQ(fleet.send(last, packet).m_reason, Reason::UnknownFlowHolderAway);
+        fleet.m_now += std::chrono::milliseconds { 900 };
+        EXPECT_EQ(fleet.send(last, packet).m_reason, Reason::UnknownFlowHolderAway);
+        fleet.settle();
+        EXPECT_EQ(fleet.send(last, packet).m_kind, VerdictKind::ToBackend);
+    }
+
+    /// One VM of zone a, two of zone b, cut off from each other.
+    class FlowRouterCut : public testing::Test {
+    protected:
+        FlowRouterCut()
+        {
+            m_before = m_fleet.m_view;
+            cut();
+            while (m_fleet.ownerOf(packetOf(m_caller, PacketKind::Opening).m_flow) != 0)
+                ++m_caller;
+            m_standIn = ownerBeyondCut();
+        }
+
+        void install(std::size_t index, std::vector<std::size_t> unreachable)
+        {
+            MemberView view = m_before;
+            for (const std::size_t other : unreachable)
+                view.m_members[other].m_state = MemberState::Unreachable;
+            m_fleet.vm(index).m_router->installMembers(view, m_fleet.m_now);
+        }
+
+        void cut()
+        {
+            install(0, { 1, 2 });
+            install(1, { 0 });
+            install(2, { 0 });
+        }
+
+        std::size_t ownerBeyondCut() const
+        {
+            const OwnerMap map { std::span { m_before.m_members }.subspan(1) };
+            const Bucket bucket = bucketOf(hashFlow(packetOf(m_caller, PacketKind::Opening).m_flow));
+            return map.member(map.owners(bucket).m_owner).m_address - 1;
+        }
+
+        /// Time for the stand-ins to place openings again, with the two sides apart.
+        void wait(Duration duration)
+        {
+            const Instant end = m_fleet.m_now + duration;
+            while (m_fleet.m_now < end) {
+                m_fleet.m_now += std::chrono::milliseconds { 100 };
+                for (std::size_t i = 0; i < 3; ++i)
+                    m_fleet.vm(i).m_router->tick(m_fleet.m_now);
+            }
+        }
+
+        Verdict openAtStandIn()
+        {
+            m_fleet.send(m_standIn, packetOf(m_caller, PacketKind::Opening));
+            wait(std::chrono::seconds { 3 });
+            return m_fleet.send(m_standIn, packetOf(m_caller, PacketKind::Opening));
+        }
+
+        Fleet m_fleet { 3, "abb" };
+        MemberView m_before;
+        std::uint32_t m_caller = 1;
+        std::size_t m_standIn = 1;
+    };
+
+    TEST_F(FlowRouterCut, anOpeningIsPlacedBeyondTheCutOnlyOnceItIsRepeated)
+    {
+        wait(std::chrono::seconds { 2 });
+        const PacketSummary opening = packetOf(m_caller, PacketKind::Opening);
+        EXPECT_EQ(m_fleet.send(m_standIn, opening).m_reason, Reason::OwnerBeyondCut);
+        EXPECT_EQ(m_fleet.send(m_standIn, opening).m_reason, Reason::OwnerBeyondCut);
+        wait(std::chrono::seconds { 3 });
+        EXPECT_EQ(m_fleet.send(m_standIn, opening).m_kind, VerdictKind::ToBackend);
+    }
+
+    TEST_F(FlowRouterCut, aFlowOfAStandInThatDiedIsFoundAtItsCopy)
+    {
+        for (std::size_t i = 1; i < 3; ++i)
+            m_fleet.vm(i).m_placement.m_fixed = Endpoint { 0x0a010002, 5555 };
+        wait(std::chrono::seconds { 11 });
+        m_standIn = ownerBeyondCut();
+        const Verdict opened = openAtStandIn();
+        ASSERT_EQ(opened.m_kind, VerdictKind::ToBackend);
+
+        const std::size_t copy = 3 - m_standIn;
+        m_fleet.vm(m_standIn).m_router.reset();
+        install(0, { m_standIn });
+        install(copy, { m_standIn });
+        const Verdict found = m_fleet.send(0, packetOf(m_caller, PacketKind::Midstream));
+        EXPECT_EQ(found.m_kind, VerdictKind::ToBackend);
+        EXPECT_EQ(formatEndpoint(found.m_backend), formatEndpoint(opened.m_backend));
+    }
+
     TEST(FlowRouter, anOlderConfigurationIsIgnored)
     {
         Fleet fleet { 1 };
--- a/src/flows/Packet.cpp
+++ b/src/flows/Packet.cpp
@@ -31,8 +31,12 @@
         return "hop_limit";
     case Reason::OwnerBeyondCut:
         return "owner_beyond_cut";
+    case Reason::BackendBeyondCut:
+        return "backend_beyond_cut";
     case Reason::UnknownFlowDuringCut:
         return "unknown_flow_during_cut";
+    case Reason::UnknownFlowHolderAway:
+        return "unknown_flow_holder_away";
     case Reason::AdmissionQueueFull:
         return "admission_queue_full";
     case Reason::AdmissionShare:
--- a/src/flows/Packet.h
+++ b/src/flows/Packet.h
@@ -74,7 +74,9 @@
     NoBackendServer, ///< no eligible backend server in the service
     HopLimit,
     OwnerBeyondCut,
+    BackendBeyondCut, ///< a datagram that may belong to a flow whose backend server cannot be reached
     UnknownFlowDuringCut, ///< a mid-stream packet that cannot be placed safely while a cut lasts
+    UnknownFlowHolderAway, ///< a mid-stream packet of a flow that is held by a VM that may come back
     AdmissionQueueFull,
     AdmissionShare, ///< this VM's even share of the free capacity is used up
     FlowTableFull,
