flows: datagrams stay with a backend server that takes no new flows, also after their owner is gone

A datagram does not say whether its flow is new. Whoever takes over a bucket without a state for the flow placed it anew when the default of the base drains or is no longer selected; an established one was moved. Change: (1) after each change of configuration an owner settles its buckets again, and datagram flows on a backend server that takes no new flows of their service become exceptions, which the successor holds; a handover tells them at once. (2) For 3 s after a backend server begins to leave, within 60 s of a takeover, a datagram of an unknown flow still goes to it, for owners that were gone before they could tell. LeavingBackend: 4 of 4 pass; flows_test 30 of 30. A new datagram flow may open at a leaving backend server within these 3 s.

--- a/src/flows/FlowRouter.cpp
+++ b/src/flows/FlowRouter.cpp
@@ -286,12 +286,14 @@
     Endpoint preferred = service->defaultBackend(context.m_hash, tables->homeZone(context.m_bucket));
     if (trustDefault || isDatagram) {
         const Endpoint based = m_history.defaultSince(bucket.m_base, packet.m_flow, context.m_hash);
-        if (std::binary_search(service->tunnels().begin(), service->tunnels().end(), based))
+        const bool continues = isDatagram && mayContinueAt(based, context.m_bucket, context.m_now);
+        if (continues || std::binary_search(service->tunnels().begin(), service->tunnels().end(), based))
             preferred = based;
     }
     if (isDatagram && context.m_now < bucket.m_acquiredAt + c_datagramIdle && isBeyondCut(preferred))
         return drop(Reason::BackendBeyondCut);
-    const bool preferredIsUsable = isUsable(preferred);
+    const bool preferredIsUsable
+        = isUsable(preferred) || (isDatagram && mayContinueAt(preferred, context.m_bucket, context.m_now));
     if (!trustDefault || !preferredIsUsable) {
         const Admission admission = m_admission.admit(service->tunnels(), m_board, m_ownerCount, context.m_now);
         if (admission != Admission::Admitted)
@@ -495,6 +497,27 @@
     return status && status->m_report.m_health == BackendHealth::BeyondCut;
 }
 
+bool FlowRouter::isLeftBehind(const FlowState& state) const
+{
+    if (state.m_protocol != Protocol::Udp)
+        return false;
+    const Endpoint backend = state.m_backend;
+    const BackendStatus* const status = m_board.find(backend);
+    const ServiceTable* const service
+        = m_history.current() ? m_history.current()->find(state.m_service, state.m_protocol) : nullptr;
+    const bool takesNewFlows
+        = status && !status->m_draining && service && std::ranges::binary_search(service->tunnels(), backend);
+    return !takesNewFlows;
+}
+
+bool FlowRouter::mayContinueAt(Endpoint backend, Bucket bucket, Instant now) const
+{
+    const auto leaving = m_leavingBackends.find(backend);
+    const BackendStatus* const status = m_board.find(backend);
+    return leaving != m_leavingBackends.end() && now < leaving->second && status
+        && status->m_report.m_health == BackendHealth::Healthy && now < m_buckets[bucket].m_acquiredAt + c_datagramIdle;
+}
+
 Endpoint FlowRouter::decider(Bucket bucket, Instant now) const
 {
     const BucketState& state = m_buckets[bucket];
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -114,6 +114,9 @@
     bool mustReopen(const Context& context, const FlowState& state) const;
     bool mayBeOpenBeyondCut(const Context& context);
     bool isUsable(Endpoint backend) const;
+    bool isLeftBehind(const FlowState& state) const;
+    bool mayContinueAt(Endpoint backend, Bucket bucket, Instant now) const;
+    void noteLeavingBackends(const ServiceTables* before, std::span<const BackendServer> backendServers, Instant now);
     bool isBeyondCut(Endpoint backend) const;
     void setException(FlowState& state, bool exception);
     void forget(FlowHash hash, FlowState& state, Instant now);
@@ -176,6 +179,10 @@
     /// cut.
     boost::unordered_flat_map<std::uint64_t, Deadline> m_heldOpenings;
     bool m_leaving = false;
+
+    /// Backend servers that have just stopped taking new flows of a service, or all, and how long a datagram that may
+    /// be of an established flow still goes there.
+    std::map<Endpoint, Deadline> m_leavingBackends;
 };
 
 } // namespace cuminrelay
--- a/src/flows/FlowRouterBuckets.cpp
+++ b/src/flows/FlowRouterBuckets.cpp
@@ -18,6 +18,9 @@
     /// How long a handed-over bucket stays with a member that the view does not confirm.
     constexpr Duration c_handoverGrace = std::chrono::seconds { 5 };
 
+    /// How long a backend server that stops taking new flows may still get datagrams of flows that are not known here.
+    constexpr Duration c_leavingGrace = std::chrono::seconds { 3 };
+
     /// Longer than callers retransmit an opening that got no answer.
     constexpr Duration c_openingRetransmission = std::chrono::seconds { 10 };
 
@@ -121,8 +124,10 @@
 bool FlowRouter::installTables(
     std::shared_ptr<const ServiceTables> tables, std::span<const BackendServer> backendServers, Instant now)
 {
+    const std::shared_ptr<const ServiceTables> before = m_history.current();
     if (!m_history.append(std::move(tables)))
         return false;
+    noteLeavingBackends(before.get(), backendServers, now);
     std::vector<Endpoint> declared;
     declared.reserve(backendServers.size());
     for (const BackendServer& server : backendServers) {
@@ -134,14 +139,39 @@
     for (std::size_t index = 0; index < c_bucketCount; ++index) {
         const Bucket bucket = static_cast<Bucket>(index);
         BucketState& state = m_buckets[bucket];
-        if (owns(bucket) && state.m_base == ConfigVersion {} && state.m_warmingFrom == Endpoint {}) {
+        if (!owns(bucket))
+            continue;
+        if (state.m_base == ConfigVersion {} && state.m_warmingFrom == Endpoint {})
             state.m_base = configVersion();
-            requestSettling(bucket);
-        }
+        // Datagrams of flows whose default takes no new ones any more become exceptions.
+        requestSettling(bucket);
     }
     return true;
 }
 
+void FlowRouter::noteLeavingBackends(
+    const ServiceTables* before, std::span<const BackendServer> backendServers, Instant now)
+{
+    std::erase_if(
+        m_leavingBackends, [now](const std::pair<const Endpoint, Deadline>& leaving) { return now >= leaving.second; });
+    for (const BackendServer& server : backendServers) {
+        const BackendStatus* const status = m_board.find(server.m_tunnel);
+        if (server.m_draining && status && !status->m_draining)
+            m_leavingBackends[server.m_tunnel] = now + c_leavingGrace;
+    }
+    if (!before)
+        return;
+    for (const std::shared_ptr<const ServiceTable>& service : before->services()) {
+        const ServiceTable* const after = m_history.current()->find(service->address(), service->protocol());
+        if (!after || after == service.get())
+            continue;
+        std::vector<Endpoint> gone;
+        std::ranges::set_difference(service->tunnels(), after->tunnels(), std::back_inserter(gone));
+        for (const Endpoint backend : gone)
+            m_leavingBackends[backend] = now + c_leavingGrace;
+    }
+}
+
 void FlowRouter::applyReports(std::span<const BackendReport> reports)
 {
     for (const BackendReport& report : reports)
@@ -412,7 +442,8 @@
         if (!owns(bucket) || !m_buckets[bucket].m_needsSettling)
             return;
         const FlowKey key { {}, state.m_service, state.m_protocol };
-        if (!m_history.isDefaultSince(m_buckets[bucket].m_base, key, hash, state.m_backend))
+        // Who takes over can't tell a datagram of this flow from a new one's, which goes elsewhere.
+        if (isLeftBehind(state) || !m_history.isDefaultSince(m_buckets[bucket].m_base, key, hash, state.m_backend))
             setException(state, true);
         const Endpoint replica = successor(bucket);
         if (state.m_exception && replica != Endpoint {} && !isReplicated(state, replica))
@@ -594,7 +625,7 @@
             continue;
         m_flows.walk(index, [&](FlowHash hash, FlowState& state) {
             const Bucket bucket = bucketOf(hash);
-            const bool mustTell = state.m_exception || m_buckets[bucket].m_beyondCut;
+            const bool mustTell = state.m_exception || m_buckets[bucket].m_beyondCut || isLeftBehind(state);
             if (!isWanted[bucket] || !mustTell)
                 return;
             // Who asks may have lost what it was told before.
--- a/src/flows/FlowRouterTest.cpp
+++ b/src/flows/FlowRouterTest.cpp
@@ -42,6 +42,8 @@
         service.m_address = c_service;
         service.m_selector.m_requirements = { { "app", SelectorOperator::Equals, { "kanteisha" } } };
         configuration.m_services = { service };
+        service.m_protocol = Protocol::Udp;
+        configuration.m_services.push_back(service);
         for (std::uint32_t i = 0; i < backends; ++i) {
             BackendServer server;
             server.m_name = "kanteisha-" + std::to_string(i);
@@ -88,6 +90,14 @@
             vm.m_router->installMembers(m_view, m_now);
         }
 
+        void install(const Configuration& configuration)
+        {
+            for (const std::unique_ptr<Vm>& vm : m_vms) {
+                if (vm->m_router)
+                    vm->m_router->installConfiguration(configuration, m_now);
+            }
+        }
+
         /// Time for all batches to be exchanged.
         void settle()
         {
@@ -431,6 +441,54 @@
         EXPECT_EQ(repeated.m_backend, forwarded.m_backend);
     }
 
+    /// The configuration at version 2, in which a backend server drains or is no longer selected.
+    Configuration withoutBackend(Endpoint tunnel, bool drains)
+    {
+        Configuration configuration = makeConfiguration(2, 5);
+        for (BackendServer& server : configuration.m_backendServers) {
+            if (server.m_tunnel != tunnel)
+                continue;
+            server.m_draining = drains;
+            if (!drains)
+                server.m_labels["app"] = "none";
+        }
+        return configuration;
+    }
+
+    class LeavingBackend : public testing::TestWithParam<std::tuple<bool, bool>> { };
+
+    TEST_P(LeavingBackend, keepsItsDatagramsWhenTheirOwnerDies)
+    {
+        const auto [drains, settles] = GetParam();
+        Fleet fleet { 2 };
+        PacketSummary datagram = packetOf(1, PacketKind::Datagram);
+        datagram.m_flow.m_protocol = Protocol::Udp;
+        const std::size_t owner = fleet.ownerOf(datagram.m_flow);
+        const std::size_t other = 1 - owner;
+        const Verdict opened = fleet.send(owner, datagram);
+        ASSERT_EQ(opened.m_kind, VerdictKind::ToBackend);
+        fleet.install(withoutBackend(opened.m_backend, drains));
+        if (settles)
+            fleet.settle();
+        fleet.kill(owner);
+        const Verdict next = fleet.send(other, datagram);
+        EXPECT_EQ(next.m_kind, VerdictKind::ToBackend);
+        EXPECT_EQ(next.m_backend, opened.m_backend);
+
+        // A new flow does not go there once the time for flows that are under way is over.
+        fleet.settle();
+        const bool isFirst = opened.m_backend == makeConfiguration(1, 5).m_backendServers[0].m_tunnel;
+        fleet.vm(other).m_placement.m_fixed = makeConfiguration(1, 5).m_backendServers[isFirst ? 1 : 0].m_tunnel;
+        PacketSummary later = packetOf(2, PacketKind::Datagram);
+        later.m_flow.m_protocol = Protocol::Udp;
+        for (std::uint16_t port = 1; port < 200; ++port) {
+            later.m_flow.m_caller.m_port = port;
+            EXPECT_NE(fleet.send(other, later).m_backend, opened.m_backend);
+        }
+    }
+
+    INSTANTIATE_TEST_SUITE_P(FlowRouter, LeavingBackend, testing::Combine(testing::Bool(), testing::Bool()));
+
     TEST(FlowRouter, anUnknownServiceIsDroppedByReason)
     {
         Fleet fleet { 1 };
