--- a/src/bench/ChangeMatrix.cpp
+++ b/src/bench/ChangeMatrix.cpp
@@ -1,5 +1,6 @@
 #include "bench/ChangeMatrix.h"
 
+#include "bench/KnownRuns.h"
 #include "bench/StepTable.h"
 
 #include <fmt/format.h>
@@ -131,16 +132,10 @@
 
 void markKnown(std::span<ChangeRun> runs, std::uint64_t seed, std::string_view list)
 {
-    const std::string command = fmt::format("faults --of changes --seed {} ", seed);
-    while (!list.empty()) {
-        const std::size_t end = std::min(list.find('\n'), list.size());
-        const std::string_view line = list.substr(0, end);
-        list.remove_prefix(std::min(end + 1, list.size()));
-        if (!line.starts_with(command))
-            continue;
-        for (ChangeRun& run : runs)
-            run.m_isKnown = run.m_isKnown || line.find(fmt::format("| {} |", runName(run))) != std::string_view::npos;
-    }
+    const std::set<std::string, std::less<>> known
+        = findKnownRuns(list, fmt::format("faults --of changes --seed {}", seed));
+    for (ChangeRun& run : runs)
+        run.m_isKnown = known.contains(runName(run));
 }
 
 std::string reportChangeMatrix(std::span<const ChangeRun> runs, ReportFormat format)
--- a/src/bench/FaultMatrix.cpp
+++ b/src/bench/FaultMatrix.cpp
@@ -1,6 +1,7 @@
 #include "bench/FaultMatrix.h"
 
 #include "bench/DesignCatalog.h"
+#include "bench/KnownRuns.h"
 
 #include <fmt/format.h>
 #include <oneapi/tbb/parallel_for.h>
@@ -62,17 +63,10 @@
 
 void markKnown(std::span<FaultRun> runs, const FaultMatrixSettings& settings, std::string_view list)
 {
-    const std::string command
-        = fmt::format("faults --profile {} --seed {} ", settings.m_profile.m_name, settings.m_seed);
-    while (!list.empty()) {
-        const std::size_t end = std::min(list.find('\n'), list.size());
-        const std::string_view line = list.substr(0, end);
-        list.remove_prefix(std::min(end + 1, list.size()));
-        if (!line.starts_with(command))
-            continue;
-        for (FaultRun& run : runs)
-            run.m_isKnown = run.m_isKnown || line.find(fmt::format("| {} |", runName(run))) != std::string_view::npos;
-    }
+    const std::set<std::string, std::less<>> known
+        = findKnownRuns(list, fmt::format("faults --profile {} --seed {}", settings.m_profile.m_name, settings.m_seed));
+    for (FaultRun& run : runs)
+        run.m_isKnown = known.contains(runName(run));
 }
 
 std::string findViolation(const FaultRun& run)
--- /dev/null
+++ b/src/bench/KnownRuns.cpp
@@ -0,0 +1,33 @@
+#include "bench/KnownRuns.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::string_view c_separator = " | ";
+
+    /// Cuts the text at the separator, or the end, and returns what stood before it.
+    std::string_view takeUntil(std::string_view& text, std::string_view separator)
+    {
+        const std::size_t end = std::min(text.find(separator), text.size());
+        const std::string_view taken = text.substr(0, end);
+        text.remove_prefix(std::min(end + separator.size(), text.size()));
+        return taken;
+    }
+
+} // namespace
+
+std::set<std::string, std::less<>> findKnownRuns(std::string_view list, std::string_view command)
+{
+    std::set<std::string, std::less<>> runs;
+    while (!list.empty()) {
+        std::string_view line = takeUntil(list, "\n");
+        if (takeUntil(line, c_separator) == command)
+            runs.emplace(takeUntil(line, c_separator));
+    }
+    return runs;
+}
+
+} // namespace cuminrelay
--- a/src/flows/BucketStates.h
+++ b/src/flows/BucketStates.h
@@ -9,6 +9,9 @@
 
 namespace cuminrelay {
 
+/// Longer than the keep-alive interval of common hosts, two hours, after which each live flow has shown a packet.
+inline constexpr Duration c_quietFlow = std::chrono::minutes { 130 };
+
 /// What one entry VM knows of one bucket, as its owner, its successor or its previous owner.
 struct BucketState {
     // What each packet reads stands together.
--- a/src/members/Member.h
+++ b/src/members/Member.h
@@ -2,7 +2,10 @@
 
 #include "base/Endpoint.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -36,4 +39,11 @@
     std::vector<Member> m_members;
 };
 
+/// The member of that name, or nullptr. O(members).
+inline const Member* findMember(std::span<const Member> members, Endpoint peers)
+{
+    const auto found = std::ranges::find(members, peers, &Member::m_peers);
+    return found == members.end() ? nullptr : std::to_address(found);
+}
+
 } // namespace cuminrelay
