placement: stragglers are told from load while half of a service is idle

A queue of 5 to 10 does not stand out against a mean that holds a second queue of 14. When each backend server has an own straggler or a queue, all are ignored alike, also the one with both slots held. The slack of 8 connections lets a VM send more to a backend server that has not ended its former flow there. Stragglers of other VMs go unseen, so that a second one joins the first. Change: while half of the backend servers are idle, any queue above the slots stands out, slots that stay busy over five reports count as held, fewer connections above the mean are allowed, and draws compare waiting flows by free slots. When all are busy, one with all slots held still gets no new work.

--- a/src/backends/BackendBoard.cpp
+++ b/src/backends/BackendBoard.cpp
@@ -24,6 +24,17 @@
 
 } // namespace
 
+void BusySlotHistory::add(std::uint16_t busySlots)
+{
+    m_busySlots[m_next] = busySlots;
+    m_next = (m_next + 1) % s_reportCount;
+}
+
+std::uint16_t BusySlotHistory::fewest() const
+{
+    return *std::min_element(m_busySlots.begin(), m_busySlots.end());
+}
+
 void BackendBoard::declare(
     Endpoint backend, std::uint16_t slots, std::uint32_t connectionLimit, bool draining, Instant now)
 {
@@ -60,6 +71,7 @@
     if (status.m_report.m_health == BackendHealth::Unhealthy && report.m_health == BackendHealth::Healthy)
         beginColdStart(status, report.m_measuredAt);
     status.m_report = report;
+    status.m_busySlots.add(report.m_busySlots);
     status.m_staleAt = report.m_measuredAt + c_reportLifetime;
     const RecentActivity::Totals totals = entry.m_recent.since(report.m_measuredAt);
     status.m_openedSinceReport = totals.m_opened;
--- a/src/backends/BackendBoard.h
+++ b/src/backends/BackendBoard.h
@@ -4,6 +4,7 @@
 #include "base/Endpoint.h"
 #include "base/Time.h"
 
+#include <array>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -28,9 +29,26 @@
     Instant m_measuredAt {}; ///< on the clock of the VM that holds the board
 };
 
+/// The busy slots of the last few reports on one backend server. Short work comes and goes between reports, so that
+/// slots which stay busy through all of them are held by long work, whichever entry VM placed it.
+class BusySlotHistory {
+public:
+    void add(std::uint16_t busySlots);
+
+    /// The fewest busy slots among the last reports; 0 until there were enough of them.
+    std::uint16_t fewest() const;
+
+private:
+    static constexpr std::size_t s_reportCount = 5;
+
+    std::array<std::uint16_t, s_reportCount> m_busySlots {};
+    std::size_t m_next = 0;
+};
+
 /// What one entry VM believes of one backend server right now.
 struct BackendStatus {
     BackendReport m_report;
+    BusySlotHistory m_busySlots; ///< of m_report and the ones before it
     Deadline m_staleAt {}; ///< when m_report is too old to count; epoch while there is none
     std::uint32_t m_openedSinceReport = 0; ///< flows that this VM placed there after the report was measured
     std::uint32_t m_closedSinceReport = 0;
--- a/src/placement/BoundedLoadPlacement.cpp
+++ b/src/placement/BoundedLoadPlacement.cpp
@@ -22,6 +22,10 @@
     constexpr std::uint64_t c_coldSalt = 0x636f6c64;
     constexpr std::uint64_t c_silentSalt = 0x73696c65;
     constexpr std::uint64_t c_choiceSalt = 0x63686f69;
+    constexpr std::uint64_t c_heldSalt = 0x68656c64;
+
+    // Of a slot: what one whose slots are all held is taken to have left, so that loads stay comparable.
+    constexpr double c_leastFreeSlots = 0.25;
 
     /// A number in [0, 1) that depends on the flow and the salt only.
     double drawUniform(std::uint64_t flowHash, std::uint64_t salt)
@@ -54,7 +58,9 @@
     if (m_eligible.empty())
         return std::nullopt;
     distrustIdleReports();
-    markBusy(now);
+    m_hasIdleHalf = isHalfIdle();
+    markHeldSlots();
+    markBusy();
     ignoreCommonReasons();
     const auto position = std::find_if(m_eligible.begin(), m_eligible.end(),
         [&request](const Candidate& candidate) { return candidate.m_backend == request.m_default; });
@@ -97,22 +103,54 @@
         candidate.m_isImplausible = candidate.m_connections < plausible;
 }
 
-void BoundedLoadPlacement::markBusy(Instant now)
+bool BoundedLoadPlacement::isHalfIdle() const
+{
+    const std::ptrdiff_t idle = std::count_if(m_eligible.begin(), m_eligible.end(), [this](const Candidate& candidate) {
+        const bool isQueued = candidate.m_hasFreshReport && candidate.m_status->m_report.m_queued > 0;
+        return !isQueued && candidate.m_connections <= m_parameters.m_idleConnections;
+    });
+    return 2 * static_cast<std::size_t>(idle) >= m_eligible.size();
+}
+
+void BoundedLoadPlacement::markHeldSlots()
+{
+    for (Candidate& candidate : m_eligible) {
+        const BackendStatus& status = *candidate.m_status;
+        std::uint32_t held = status.m_ownStragglers;
+        if (m_hasIdleHalf && candidate.m_hasFreshReport)
+            held = std::max<std::uint32_t>(held, status.m_busySlots.fewest());
+        candidate.m_heldSlots = std::min<std::uint32_t>(held, status.m_slots);
+    }
+}
+
+void BoundedLoadPlacement::markBusy()
 {
     double queued = 0;
     for (const Candidate& candidate : m_eligible)
-        queued += candidate.m_status->hasFreshReport(now) ? candidate.m_status->m_report.m_queued : 0;
+        queued += candidate.m_hasFreshReport ? candidate.m_status->m_report.m_queued : 0;
     const double meanQueued = queued / static_cast<double>(m_eligible.size());
+    const double ordinaryQueue = m_hasIdleHalf ? 0 : m_parameters.m_queueFactor * meanQueued;
+    m_anyWithoutHold = false;
     for (Candidate& candidate : m_eligible) {
         const BackendStatus& status = *candidate.m_status;
-        const bool queueStandsOut = status.hasFreshReport(now) && status.m_report.m_queued > status.m_slots
-            && status.m_report.m_queued > m_parameters.m_queueFactor * meanQueued;
-        candidate.m_isBusy = status.m_ownStragglers > 0 || queueStandsOut;
+        const bool queueStandsOut = candidate.m_hasFreshReport && status.m_report.m_queued > status.m_slots
+            && status.m_report.m_queued > ordinaryQueue;
+        if (queueStandsOut || candidate.m_heldSlots >= status.m_slots)
+            candidate.m_hold = Hold::AllSlots;
+        else if (candidate.m_heldSlots > 0)
+            candidate.m_hold = Hold::SomeSlots;
+        candidate.m_isBusy = candidate.m_hold == Hold::AllSlots || status.m_ownStragglers > 0;
+        m_anyWithoutHold = m_anyWithoutHold || candidate.m_hold == Hold::None;
     }
 }
 
 void BoundedLoadPlacement::ignoreCommonReasons()
 {
+    const bool allBusy = std::all_of(
+        m_eligible.begin(), m_eligible.end(), [](const Candidate& candidate) { return candidate.m_isBusy; });
+    if (allBusy)
+        for (Candidate& candidate : m_eligible)
+            candidate.m_isBusy = candidate.m_hold == Hold::AllSlots;
     const std::size_t half = m_eligible.size() / 2;
     const std::size_t busy = static_cast<std::size_t>(std::count_if(
         m_eligible.begin(), m_eligible.end(), [](const Candidate& candidate) { return candidate.m_isBusy; }));
@@ -131,6 +169,9 @@
 {
     if (candidate.m_isBusy)
         return false;
+    const bool isPartlyHeld = m_hasIdleHalf && m_anyWithoutHold && candidate.m_hold == Hold::SomeSlots;
+    if (isPartlyHeld && drawUniform(flowHash, c_heldSalt) >= m_parameters.m_heldShare)
+        return false;
     if (candidate.m_isSilent && drawUniform(flowHash, c_silentSalt) >= m_parameters.m_probeShare)
         return false;
     if (drawUniform(flowHash, c_coldSalt) >= candidate.m_share)
@@ -138,12 +179,13 @@
     // Without a report the estimate rests on this VM's own flows, most of which are in its own zone.
     if (!candidate.m_hasFreshReport)
         return true;
-    return candidate.m_connections <= m_parameters.m_loadFactor * m_meanConnections + m_parameters.m_loadSlack;
+    const double slack = m_hasIdleHalf ? m_parameters.m_idleLoadSlack : m_parameters.m_loadSlack;
+    return candidate.m_connections <= m_parameters.m_loadFactor * m_meanConnections + slack;
 }
 
 const BoundedLoadPlacement::Candidate& BoundedLoadPlacement::drawLeastLoaded(std::uint64_t flowHash) const
 {
-    const std::size_t wanted = m_parameters.m_choices;
+    const std::size_t wanted = m_hasIdleHalf ? m_parameters.m_idleChoices : m_parameters.m_choices;
     const Candidate* best = nullptr;
     std::size_t drawn = 0;
     std::uint64_t hash = hashPair(flowHash, c_choiceSalt);
@@ -152,13 +194,21 @@
         const bool takesPart = !candidate.m_isBusy && !candidate.m_isSilent && !candidate.m_isImplausible
             && drawUniform(hash, c_coldSalt) < candidate.m_share;
         hash = hashPair(hash, c_choiceSalt);
-        if (!takesPart)
+        if (!takesPart || (m_hasIdleHalf && &candidate == best))
             continue;
         ++drawn;
-        if (!best || candidate.m_connections < best->m_connections)
+        if (!best || loadOf(candidate) < loadOf(*best))
             best = &candidate;
     }
     return best ? *best : m_eligible[hash % m_eligible.size()];
 }
 
+double BoundedLoadPlacement::loadOf(const Candidate& candidate) const
+{
+    if (!m_hasIdleHalf)
+        return candidate.m_connections;
+    const double waiting = std::max(0.0, candidate.m_connections - candidate.m_heldSlots);
+    return (waiting + 1) / std::max(c_leastFreeSlots, candidate.m_status->m_slots - candidate.m_heldSlots);
+}
+
 } // namespace cuminrelay
--- a/src/placement/PlacementPolicyTest.cpp
+++ b/src/placement/PlacementPolicyTest.cpp
@@ -157,6 +157,51 @@
         EXPECT_EQ(service.distribute(policy, c_warm).size(), 4);
     }
 
+    TEST(BoundedLoadPlacement, aQueueKeepsNewWorkAwayWhileHalfOfTheOthersAreIdle)
+    {
+        Service service(4);
+        service.report(0, { .m_connections = 1, .m_busySlots = 1 });
+        service.report(1, { .m_connections = 7, .m_busySlots = 2, .m_queued = 5 });
+        service.report(2, { .m_connections = 16, .m_busySlots = 2, .m_queued = 14 });
+        service.report(3, { .m_connections = 0 });
+        BoundedLoadPlacement policy;
+        const std::map<Endpoint, std::size_t> counts = service.distribute(policy, c_warm);
+        EXPECT_EQ(counts.size(), 2);
+        EXPECT_TRUE(counts.contains(backendAt(0)));
+        EXPECT_TRUE(counts.contains(backendAt(3)));
+    }
+
+    TEST(BoundedLoadPlacement, stragglersEverywhereStillKeepNewWorkOffOneWithAllSlotsHeld)
+    {
+        Service service(4);
+        for (std::size_t i = 0; i < 4; ++i)
+            service.m_board.noteStraggler(backendAt(i));
+        service.m_board.noteStraggler(backendAt(2));
+        BoundedLoadPlacement policy;
+        const std::map<Endpoint, std::size_t> counts = service.distribute(policy, c_warm);
+        EXPECT_EQ(counts.size(), 3);
+        EXPECT_FALSE(counts.contains(backendAt(2)));
+    }
+
+    TEST(BoundedLoadPlacement, slotsThatStayBusyOverReportsAreHeldByStragglersOfOthers)
+    {
+        Service service(4);
+        for (std::size_t i = 0; i < 4; ++i)
+            service.report(i, { .m_connections = 1 });
+        constexpr int reports = 5;
+        for (int report = 0; report < reports; ++report) {
+            service.report(1, { .m_connections = 1, .m_busySlots = 1 });
+            service.report(2, { .m_connections = 2, .m_busySlots = 2 });
+        }
+        BoundedLoadPlacement policy;
+        std::map<Endpoint, std::size_t> counts = service.distribute(policy, c_warm);
+        EXPECT_FALSE(counts.contains(backendAt(2)));
+        EXPECT_GT(counts[backendAt(1)], 0);
+        EXPECT_LT(counts[backendAt(1)], counts[backendAt(0)]);
+        service.report(2, { .m_connections = 0 });
+        EXPECT_TRUE(service.distribute(policy, c_warm).contains(backendAt(2)));
+    }
+
     TEST(BoundedLoadPlacement, aColdBackendServerGetsAGrowingShare)
     {
         Service service(15);
