--- a/src/backends/BackendBoardTest.cpp
+++ b/src/backends/BackendBoardTest.cpp
@@ -124,5 +124,18 @@
         RC_ASSERT(board.find(c_backend)->m_ownFlows == open);
     }
 
+    TEST(BusySlotHistory, slotsAreHeldOnceTheyStayBusyOverFiveReports)
+    {
+        BusySlotHistory history;
+        for (int report = 0; report < 4; ++report) {
+            history.add(2);
+            EXPECT_EQ(history.fewest(), 0);
+        }
+        history.add(1);
+        EXPECT_EQ(history.fewest(), 1);
+        history.add(0);
+        EXPECT_EQ(history.fewest(), 0);
+    }
+
 } // namespace
 } // namespace cuminrelay
