bench: no overflow before a drain is accepted; flows: a test's parameter

Cause: the undefined-behaviour sanitizer stopped bench_test: ChangeExperiment::placeWork added 3 s to the far end of time while no drain was accepted yet (the sum was not used). The linter stopped at a copied parameter in FlowRouterTest. Change: without an accepted drain there is nothing to count; the parameter is an initializer list.

--- a/src/bench/ChangeExperiment.cpp
+++ b/src/bench/ChangeExperiment.cpp
@@ -659,11 +659,13 @@
     ++m_openWork;
     m_timeline.after(
         Duration { static_cast<std::int64_t>(m_random.below(c_longestWorkMicroseconds)) }, [this] { --m_openWork; });
+    if (m_drainedAt == Instant::max())
+        return;
     // A drain that a restored store has lost is no drain any more.
     const bool isLost = m_store->wasRestored() && !isDraining(*m_store->current());
     const Instant now = m_timeline.now();
     const bool isDue = now >= std::max(m_drainedAt, m_vms[vm].m_coveredUntil) + c_drainInForce;
-    if (m_drainedAt != Instant::max() && isDue && !isLost && !isCovered(vm))
+    if (isDue && !isLost && !isCovered(vm))
         ++m_result.m_workAfterDrain;
 }
 
--- a/src/flows/FlowRouterTest.cpp
+++ b/src/flows/FlowRouterTest.cpp
@@ -1,6 +1,7 @@
 #include "flows/FlowRouter.h"
 
 #include <gtest/gtest.h>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <string_view>
@@ -301,7 +302,7 @@
             m_standIn = ownerBeyondCut();
         }
 
-        void install(std::size_t index, std::vector<std::size_t> unreachable)
+        void install(std::size_t index, std::initializer_list<std::size_t> unreachable)
         {
             MemberView view = m_before;
             for (const std::size_t other : unreachable)
