flows: a VM that joins does not take who it has not heard of for cut off

Change: while this VM joins, no cut is noted; it owns nothing then. In a real cut its settled view still shows the zone.

--- a/src/flows/FlowRouterMembers.cpp
+++ b/src/flows/FlowRouterMembers.cpp
@@ -104,7 +104,10 @@
             state.m_copyOf = {};
         }
     }
-    const std::vector<Endpoint> cutOff = cutOffMembers(m_members);
+    // A VM that joins has not heard of everybody yet, which is no cut.
+    const Member* const self = findMember(m_members, m_self);
+    const bool isJoining = self && self->m_state == MemberState::Joining;
+    const std::vector<Endpoint> cutOff = isJoining ? std::vector<Endpoint> {} : cutOffMembers(m_members);
     noteCut(cutOff, now);
     noteBeyondCut(cutOff);
     if (m_cutSince != Instant {})
--- a/src/flows/FlowRouterTest.cpp
+++ b/src/flows/FlowRouterTest.cpp
@@ -100,9 +100,9 @@
         }
 
         /// Time for all batches to be exchanged.
-        void settle()
+        void settle(unsigned rounds = 100)
         {
-            for (unsigned round = 0; round < 100; ++round) {
+            for (unsigned round = 0; round < rounds; ++round) {
                 m_now += std::chrono::milliseconds { 50 };
                 for (const std::unique_ptr<Vm>& from : m_vms) {
                     if (from->m_router)
@@ -135,6 +135,21 @@
             return Verdict {};
         }
 
+        /// A VM starts again with nothing; until it is set to another state it joins and has not heard of the others.
+        void join(std::size_t index)
+        {
+            MemberView alone = m_view;
+            for (Member& member : alone.m_members)
+                member.m_state = MemberState::Unreachable;
+            alone.m_members[index].m_state = MemberState::Joining;
+            ++m_view.m_members[index].m_incarnation;
+            Vm& vm = *m_vms[index];
+            vm.m_router = std::make_unique<FlowRouter>(
+                vm.m_address, vm.m_placement, vm.m_admission, FlowRouter::Limits { 100'000 });
+            vm.m_router->installConfiguration(makeConfiguration(1, 5), m_now);
+            vm.m_router->installMembers(alone, m_now);
+        }
+
         void setState(std::size_t index, MemberState state)
         {
             m_view.m_members[index].m_state = state;
@@ -290,6 +305,20 @@
         EXPECT_EQ(fleet.send(last, packet).m_kind, VerdictKind::ToBackend);
     }
 
+    TEST(FlowRouter, aVmThatJoinsDoesNotTakeWhoItHasNotHeardOfForCutOff)
+    {
+        Fleet fleet { 3, "aab" };
+        const std::map<std::uint32_t, Endpoint> placed = openFlows(fleet);
+        fleet.setState(1, MemberState::Leaving);
+        fleet.settle();
+        fleet.join(1);
+        fleet.setState(1, MemberState::Joining);
+        fleet.settle(10);
+        fleet.setState(1, MemberState::Active);
+        fleet.settle(20);
+        expectAllStay(fleet, 1, placed);
+    }
+
     /// One VM of zone a, two of zone b, cut off from each other.
     class FlowRouterCut : public testing::Test {
     protected:
