operators: an edit whose outcome is unknown is never said to have changed nothing

Cause: read-through: after a write whose answer was lost, lasting conflicts gave 'it is unknown whether the edit took effect: ... nothing was changed, run it again', which contradicts itself and invites a second run. Change: the advice is given only when every write was refused. The mixed case has no test of its own.

--- a/src/operators/EditSession.cpp
+++ b/src/operators/EditSession.cpp
@@ -147,7 +147,8 @@
         if (!current)
             co_return finalError(current.error(), outcomeUnknown, edit);
     }
-    if (lastError.m_kind == ErrorKind::Conflict) {
+    // After a write whose outcome is unknown, nobody can say that nothing was changed.
+    if (lastError.m_kind == ErrorKind::Conflict && !outcomeUnknown) {
         lastError = { ErrorKind::Unavailable,
             fmt::format("the store refused {} writes against what it had just answered: others write all the time, or "
                         "its reads lag; nothing was changed, run it again",
