members: zones heard of are handed out by reference

Cause: read-through: each heartbeat in a large fleet copied the whole map only to walk it. Change: zonesHeard returns a reference; behaviour is unchanged.

--- a/src/members/Membership.cpp
+++ b/src/members/Membership.cpp
@@ -219,11 +219,6 @@
     found->second = std::max(found->second, heardAt);
 }
 
-std::map<std::string, Instant> Membership::zonesHeard() const
-{
-    return { m_zonesHeard.begin(), m_zonesHeard.end() };
-}
-
 void Membership::stopWatching(Endpoint peers, Instant now)
 {
     const auto found = m_known.find(peers);
--- a/src/members/Membership.h
+++ b/src/members/Membership.h
@@ -127,7 +127,7 @@
     std::vector<std::string> cutOffZones() const;
 
     /// When a member of another zone was last heard of straight, by this VM or by one that told of it.
-    std::map<std::string, Instant> zonesHeard() const;
+    const std::map<std::string, Instant, std::less<>>& zonesHeard() const { return m_zonesHeard; }
 
     /// What is held of the members that changed after the revision, oldest change first and at most limit of them; the
     /// revision is moved on. Suspected members are told of as Unreachable. ownZone: of members of the own zone only.
