--- /dev/null
+++ b/src/affinity/Backend.cpp
@@ -0,0 +1,19 @@
+#include "affinity/Backend.h"
+
+#include "base/Hash.h"
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::uint64_t c_tokenSalt = 0x746f6b656e; // "token"
+
+} // namespace
+
+BackendToken tokenOf(BackendIdentity identity)
+{
+    const std::uint32_t hash = static_cast<std::uint32_t>(hashPair(identity.m_value, c_tokenSalt));
+    return BackendToken { hash != 0 ? hash : 1 };
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/affinity/CarriedRouter.cpp
@@ -0,0 +1,369 @@
+#include "affinity/CarriedRouter.h"
+
+#include "base/Assert.h"
+#include "base/Hash.h"
+#include "configuration/Selector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr Duration c_sweepInterval = std::chrono::milliseconds { 500 };
+
+    /// Other VMs tell their load several times within this.
+    constexpr Duration c_peerSilence = std::chrono::milliseconds { 600 };
+
+    /// A copy that comes sooner was duplicated on the way and says nothing of the backend server.
+    constexpr Duration c_earliestCopy = std::chrono::milliseconds { 150 };
+
+    /// A backend server that answered within this is alive, whatever the store says.
+    constexpr Duration c_recentAnswer = std::chrono::seconds { 2 };
+
+    /// How often a backend server that was found dead is asked again.
+    constexpr Duration c_probeInterval = std::chrono::seconds { 1 };
+
+    constexpr std::uint64_t c_weightSalt = 0x77656967; // "weig"
+
+} // namespace
+
+CarriedRouter::CarriedRouter(Options options, FlowPlacement& placement, RouterObserver& observer)
+    : m_options(std::move(options))
+    , m_placement(placement)
+    , m_observer(observer)
+    , m_flows(m_backends, m_options.m_trackedFlows)
+{
+}
+
+void CarriedRouter::decide(std::span<const PacketSummary> packets, std::span<Verdict> verdicts, Instant now)
+{
+    CR_ASSERT(packets.size() <= verdicts.size(), "decide needs a verdict for each packet");
+    for (std::size_t i = 0; i < packets.size(); ++i)
+        verdicts[i] = decideOne(packets[i], now);
+}
+
+Verdict CarriedRouter::decideOne(const PacketSummary& packet, Instant now)
+{
+    const FlowHash hash = hashFlow(packet.m_flow);
+    return packet.m_kind == PacketKind::Opening ? decideOpening(packet, hash, now) : decideMidstream(packet, hash, now);
+}
+
+Verdict CarriedRouter::decideOpening(const PacketSummary& packet, FlowHash hash, Instant now)
+{
+    if (now < m_staleUntil)
+        return turnAway(packet, VerdictKind::Drop, Reason::StaleAfterPause, nullptr, now);
+    const ServiceMap::Entry* const service = m_services.find(packet.m_flow.m_service);
+    if (!service && !knowsAllServices())
+        return turnAway(packet, VerdictKind::Drop, Reason::NotConfigured, nullptr, now);
+    if (!service)
+        return turnAway(packet, VerdictKind::Refuse, Reason::UnknownService, nullptr, now);
+    if (!isConfigured())
+        return turnAway(packet, VerdictKind::Drop, Reason::NotConfigured, nullptr, now);
+    if (packet.m_copy > 0) {
+        TrackedFlow* const flow = m_flows.find(hash);
+        if (flow && flow->m_openedAt != Instant {})
+            return openAgain(packet, hash, *flow, now);
+    }
+    KnownBackend* const backend = place(*service, hash, BackendToken {}, now);
+    if (!backend)
+        return turnAway(packet, VerdictKind::Refuse, Reason::NoBackendServer, nullptr, now);
+    m_flows.open(hash, backend->m_token, service->m_kind == RequestKind::Idempotent, now);
+    m_observer.placed(packet, *backend, PlacementCause::New, m_eligible.size(), now);
+    return forwardTo(*backend);
+}
+
+/// A copy of an opening that was placed here. Two backend servers that both answer would compete for the flow, so that
+/// a second one is taken only when the first has shown no sign of life since it was asked.
+Verdict CarriedRouter::openAgain(const PacketSummary& packet, FlowHash hash, TrackedFlow& flow, Instant now)
+{
+    KnownBackend* const first = m_backends.find(flow.m_backend);
+    const bool isLate = now - flow.m_openedAt >= c_earliestCopy;
+    if (first && isLate && !flow.m_isEstablished)
+        noteSilence(*first, flow.m_openedAt, now);
+    const bool hasAnswered = first && first->m_life.answeredAt() >= flow.m_openedAt;
+    if (first && (flow.m_isEstablished || !isLate || (hasAnswered && first->takesNewFlows()))) {
+        m_observer.placed(packet, *first, PlacementCause::Copy, 1, now);
+        return forwardTo(*first);
+    }
+    const ServiceMap::Entry* const service = m_services.find(packet.m_flow.m_service);
+    KnownBackend* const second = place(*service, hash, flow.m_backend, now);
+    if (!second)
+        return turnAway(packet, VerdictKind::Refuse, Reason::NoBackendServer, first, now);
+    if (second->m_token != flow.m_backend) {
+        m_flows.move(flow, second->m_token);
+        flow.m_hadSecondChoice = true;
+        flow.m_openedAt = now;
+    }
+    m_observer.placed(packet, *second, PlacementCause::SecondChoice, m_eligible.size(), now);
+    return forwardTo(*second);
+}
+
+Verdict CarriedRouter::decideMidstream(const PacketSummary& packet, FlowHash hash, Instant now)
+{
+    const ServiceMap::Entry* const service = m_services.find(packet.m_flow.m_service);
+    if (!service) {
+        m_flows.close(hash);
+        if (!knowsAllServices())
+            return turnAway(packet, VerdictKind::Drop, Reason::NotConfigured, nullptr, now);
+        return turnAway(packet, VerdictKind::ResetCaller, Reason::UnknownService, nullptr, now);
+    }
+    const BackendToken carried { packet.m_carriedToken };
+    TrackedFlow* flow = m_flows.find(hash);
+    // The token that the first packet after the opening carries came with the answer that opened the flow. A later one
+    // may come from a second choice that answered too.
+    const bool isPinned = flow && flow->m_hadSecondChoice && flow->m_isEstablished;
+    if (flow && !isPinned && flow->m_backend != carried && carried != BackendToken {})
+        m_flows.move(*flow, carried);
+    const BackendToken token = isPinned || carried == BackendToken {} ? (flow ? flow->m_backend : carried) : carried;
+    KnownBackend* const backend = m_backends.find(token);
+    if (!backend)
+        return turnAway(packet, VerdictKind::Drop, Reason::UnknownBackend, nullptr, now);
+    if (isGone(*backend, now)) {
+        m_flows.close(hash);
+        if (packet.m_kind == PacketKind::Reset)
+            return Verdict { VerdictKind::Drop, Reason::BackendGone, {}, {}, 0, 0 };
+        return turnAway(packet, VerdictKind::ResetCaller, Reason::BackendGone, backend, now);
+    }
+    if (!flow && packet.m_kind == PacketKind::Midstream)
+        flow = m_flows.adopt(hash, token, service->m_kind == RequestKind::Idempotent, now);
+    if (flow) {
+        const FlowObservation seen = m_flows.observe(*flow, packet, now);
+        if (seen.m_isAnswer)
+            noteAnswer(*backend, now);
+        else if (seen.m_isRepetition)
+            backend->m_life.noteUnansweredData(now);
+    }
+    if (packet.m_kind == PacketKind::HalfClose || packet.m_kind == PacketKind::Reset)
+        m_flows.close(hash);
+    return forwardTo(*backend);
+}
+
+Verdict CarriedRouter::turnAway(const PacketSummary& packet, VerdictKind kind, Reason reason,
+    const KnownBackend* backend, Instant now) const
+{
+    Verdict verdict;
+    verdict.m_kind = kind;
+    verdict.m_reason = reason;
+    m_observer.turnedAway(packet, verdict, backend, now);
+    return verdict;
+}
+
+KnownBackend* CarriedRouter::place(const ServiceMap::Entry& service, FlowHash hash, BackendToken avoided, Instant now)
+{
+    FlowDemand demand;
+    demand.m_isLong = service.m_kind == RequestKind::Idempotent;
+    demand.m_draw = hash.m_value;
+    std::uint64_t weights = 0;
+    for (const ServiceMap::Target& target : service.m_targets)
+        weights += target.m_weight;
+    std::uint64_t drawn = weights > 0 ? hashPair(hash.m_value, c_weightSalt) % weights : 0;
+    std::size_t first = 0;
+    while (first + 1 < service.m_targets.size() && drawn >= service.m_targets[first].m_weight)
+        drawn -= service.m_targets[first++].m_weight;
+    // Where the drawn selector takes nobody, the others stand in; one without weight gets nothing.
+    for (std::size_t i = 0; i < service.m_targets.size(); ++i) {
+        const ServiceMap::Target& target = service.m_targets[(first + i) % service.m_targets.size()];
+        if (target.m_weight == 0)
+            continue;
+        KnownBackend* const placed = placeIn(poolOf(target.m_selector), demand, avoided, now);
+        if (placed)
+            return placed;
+    }
+    return nullptr;
+}
+
+KnownBackend* CarriedRouter::placeIn(
+    std::span<KnownBackend* const> pool, const FlowDemand& demand, BackendToken avoided, Instant now)
+{
+    const auto collect = [this, pool, avoided](const auto& accepts) {
+        m_eligible.clear();
+        for (KnownBackend* const backend : pool) {
+            if (backend->takesNewFlows() && backend->m_token != avoided && accepts(*backend))
+                m_eligible.push_back(backend);
+        }
+        return !m_eligible.empty();
+    };
+    const auto isListed = [](const KnownBackend& backend) {
+        return backend.m_presence == Presence::Announced || backend.m_life.answeredAt() > backend.m_withdrawnAt;
+    };
+    const auto isSound = [now](const KnownBackend& backend) {
+        return !backend.m_confirmedDead && !backend.m_life.isSilent(now);
+    };
+    // Rather a backend server whose entry lapsed, or one that is silent to this VM, than none.
+    const bool found = collect([&](const KnownBackend& backend) { return isListed(backend) && isSound(backend); })
+        || collect([&](const KnownBackend& backend) { return isSound(backend); })
+        || collect([](const KnownBackend&) { return true; });
+    if (!found)
+        return nullptr;
+    m_candidates.clear();
+    for (const KnownBackend* const backend : m_eligible) {
+        FlowCandidate& candidate = m_candidates.emplace_back();
+        candidate.m_isNear = backend->m_announced.m_server.m_zone == m_options.m_zone;
+        candidate.m_isCold = now < backend->m_announced.m_warmAt;
+        candidate.m_slots = backend->m_announced.m_server.m_slots;
+        candidate.m_activeRequests = backend->m_own.m_activeRequests + backend->m_peers.m_activeRequests;
+        candidate.m_longFlows = backend->m_own.m_longFlows + backend->m_peers.m_longFlows;
+    }
+    KnownBackend* const chosen = m_eligible[m_placement.choose(m_candidates, demand)];
+    chosen->m_life.beginTrial(now);
+    return chosen;
+}
+
+std::span<KnownBackend* const> CarriedRouter::poolOf(SelectorIndex selector)
+{
+    if (!m_poolsValid || m_poolGeneration != m_backends.generation()) {
+        m_pools.assign(m_services.selectors().size(), {});
+        m_poolGeneration = m_backends.generation();
+        m_poolsValid = true;
+        for (std::size_t i = 0; i < m_pools.size(); ++i) {
+            const Selector& wanted = m_services.selectors()[i];
+            m_backends.forEach([&](KnownBackend& backend) {
+                if (backend.m_presence != Presence::Departed && matches(wanted, backend.m_announced.m_server.m_labels))
+                    m_pools[i].push_back(&backend);
+            });
+        }
+    }
+    return m_pools[selector];
+}
+
+void CarriedRouter::noteAnswer(KnownBackend& backend, Instant now) const
+{
+    const bool wasSilent = backend.m_confirmedDead || backend.m_life.isSilent(now);
+    backend.m_life.noteAnswer(now);
+    backend.m_confirmedDead = false;
+    if (wasSilent)
+        m_observer.lifeChanged(backend, false, now);
+}
+
+void CarriedRouter::noteSilence(KnownBackend& backend, Instant sentAt, Instant now) const
+{
+    const bool wasSilent = backend.m_life.isSilent(now);
+    backend.m_life.noteUnansweredOpening(sentAt, now);
+    if (!wasSilent && backend.m_life.isSilent(now))
+        m_observer.lifeChanged(backend, true, now);
+}
+
+/// Whether the flows of a backend server are certainly lost, so that their callers are better off with a new flow.
+bool CarriedRouter::isGone(const KnownBackend& backend, Instant now) const
+{
+    if (backend.m_confirmedDead)
+        return true;
+    const Instant answeredAt = backend.m_life.answeredAt();
+    return backend.m_presence == Presence::Departed && (answeredAt == Instant {} || now - answeredAt > c_recentAnswer);
+}
+
+Verdict CarriedRouter::forwardTo(const KnownBackend& backend)
+{
+    Verdict verdict;
+    verdict.m_kind = VerdictKind::ToBackend;
+    verdict.m_target = backend.m_announced.m_server.m_tunnel;
+    verdict.m_identity = backend.m_announced.m_identity.m_value;
+    verdict.m_token = backend.m_token.m_value;
+    return verdict;
+}
+
+bool CarriedRouter::declare(const ServiceDeclarations& declarations)
+{
+    if (declarations.m_version <= m_services.version())
+        return false;
+    m_services = ServiceMap { declarations };
+    m_poolsValid = false;
+    return true;
+}
+
+void CarriedRouter::notePeerLoad(Endpoint peer, std::span<const BackendLoadReport> reports, Instant now)
+{
+    PeerReports& known = m_peers[peer];
+    forgetPeer(known);
+    known.m_reports.assign(reports.begin(), reports.end());
+    known.m_staleAt = now + c_peerSilence;
+    for (BackendLoadReport& report : known.m_reports) {
+        KnownBackend* const backend = m_backends.find(report.m_backend);
+        if (!backend) {
+            report.m_load = BackendLoad {};
+            continue;
+        }
+        backend->m_peers.m_activeRequests += report.m_load.m_activeRequests;
+        backend->m_peers.m_longFlows += report.m_load.m_longFlows;
+    }
+}
+
+void CarriedRouter::forgetPeer(const PeerReports& peer)
+{
+    for (const BackendLoadReport& report : peer.m_reports) {
+        KnownBackend* const backend = m_backends.find(report.m_backend);
+        if (!backend)
+            continue;
+        BackendLoad& load = backend->m_peers;
+        load.m_activeRequests -= std::min(load.m_activeRequests, report.m_load.m_activeRequests);
+        load.m_longFlows -= std::min(load.m_longFlows, report.m_load.m_longFlows);
+    }
+}
+
+void CarriedRouter::ownLoad(std::vector<BackendLoadReport>& reports) const
+{
+    reports.clear();
+    m_backends.forEach([&reports](const KnownBackend& backend) {
+        if (backend.m_own != BackendLoad {})
+            reports.push_back({ backend.m_token, backend.m_own });
+    });
+}
+
+std::vector<const KnownBackend*> CarriedRouter::takeProbes(Instant now)
+{
+    std::vector<const KnownBackend*> probes;
+    m_backends.forEach([&](KnownBackend& backend) {
+        const bool isWanted = backend.m_confirmedDead || backend.m_life.seemsDead(now);
+        if (!isWanted || backend.m_isProbed || now < backend.m_probeAt || backend.m_presence == Presence::Departed)
+            return;
+        backend.m_isProbed = true;
+        backend.m_probeAt = now + c_probeInterval;
+        probes.push_back(&backend);
+    });
+    return probes;
+}
+
+void CarriedRouter::noteProbe(BackendToken token, bool answered, Instant now)
+{
+    KnownBackend* const backend = m_backends.find(token);
+    if (!backend)
+        return;
+    backend->m_isProbed = false;
+    // It may have answered a caller, or this process may have been paused, while the probe was under way.
+    if (answered) {
+        noteAnswer(*backend, now);
+    } else if (!backend->m_confirmedDead && backend->m_life.seemsDead(now)) {
+        backend->m_confirmedDead = true;
+        m_observer.lifeChanged(*backend, true, now);
+    }
+}
+
+void CarriedRouter::tick(Instant now)
+{
+    m_backends.tick(now);
+    for (auto position = m_peers.begin(); position != m_peers.end();) {
+        if (now < position->second.m_staleAt) {
+            ++position;
+        } else {
+            forgetPeer(position->second);
+            position = m_peers.erase(position);
+        }
+    }
+    if (now >= m_sweepAt) {
+        m_sweepAt = now + c_sweepInterval;
+        m_flows.sweep(now);
+    }
+}
+
+void CarriedRouter::notePause(Deadline staleUntil)
+{
+    m_staleUntil = staleUntil;
+    m_backends.forEach([](KnownBackend& backend) {
+        backend.m_life.forgive();
+        backend.m_confirmedDead = false;
+    });
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/affinity/LifeSigns.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstdint>
+
+namespace cuminrelay {
+
+/// What the packets that pass an entry VM show of one backend server's life. Answers go straight to the caller; a
+/// caller that acknowledges something new shows that its backend server has answered. An opening that the caller sends
+/// again, without any such sign since it was first sent, shows that the backend server is silent.
+class LifeSigns {
+public:
+    /// A caller has acknowledged something new from the backend server.
+    void noteAnswer(Instant now);
+
+    /// An opening that was first sent there at sentAt is sent again: it was not answered in time.
+    void noteUnansweredOpening(Instant sentAt, Instant now);
+
+    /// Data that was first sent there before is sent again.
+    void noteUnansweredData(Instant now);
+
+    /// Whether new flows should go elsewhere. Every c_trialInterval one flow may try all the same (beginTrial).
+    bool isSilent(Instant now) const;
+    void beginTrial(Instant now);
+
+    /// Whether several callers went unanswered over c_deadSilence: grounds to ask the backend server itself.
+    bool seemsDead(Instant now) const;
+
+    /// Forgets what was held against the backend server, such as after this process was paused.
+    void forgive();
+
+    Instant answeredAt() const { return m_answeredAt; }
+    std::uint32_t unanswered() const { return m_unanswered; }
+
+private:
+    Instant m_answeredAt {}; ///< epoch: never
+    Instant m_silentSince {}; ///< when the oldest opening was sent that is unanswered; epoch: none
+    Deadline m_trialAt {};
+    std::uint32_t m_unanswered = 0; ///< callers' repetitions since the last answer
+};
+
+/// How often a silent backend server is given a flow to find out whether it answers again.
+inline constexpr Duration c_trialInterval = std::chrono::seconds { 1 };
+
+/// Callers repeat what is not answered after 200 ms; a second repetition comes 400 ms after the first.
+inline constexpr Duration c_deadSilence = std::chrono::milliseconds { 350 };
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/affinity/ServiceMap.cpp
@@ -0,0 +1,34 @@
+#include "affinity/ServiceMap.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+ServiceMap::ServiceMap(const ServiceDeclarations& declarations)
+    : m_version(declarations.m_version)
+{
+    m_entries.reserve(declarations.m_services.size());
+    for (const DeclaredService& service : declarations.m_services) {
+        Entry entry { service.m_kind, {} };
+        for (const WeightedSelector& weighted : service.m_selectors)
+            entry.m_targets.push_back({ indexOf(weighted.m_selector), weighted.m_weight });
+        m_entries.emplace(service.m_address.packed(), std::move(entry));
+    }
+}
+
+const ServiceMap::Entry* ServiceMap::find(Endpoint address) const
+{
+    const auto found = m_entries.find(address.packed());
+    return found != m_entries.end() ? &found->second : nullptr;
+}
+
+SelectorIndex ServiceMap::indexOf(const Selector& selector)
+{
+    const auto found = std::find(m_selectors.begin(), m_selectors.end(), selector);
+    const std::size_t index = static_cast<std::size_t>(found - m_selectors.begin());
+    if (found == m_selectors.end())
+        m_selectors.push_back(selector);
+    return static_cast<SelectorIndex>(index);
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/affinity/TrackedFlows.cpp
@@ -0,0 +1,167 @@
+#include "affinity/TrackedFlows.h"
+
+#include "base/Assert.h"
+
+namespace cuminrelay {
+
+namespace {
+
+    /// A long flow that pauses for longer may have moved to another entry VM, which counts it too.
+    constexpr Duration c_longFlowPause = std::chrono::seconds { 3 };
+
+    /// Callers repeat their data for up to 1.6 s apart; a flow that is silent for longer is done here.
+    constexpr Duration c_shortFlowPause = std::chrono::milliseconds { 2'000 };
+
+    /// A request whose end was not seen, because the last answer needs no acknowledgment, no longer counts.
+    constexpr Duration c_longestRequest = std::chrono::milliseconds { 400 };
+
+    /// Whether a sequence number lies after another, modulo 2^32.
+    bool isAfter(std::uint32_t left, std::uint32_t right)
+    {
+        return static_cast<std::int32_t>(left - right) > 0;
+    }
+
+} // namespace
+
+TrackedFlows::TrackedFlows(BackendCatalog& catalog, std::size_t limit)
+    : m_catalog(catalog)
+    , m_limit(limit)
+{
+}
+
+TrackedFlow* TrackedFlows::find(FlowHash hash)
+{
+    const auto found = m_flows.find(hash.m_value);
+    return found != m_flows.end() ? &found->second : nullptr;
+}
+
+TrackedFlow* TrackedFlows::open(FlowHash hash, BackendToken backend, bool isLong, Instant now)
+{
+    TrackedFlow* const flow = insert(hash, backend, isLong, now);
+    if (!flow)
+        return nullptr;
+    flow->m_openedAt = now;
+    // The request follows at once, and the backend server is to be spared until it does.
+    setActive(*flow, true, now);
+    return flow;
+}
+
+TrackedFlow* TrackedFlows::adopt(FlowHash hash, BackendToken backend, bool isLong, Instant now)
+{
+    TrackedFlow* const flow = insert(hash, backend, isLong, now);
+    if (flow)
+        flow->m_isEstablished = true;
+    return flow;
+}
+
+TrackedFlow* TrackedFlows::insert(FlowHash hash, BackendToken backend, bool isLong, Instant now)
+{
+    const auto found = m_flows.find(hash.m_value);
+    if (found == m_flows.end() && m_flows.size() >= m_limit)
+        return nullptr;
+    TrackedFlow& flow = found != m_flows.end() ? found->second : m_flows[hash.m_value];
+    release(flow);
+    flow = TrackedFlow {};
+    flow.m_backend = backend;
+    flow.m_isLong = isLong;
+    flow.m_seenAt = now;
+    setCounted(flow, isLong);
+    return &flow;
+}
+
+void TrackedFlows::move(TrackedFlow& flow, BackendToken backend)
+{
+    const bool active = flow.m_isActive;
+    const bool counted = flow.m_isCounted;
+    release(flow);
+    flow.m_backend = backend;
+    setActive(flow, active, flow.m_activeSince);
+    setCounted(flow, counted);
+}
+
+FlowObservation TrackedFlows::observe(TrackedFlow& flow, const PacketSummary& packet, Instant now)
+{
+    FlowObservation observation;
+    flow.m_seenAt = now;
+    setCounted(flow, flow.m_isLong);
+    const bool isFirst = !flow.m_isEstablished || flow.m_acknowledged == 0;
+    if (isFirst || isAfter(packet.m_acknowledgment, flow.m_acknowledged)) {
+        observation.m_isAnswer = flow.m_openedAt != Instant {} || flow.m_acknowledged != 0;
+        flow.m_acknowledged = packet.m_acknowledgment;
+        // The handshake's acknowledgment is no answer to a request.
+        if (flow.m_isEstablished)
+            setActive(flow, false, now);
+    }
+    flow.m_isEstablished = true;
+    if (packet.m_payloadBytes == 0)
+        return observation;
+    const std::uint32_t end = packet.m_sequence + packet.m_payloadBytes;
+    if (flow.m_sentUpTo == 0 || isAfter(end, flow.m_sentUpTo)) {
+        flow.m_sentUpTo = end;
+        setActive(flow, true, now);
+    } else {
+        observation.m_isRepetition = true;
+    }
+    return observation;
+}
+
+void TrackedFlows::close(FlowHash hash)
+{
+    const auto found = m_flows.find(hash.m_value);
+    if (found == m_flows.end())
+        return;
+    release(found->second);
+    m_flows.erase(found);
+}
+
+void TrackedFlows::sweep(Instant now)
+{
+    for (auto position = m_flows.begin(); position != m_flows.end();) {
+        TrackedFlow& flow = position->second;
+        if (flow.m_isActive && now - flow.m_activeSince > c_longestRequest)
+            setActive(flow, false, now);
+        if (now - flow.m_seenAt > (flow.m_isLong ? c_longFlowPause : c_shortFlowPause)) {
+            release(flow);
+            m_flows.erase(position++);
+        } else {
+            ++position;
+        }
+    }
+}
+
+void TrackedFlows::setActive(TrackedFlow& flow, bool active, Instant now)
+{
+    if (flow.m_isActive == active)
+        return;
+    flow.m_isActive = active;
+    flow.m_activeSince = now;
+    KnownBackend* const backend = m_catalog.find(flow.m_backend);
+    if (!backend)
+        return;
+    if (active)
+        ++backend->m_own.m_activeRequests;
+    else if (backend->m_own.m_activeRequests > 0) // it may have been forgotten and announced again meanwhile
+        --backend->m_own.m_activeRequests;
+}
+
+void TrackedFlows::setCounted(TrackedFlow& flow, bool counted)
+{
+    if (flow.m_isCounted == counted)
+        return;
+    flow.m_isCounted = counted;
+    KnownBackend* const backend = m_catalog.find(flow.m_backend);
+    if (!backend)
+        return;
+    if (counted)
+        ++backend->m_own.m_longFlows;
+    else if (backend->m_own.m_longFlows > 0)
+        --backend->m_own.m_longFlows;
+}
+
+void TrackedFlows::release(TrackedFlow& flow)
+{
+    setActive(flow, false, flow.m_activeSince);
+    setCounted(flow, false);
+}
+
+} // namespace cuminrelay
--- a/src/control/Backoff.cpp
+++ b/src/base/Backoff.cpp
@@ -1,4 +1,4 @@
-#include "control/Backoff.h"
+#include "base/Backoff.h"
 
 #include <algorithm>
 
--- a/src/base/Time.cpp
+++ b/src/base/Time.cpp
@@ -1,5 +1,7 @@
 #include "base/Time.h"
 
+#include <ctime>
+
 namespace cuminrelay {
 
 Instant SystemClock::now() const
@@ -8,4 +10,12 @@
     return Instant { std::chrono::duration_cast<Duration>(sinceEpoch) };
 }
 
+Instant BootClock::now() const
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant { std::chrono::duration_cast<Duration>(
+        std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec }) };
+}
+
 } // namespace cuminrelay
--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -38,6 +38,12 @@
     Instant now() const override;
 };
 
+/// As SystemClock, but it also counts the time that the machine was suspended, so that ages stay true.
+class BootClock final : public Clock {
+public:
+    Instant now() const override;
+};
+
 /// A clock that moves only when it is told to.
 class ManualClock final : public Clock {
 public:
--- a/src/bench/ChangeExperiment.cpp
+++ b/src/bench/ChangeExperiment.cpp
@@ -2,7 +2,7 @@
 
 #include "configuration/Lookup.h"
 #include "configuration/Selector.h"
-#include "control/Backoff.h"
+#include "base/Backoff.h"
 #include "control/ControlState.h"
 
 #include <algorithm>
--- a/src/bench/FleetDesign.h
+++ b/src/bench/FleetDesign.h
@@ -3,7 +3,7 @@
 #include "backends/BackendBoard.h"
 #include "base/Time.h"
 #include "configuration/Model.h"
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 #include "members/Member.h"
 
 #include <cstddef>
--- a/src/control/ControlProcess.h
+++ b/src/control/ControlProcess.h
@@ -8,7 +8,7 @@
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 #include "observe/MetricsServer.h"
-#include "platform/HttpPlatformClient.h"
+#include "objectapi/HttpPlatformClient.h"
 #include "settings/Program.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -2,7 +2,7 @@
 
 #include "control/ControlOptions.h"
 #include "observe/Log.h"
-#include "platform/PlatformSettings.h"
+#include "objectapi/PlatformSettings.h"
 #include "settings/SettingsReader.h"
 
 namespace cuminrelay {
--- a/src/control/EntryTask.cpp
+++ b/src/control/EntryTask.cpp
@@ -2,7 +2,7 @@
 
 #include "backends/BackendMessage.h"
 #include "configuration/ConfigurationMessage.h"
-#include "control/Backoff.h"
+#include "base/Backoff.h"
 #include "members/MemberMessage.h"
 
 #include <capnp/rpc-twoparty.h>
--- a/src/control/PeerTasks.cpp
+++ b/src/control/PeerTasks.cpp
@@ -1,6 +1,6 @@
 #include "control/PeerTasks.h"
 
-#include "control/Backoff.h"
+#include "base/Backoff.h"
 #include "rpc/FiberTask.h"
 #include "rpc/Streams.h"
 
--- a/src/control/PlatformTasks.h
+++ b/src/control/PlatformTasks.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "control/AsyncSignal.h"
-#include "control/Backoff.h"
+#include "base/Backoff.h"
 #include "control/FleetInbox.h"
 #include "control/FleetListener.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
-#include "platform/PlatformClient.h"
+#include "objectapi/PlatformClient.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- /dev/null
+++ b/src/discovery/StoreWatch.cpp
@@ -0,0 +1,91 @@
+#include "discovery/StoreWatch.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace {
+
+    namespace asio = boost::asio;
+
+    constexpr auto c_asTuple = asio::as_tuple(asio::use_awaitable);
+
+    constexpr Duration c_readTimeout = std::chrono::milliseconds { 1'000 };
+
+    /// A watch that went silent is noticed after this at the latest.
+    constexpr Duration c_longestWait = std::chrono::seconds { 8 };
+
+    /// The store answers a watch that has waited in milliseconds; a slow one gets this much more.
+    constexpr Duration c_waitGrace = std::chrono::milliseconds { 1'500 };
+
+    constexpr Backoff::Limits c_retries { std::chrono::milliseconds { 50 }, std::chrono::milliseconds { 500 }, 1'000 };
+
+} // namespace
+
+StoreWatch::StoreWatch(std::string name, WatchEnvironment environment, std::uint64_t seed)
+    : m_name(std::move(name))
+    , m_environment(environment)
+    , m_backoff(c_retries, seed, environment.m_clock.now())
+{
+}
+
+asio::awaitable<void> StoreWatch::run()
+{
+    for (;;) {
+        const Outcome<StoreRevision> taken = co_await takeNext();
+        if (taken) {
+            m_hasAll = true;
+            m_revision = taken.value();
+            m_answeredAt = m_environment.m_clock.now();
+            m_backoff.succeeded();
+            noteContact(true, {});
+        } else if (taken.error().m_kind == ErrorKind::Stale) {
+            m_environment.m_metrics.counter("cuminrelay_store_retries_total", "history_gone").add();
+            m_environment.m_log.warning("discovery", "store_history_gone",
+                { { "watch", m_name }, { "revision", m_revision.m_number } });
+            m_hasAll = false;
+        } else {
+            noteContact(false, taken.error().m_message);
+            co_await pauseAfter(taken.error());
+        }
+    }
+}
+
+asio::awaitable<Outcome<StoreRevision>> StoreWatch::takeNext()
+{
+    const Instant now = m_environment.m_clock.now();
+    if (!m_hasAll)
+        co_return co_await takeAll(now + c_readTimeout);
+    // After a failure the first call waits for nothing, so that its answer shows soon that the store is back.
+    const Deadline waitUntil = m_isInContact ? now + c_longestWait : now;
+    co_return co_await takeChanges(m_revision, waitUntil, waitUntil + c_waitGrace);
+}
+
+asio::awaitable<void> StoreWatch::pauseAfter(const Error& error)
+{
+    m_environment.m_metrics.counter("cuminrelay_store_retries_total", errorKindName(error.m_kind)).add();
+    const Instant now = m_environment.m_clock.now();
+    asio::steady_timer pause { co_await asio::this_coro::executor };
+    pause.expires_after(m_backoff.failed(now) - now);
+    co_await pause.async_wait(c_asTuple);
+}
+
+void StoreWatch::noteContact(bool isInContact, std::string_view reason)
+{
+    if (m_hasReported && m_isInContact == isInContact)
+        return;
+    m_hasReported = true;
+    m_isInContact = isInContact;
+    if (isInContact)
+        m_environment.m_log.info(
+            "discovery", "store_regained", { { "watch", m_name }, { "revision", m_revision.m_number } });
+    else
+        m_environment.m_log.warning("discovery", "store_lost",
+            { { "watch", m_name }, { "revision", m_revision.m_number }, { "error", reason } });
+    contactChanged(isInContact);
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/discovery/Watches.cpp
@@ -0,0 +1,69 @@
+#include "discovery/Watches.h"
+
+namespace cuminrelay {
+
+namespace asio = boost::asio;
+
+BackendsWatch::BackendsWatch(
+    Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed)
+    : StoreWatch("backends", environment, seed)
+    , m_discovery(discovery)
+    , m_listener(listener)
+{
+}
+
+asio::awaitable<Outcome<StoreRevision>> BackendsWatch::takeAll(Deadline deadline)
+{
+    const Outcome<BackendList> list = co_await m_discovery.listBackends(deadline);
+    if (!list)
+        co_return list.error();
+    m_listener.backendsListed(list.value());
+    co_return list.value().m_revision;
+}
+
+asio::awaitable<Outcome<StoreRevision>> BackendsWatch::takeChanges(
+    StoreRevision known, Deadline waitUntil, Deadline deadline)
+{
+    const Outcome<BackendChanges> changes = co_await m_discovery.watchBackends(known, waitUntil, deadline);
+    if (!changes)
+        co_return changes.error();
+    m_listener.backendsChanged(changes.value());
+    co_return changes.value().m_revision;
+}
+
+void BackendsWatch::contactChanged(bool) { }
+
+DeclarationsWatch::DeclarationsWatch(
+    Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed)
+    : StoreWatch("declarations", environment, seed)
+    , m_discovery(discovery)
+    , m_listener(listener)
+{
+}
+
+asio::awaitable<Outcome<StoreRevision>> DeclarationsWatch::takeAll(Deadline deadline)
+{
+    co_return handOn(co_await m_discovery.readDeclarations(deadline));
+}
+
+asio::awaitable<Outcome<StoreRevision>> DeclarationsWatch::takeChanges(
+    StoreRevision known, Deadline waitUntil, Deadline deadline)
+{
+    co_return handOn(co_await m_discovery.watchDeclarations(known, waitUntil, deadline));
+}
+
+Outcome<StoreRevision> DeclarationsWatch::handOn(const Outcome<DeclarationState>& state)
+{
+    if (!state)
+        return state.error();
+    if (state.value().m_declarations)
+        m_listener.declared(*state.value().m_declarations);
+    return state.value().m_revision;
+}
+
+void DeclarationsWatch::contactChanged(bool isInContact)
+{
+    m_listener.declarationsCurrent(isInContact);
+}
+
+} // namespace cuminrelay
--- a/src/entry/PacketPath.h
+++ b/src/entry/PacketPath.h
@@ -11,7 +11,7 @@
 #include "packets/FouFrontEnd.h"
 #include "packets/PeerFilter.h"
 #include "packets/PeerFrontEnd.h"
-#include "packets/VerdictSender.h"
+#include "packets/FouVerdictSender.h"
 #include "placement/PlacementPolicy.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -120,7 +120,7 @@
     Instant m_startedAt;
     Duration m_leaveAllowance;
     PeerFilter m_filter;
-    VerdictSender m_sender;
+    FouVerdictSender m_sender;
     FouFrontEnd m_fabric;
     PeerFrontEnd m_peers;
     FlowRouter m_router;
--- /dev/null
+++ b/src/exchange/ExchangePeers.cpp
@@ -0,0 +1,103 @@
+#include "exchange/ExchangePeers.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::size_t c_nearFanout = 3;
+    constexpr std::size_t c_farFanout = 1;
+    constexpr Duration c_seedInterval = std::chrono::seconds { 1 };
+
+    /// A VM that was not heard from for this long is no longer told anything.
+    constexpr Duration c_peerMemory = std::chrono::seconds { 3 };
+
+    /// The element after a key in a ring, or the first.
+    template <typename Map> typename Map::const_iterator after(const Map& map, Endpoint key)
+    {
+        const typename Map::const_iterator found = map.upper_bound(key);
+        return found != map.end() ? found : map.begin();
+    }
+
+} // namespace
+
+ExchangePeers::ExchangePeers(Endpoint self, ZoneHash zone, std::span<const Endpoint> seeds)
+    : m_self(self)
+    , m_zone(zone)
+    , m_seeds(seeds.begin(), seeds.end())
+{
+}
+
+void ExchangePeers::noteMessage(Endpoint peer, const LoadMessage& message, Instant now)
+{
+    if (message.m_leaving) {
+        m_peers.erase(peer);
+        return;
+    }
+    Known& known = m_peers[peer];
+    known.m_zone = message.m_zone;
+    known.m_heardAt = now;
+    known.m_forgetAt = now + c_peerMemory;
+    for (const ExchangePeer& passedOn : message.m_peers)
+        learn(passedOn, now);
+}
+
+void ExchangePeers::learn(const ExchangePeer& peer, Instant now)
+{
+    if (peer.m_exchange == m_self || peer.m_exchange.m_port != m_self.m_port)
+        return;
+    // Hearsay alone keeps nobody known: each VM has to answer for itself.
+    m_peers.try_emplace(peer.m_exchange, Known { peer.m_zone, Instant {}, now + c_peerMemory });
+}
+
+std::vector<Endpoint> ExchangePeers::nextTargets(Instant now)
+{
+    std::erase_if(m_peers, [now](const auto& entry) { return now >= entry.second.m_forgetAt; });
+    std::vector<Endpoint> targets;
+    appendInTurn(targets, true, c_nearFanout);
+    appendInTurn(targets, false, c_farFanout);
+    if (now >= m_seedsAt) {
+        m_seedsAt = now + c_seedInterval;
+        for (const Endpoint seed : m_seeds) {
+            if (!m_peers.contains(seed))
+                targets.push_back(seed);
+        }
+    }
+    return targets;
+}
+
+void ExchangePeers::appendInTurn(std::vector<Endpoint>& targets, bool near, std::size_t count)
+{
+    Endpoint& last = near ? m_lastNear : m_lastFar;
+    std::map<Endpoint, Known>::const_iterator position = after(m_peers, last);
+    std::size_t appended = 0;
+    for (std::size_t i = 0; i < m_peers.size() && appended < count; ++i) {
+        if ((position->second.m_zone == m_zone) == near) {
+            targets.push_back(position->first);
+            last = position->first;
+            ++appended;
+        }
+        ++position;
+        if (position == m_peers.end())
+            position = m_peers.begin();
+    }
+}
+
+std::vector<ExchangePeer> ExchangePeers::somePeers(Instant now)
+{
+    std::vector<ExchangePeer> some;
+    std::map<Endpoint, Known>::const_iterator position = after(m_peers, m_lastPassedOn);
+    for (std::size_t i = 0; i < m_peers.size() && some.size() < c_mostPeers; ++i) {
+        if (position->second.m_heardAt != Instant {} && now - position->second.m_heardAt < c_peerMemory) {
+            some.push_back({ position->first, position->second.m_zone });
+            m_lastPassedOn = position->first;
+        }
+        ++position;
+        if (position == m_peers.end())
+            position = m_peers.begin();
+    }
+    return some;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/exchange/LoadExchange.capnp
@@ -0,0 +1,23 @@
+@0xb7d0c3a5e1924f68;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("cuminrelay::wire");
+
+# What one entry VM tells another of the work at the backend servers, in one UDP datagram.
+struct LoadMessage {
+  zone @0 :UInt32; # hash of the sender's zone
+  leaving @1 :Bool;
+  loads @2 :List(BackendLoad);
+  peers @3 :List(Peer); # some VMs that the sender hears of
+}
+
+struct BackendLoad {
+  token @0 :UInt32;
+  activeRequests @1 :UInt16;
+  longFlows @2 :UInt16;
+}
+
+struct Peer {
+  exchange @0 :UInt64; # packed endpoint
+  zone @1 :UInt32;
+}
--- /dev/null
+++ b/src/exchange/LoadMessage.cpp
@@ -0,0 +1,88 @@
+#include "exchange/LoadMessage.h"
+
+#include "base/Assert.h"
+#include "base/Hash.h"
+#include "exchange/LoadExchange.capnp.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <cstring>
+#include <fmt/format.h>
+#include <kj/exception.h>
+#include <limits>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr int c_nestingLimit = 4;
+    constexpr std::uint64_t c_zoneSalt = 0x7a6f6e65; // "zone"
+
+    std::uint16_t saturated(std::uint32_t value)
+    {
+        return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, std::numeric_limits<std::uint16_t>::max()));
+    }
+
+    LoadMessage readMessage(wire::LoadMessage::Reader reader)
+    {
+        LoadMessage message;
+        message.m_zone = { reader.getZone() };
+        message.m_leaving = reader.getLeaving();
+        for (const wire::BackendLoad::Reader load : reader.getLoads())
+            message.m_loads.push_back({ { load.getToken() }, { load.getActiveRequests(), load.getLongFlows() } });
+        for (const wire::Peer::Reader peer : reader.getPeers())
+            message.m_peers.push_back({ Endpoint::fromPacked(peer.getExchange()), { peer.getZone() } });
+        return message;
+    }
+
+} // namespace
+
+ZoneHash hashZone(std::string_view zone)
+{
+    return { static_cast<std::uint32_t>(hashText(zone, c_zoneSalt)) };
+}
+
+std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out)
+{
+    CR_ASSERT(message.m_loads.size() <= c_mostLoads && message.m_peers.size() <= c_mostPeers, "too long a message");
+    capnp::MallocMessageBuilder builder;
+    wire::LoadMessage::Builder root = builder.initRoot<wire::LoadMessage>();
+    root.setZone(message.m_zone.m_value);
+    root.setLeaving(message.m_leaving);
+    capnp::List<wire::BackendLoad>::Builder loads = root.initLoads(static_cast<unsigned>(message.m_loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+        const BackendLoadReport& report = message.m_loads[i];
+        loads[i].setToken(report.m_backend.m_value);
+        loads[i].setActiveRequests(saturated(report.m_load.m_activeRequests));
+        loads[i].setLongFlows(saturated(report.m_load.m_longFlows));
+    }
+    capnp::List<wire::Peer>::Builder peers = root.initPeers(static_cast<unsigned>(message.m_peers.size()));
+    for (unsigned i = 0; i < peers.size(); ++i) {
+        peers[i].setExchange(message.m_peers[i].m_exchange.packed());
+        peers[i].setZone(message.m_peers[i].m_zone.m_value);
+    }
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+    const std::size_t bytes = words.size() * sizeof(capnp::word);
+    CR_ASSERT(bytes <= out.size(), "a load message exceeds its room");
+    std::memcpy(out.data(), words.begin(), bytes);
+    return out.first(bytes);
+}
+
+Outcome<LoadMessage> decodeLoadMessage(std::span<const std::byte> datagram)
+{
+    const kj::ArrayPtr<const capnp::word> words { reinterpret_cast<const capnp::word*>(datagram.data()),
+        datagram.size() / sizeof(capnp::word) };
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = words.size();
+    options.nestingLimit = c_nestingLimit;
+    try {
+        capnp::FlatArrayMessageReader message { words, options };
+        return readMessage(message.getRoot<wire::LoadMessage>());
+    } catch (const kj::Exception& exception) {
+        return Error { ErrorKind::InvalidInput,
+            fmt::format("malformed load message: {}", exception.getDescription().cStr()) };
+    }
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/exchange/LoadMessage.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "affinity/CarriedRouter.h"
+#include "base/Endpoint.h"
+#include "base/Error.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace cuminrelay {
+
+/// The hash of a zone's name, as entry VMs name zones to each other.
+struct ZoneHash {
+    std::uint32_t m_value = 0;
+
+    friend constexpr auto operator<=>(ZoneHash, ZoneHash) = default;
+};
+
+ZoneHash hashZone(std::string_view zone);
+
+/// Another entry VM.
+struct ExchangePeer {
+    Endpoint m_exchange;
+    ZoneHash m_zone;
+
+    friend constexpr bool operator==(const ExchangePeer&, const ExchangePeer&) = default;
+};
+
+/// What one entry VM tells another.
+struct LoadMessage {
+    ZoneHash m_zone; ///< of the sender
+    bool m_leaving = false; ///< the sender is about to end
+    std::vector<BackendLoadReport> m_loads;
+    std::vector<ExchangePeer> m_peers; ///< some that the sender hears of
+
+    friend bool operator==(const LoadMessage&, const LoadMessage&) = default;
+};
+
+/// The most bytes of an encoded message: it fits into one datagram that is not fragmented.
+inline constexpr std::size_t c_loadMessageBytes = 1'400;
+
+/// The most loads and peers in one message.
+inline constexpr std::size_t c_mostLoads = 140;
+inline constexpr std::size_t c_mostPeers = 8;
+
+/// Encodes a message to the front of out and returns the part that it wrote. Precondition: at most c_mostLoads and
+/// c_mostPeers; out has c_loadMessageBytes and is aligned to 8 bytes.
+std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out);
+
+/// Decodes a datagram, which must be aligned to 8 bytes. Errors: InvalidInput.
+Outcome<LoadMessage> decodeLoadMessage(std::span<const std::byte> datagram);
+
+} // namespace cuminrelay
--- a/src/flows/FlowRecord.h
+++ b/src/flows/FlowRecord.h
@@ -2,7 +2,7 @@
 
 #include "configuration/Model.h"
 #include "flows/OwnerMap.h"
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 
 #include <cstdint>
 #include <vector>
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -7,7 +7,7 @@
 #include "flows/FlowRecord.h"
 #include "flows/FlowTable.h"
 #include "flows/OwnerMap.h"
-#include "flows/Packet.h"
+#include "packets/PacketRouter.h"
 #include "flows/ReplicaOutbox.h"
 #include "flows/ServiceTables.h"
 #include "flows/TableHistory.h"
@@ -29,7 +29,7 @@
 /// base configuration can be computed again by whoever owns the bucket later, every other one is an exception and is
 /// copied to the successor before the backend server sees its first packet: the packet itself takes the way through
 /// the successor, which notes the choice. So the death of an owner loses nothing, at no control traffic.
-class FlowRouter {
+class FlowRouter final : public PacketRouter {
 public:
     struct Limits {
         std::size_t m_flows = 1'000'000; ///< states held, own and replica together
@@ -39,7 +39,7 @@
     FlowRouter(Endpoint self, PlacementPolicy& placement, AdmissionPolicy& admission, Limits limits);
 
     /// Decides on a batch: verdicts[i] answers packets[i]. Established packets allocate nothing.
-    void decide(std::span<const PacketSummary> packets, std::span<Verdict> verdicts, Instant now);
+    void decide(std::span<const PacketSummary> packets, std::span<Verdict> verdicts, Instant now) override;
 
     /// Takes a configuration; an older one than the held is ignored. Returns whether it was taken.
     bool installConfiguration(const Configuration& configuration, Instant now);
--- a/src/flows/FlowTable.h
+++ b/src/flows/FlowTable.h
@@ -3,7 +3,7 @@
 #include "base/Endpoint.h"
 #include "base/Time.h"
 #include "flows/OwnerMap.h"
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 
 #include <array>
 #include <boost/align/aligned_allocator.hpp>
--- a/src/platform/HttpPlatformClient.cpp
+++ b/src/objectapi/HttpPlatformClient.cpp
@@ -1,6 +1,6 @@
-#include "platform/HttpPlatformClient.h"
+#include "objectapi/HttpPlatformClient.h"
 
-#include "platform/VmList.h"
+#include "objectapi/VmList.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
--- a/src/platform/HttpPlatformClient.h
+++ b/src/objectapi/HttpPlatformClient.h
@@ -2,8 +2,8 @@
 
 #include "base/Time.h"
 #include "observe/Metrics.h"
-#include "platform/PlatformClient.h"
-#include "platform/PlatformSettings.h"
+#include "objectapi/PlatformClient.h"
+#include "objectapi/PlatformSettings.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
--- a/src/platform/HttpPlatformClientTest.cpp
+++ b/src/objectapi/HttpPlatformClientTest.cpp
@@ -1,6 +1,6 @@
-#include "platform/HttpPlatformClient.h"
+#include "objectapi/HttpPlatformClient.h"
 
-#include "platform/RetryingPlatformClient.h"
+#include "objectapi/RetryingPlatformClient.h"
 #include "standins/HttpServer.h"
 #include "standins/PlatformStandin.h"
 
--- a/src/platform/PlatformSettings.cpp
+++ b/src/objectapi/PlatformSettings.cpp
@@ -1,4 +1,4 @@
-#include "platform/PlatformSettings.h"
+#include "objectapi/PlatformSettings.h"
 
 namespace cuminrelay {
 
--- a/src/platform/RetryPolicy.cpp
+++ b/src/objectapi/RetryPolicy.cpp
@@ -1,4 +1,4 @@
-#include "platform/RetryPolicy.h"
+#include "objectapi/RetryPolicy.h"
 
 #include "base/Hash.h"
 
--- a/src/platform/RetryingPlatformClient.cpp
+++ b/src/objectapi/RetryingPlatformClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/RetryingPlatformClient.h"
+#include "objectapi/RetryingPlatformClient.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/platform/RetryingPlatformClient.h
+++ b/src/objectapi/RetryingPlatformClient.h
@@ -2,8 +2,8 @@
 
 #include "base/Time.h"
 #include "observe/Metrics.h"
-#include "platform/PlatformClient.h"
-#include "platform/RetryPolicy.h"
+#include "objectapi/PlatformClient.h"
+#include "objectapi/RetryPolicy.h"
 
 #include <string_view>
 
--- a/src/platform/VmList.cpp
+++ b/src/objectapi/VmList.cpp
@@ -1,4 +1,4 @@
-#include "platform/VmList.h"
+#include "objectapi/VmList.h"
 
 #include "settings/JsonFields.h"
 #include "settings/JsonText.h"
--- /dev/null
+++ b/src/observe/GetServer.cpp
@@ -0,0 +1,115 @@
+#include "observe/GetServer.h"
+
+#include "base/Listener.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_static_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = boost::beast::http;
+    using asio::ip::tcp;
+
+    constexpr std::chrono::seconds c_requestTimeout { 5 };
+    constexpr std::chrono::milliseconds c_acceptRetry { 100 }; // such as when file descriptors run out
+    constexpr std::size_t c_headerLimitBytes = 4096;
+    constexpr auto c_asTuple = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+GetServer::GetServer(const asio::any_io_executor& executor, std::string name, Metrics& metrics, Log& log)
+    : m_acceptor(executor)
+    , m_name(std::move(name))
+    , m_metrics(metrics)
+    , m_log(log)
+{
+}
+
+Outcome<void> GetServer::start(Endpoint endpoint)
+{
+    Outcome<tcp::acceptor> listener = openListener(m_acceptor.get_executor(), endpoint, m_name);
+    if (!listener)
+        return listener.error();
+    m_acceptor = std::move(listener.value());
+    asio::co_spawn(m_acceptor.get_executor(), acceptConnections(), asio::detached);
+    return boost::outcome_v2::success();
+}
+
+Endpoint GetServer::localEndpoint() const
+{
+    return cuminrelay::localEndpoint(m_acceptor);
+}
+
+void GetServer::stop()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+asio::awaitable<void> GetServer::acceptConnections()
+{
+    while (m_acceptor.is_open()) {
+        auto [error, socket] = co_await m_acceptor.async_accept(c_asTuple);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            m_metrics.counter("cuminrelay_accept_failures_total", m_name).add();
+            m_log.warning("observe", "accept_failed", { { "server", m_name }, { "error", error.message() } });
+            asio::steady_timer pause { m_acceptor.get_executor(), c_acceptRetry };
+            co_await pause.async_wait(c_asTuple);
+            continue;
+        }
+        if (m_connections >= s_maximumConnections) {
+            m_metrics.counter("cuminrelay_refusals_total", fmt::format("{}_connection_limit", m_name)).add();
+            continue;
+        }
+        asio::co_spawn(m_acceptor.get_executor(), serveConnection(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> GetServer::serveConnection(tcp::socket socket)
+{
+    ++m_connections;
+    beast::tcp_stream stream { std::move(socket) };
+    beast::flat_static_buffer<c_headerLimitBytes> buffer;
+    for (;;) {
+        stream.expires_after(c_requestTimeout);
+        http::request_parser<http::empty_body> parser;
+        parser.header_limit(c_headerLimitBytes);
+        const auto [readError, readBytes] = co_await http::async_read(stream, buffer, parser, c_asTuple);
+        if (readError)
+            break;
+        const http::request<http::empty_body>& request = parser.get();
+        http::response<http::string_body> response { http::status::ok, request.version() };
+        response.keep_alive(request.keep_alive());
+        response.set(http::field::content_type, "text/plain; version=0.0.4");
+        GetAnswer answered { 405, "only GET is served\n" };
+        if (request.method() == http::verb::get)
+            answered = answer({ request.target().data(), request.target().size() });
+        response.result(answered.m_status);
+        response.body() = std::move(answered.m_body);
+        response.prepare_payload();
+        const auto [writeError, writtenBytes] = co_await http::async_write(stream, response, c_asTuple);
+        if (writeError || !response.keep_alive())
+            break;
+    }
+    --m_connections;
+}
+
+} // namespace cuminrelay
--- a/src/observe/MetricsServer.cpp
+++ b/src/observe/MetricsServer.cpp
@@ -1,122 +1,18 @@
 #include "observe/MetricsServer.h"
 
-#include "base/Listener.h"
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_static_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
-#include <utility>
-
 namespace cuminrelay {
 
-namespace {
-
-    namespace asio = boost::asio;
-    namespace beast = boost::beast;
-    namespace http = boost::beast::http;
-    using asio::ip::tcp;
-
-    constexpr std::chrono::seconds c_requestTimeout { 5 };
-    constexpr std::chrono::milliseconds c_acceptRetry { 100 }; // such as when file descriptors run out
-    constexpr std::size_t c_headerLimitBytes = 4096;
-    constexpr auto c_asTuple = asio::as_tuple(asio::use_awaitable);
-
-    http::response<http::string_body> answer(const http::request<http::empty_body>& request, const Metrics& metrics)
-    {
-        http::response<http::string_body> response { http::status::ok, request.version() };
-        response.keep_alive(request.keep_alive());
-        response.set(http::field::content_type, "text/plain; version=0.0.4");
-        if (request.method() != http::verb::get) {
-            response.result(http::status::method_not_allowed);
-            response.body() = "only GET is served\n";
-        } else if (request.target() != "/metrics") {
-            response.result(http::status::not_found);
-            response.body() = "only /metrics is served\n";
-        } else {
-            response.body() = metrics.prometheusText();
-        }
-        response.prepare_payload();
-        return response;
-    }
-
-} // namespace
-
-MetricsServer::MetricsServer(const asio::any_io_executor& executor, Metrics& metrics, Log& log)
-    : m_acceptor(executor)
+MetricsServer::MetricsServer(const boost::asio::any_io_executor& executor, Metrics& metrics, Log& log)
+    : GetServer(executor, "metrics", metrics, log)
     , m_metrics(metrics)
-    , m_log(log)
-{
-}
-
-Outcome<void> MetricsServer::start(Endpoint endpoint)
-{
-    Outcome<tcp::acceptor> listener = openListener(m_acceptor.get_executor(), endpoint, "metrics");
-    if (!listener)
-        return listener.error();
-    m_acceptor = std::move(listener.value());
-    asio::co_spawn(m_acceptor.get_executor(), acceptConnections(), asio::detached);
-    return boost::outcome_v2::success();
-}
-
-Endpoint MetricsServer::localEndpoint() const
-{
-    return cuminrelay::localEndpoint(m_acceptor);
-}
-
-void MetricsServer::stop()
-{
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
-}
-
-asio::awaitable<void> MetricsServer::acceptConnections()
 {
-    while (m_acceptor.is_open()) {
-        auto [error, socket] = co_await m_acceptor.async_accept(c_asTuple);
-        if (error == asio::error::operation_aborted)
-            co_return;
-        if (error) {
-            m_metrics.counter("cuminrelay_metrics_accept_failures_total").add();
-            m_log.warning("observe", "metrics_accept_failed", { { "error", error.message() } });
-            asio::steady_timer pause { m_acceptor.get_executor(), c_acceptRetry };
-            co_await pause.async_wait(c_asTuple);
-            continue;
-        }
-        if (m_connections >= s_maximumConnections) {
-            m_metrics.counter("cuminrelay_refusals_total", "metrics_connection_limit").add();
-            continue;
-        }
-        asio::co_spawn(m_acceptor.get_executor(), serveConnection(std::move(socket)), asio::detached);
-    }
 }
 
-asio::awaitable<void> MetricsServer::serveConnection(tcp::socket socket)
+GetAnswer MetricsServer::answer(std::string_view target)
 {
-    ++m_connections;
-    beast::tcp_stream stream { std::move(socket) };
-    beast::flat_static_buffer<c_headerLimitBytes> buffer;
-    for (;;) {
-        stream.expires_after(c_requestTimeout);
-        http::request_parser<http::empty_body> parser;
-        parser.header_limit(c_headerLimitBytes);
-        const auto [readError, readBytes] = co_await http::async_read(stream, buffer, parser, c_asTuple);
-        if (readError)
-            break;
-        const http::response<http::string_body> response = answer(parser.get(), m_metrics);
-        const auto [writeError, writtenBytes] = co_await http::async_write(stream, response, c_asTuple);
-        if (writeError || !response.keep_alive())
-            break;
-    }
-    --m_connections;
+    if (target != "/metrics")
+        return { 404, "only /metrics is served\n" };
+    return { 200, m_metrics.prometheusText() };
 }
 
 } // namespace cuminrelay
--- a/src/operators/Command.h
+++ b/src/operators/Command.h
@@ -2,7 +2,7 @@
 
 #include "base/Error.h"
 #include "base/Time.h"
-#include "platform/PlatformClient.h"
+#include "objectapi/PlatformClient.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
--- a/src/operators/CommandLine.cpp
+++ b/src/operators/CommandLine.cpp
@@ -2,8 +2,8 @@
 
 #include "base/Hash.h"
 #include "observe/Metrics.h"
-#include "platform/HttpPlatformClient.h"
-#include "platform/RetryingPlatformClient.h"
+#include "objectapi/HttpPlatformClient.h"
+#include "objectapi/RetryingPlatformClient.h"
 #include "settings/JsonText.h"
 #include "settings/NearestName.h"
 #include "settings/Program.h"
--- a/src/operators/ExplainCommand.cpp
+++ b/src/operators/ExplainCommand.cpp
@@ -5,7 +5,7 @@
 #include "configuration/Lookup.h"
 #include "configuration/Selector.h"
 #include "flows/OwnerMap.h"
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 #include "flows/ServiceTables.h"
 #include "operators/Fleet.h"
 
--- a/src/operators/Fleet.h
+++ b/src/operators/Fleet.h
@@ -5,7 +5,7 @@
 #include "configuration/Model.h"
 #include "members/Member.h"
 #include "operators/ZoneStatus.h"
-#include "platform/PlatformClient.h"
+#include "objectapi/PlatformClient.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <optional>
--- a/src/packets/VerdictSender.cpp
+++ b/src/packets/FouVerdictSender.cpp
@@ -1,4 +1,4 @@
-#include "packets/VerdictSender.h"
+#include "packets/FouVerdictSender.h"
 
 #include "base/Assert.h"
 #include "packets/PacketBuilder.h"
@@ -32,7 +32,7 @@
 
 } // namespace
 
-VerdictSender::VerdictSender(
+FouVerdictSender::FouVerdictSender(
     asio::ip::udp::socket& fabric, asio::ip::udp::socket& peers, Endpoint answers, Metrics& metrics)
     : m_fabric(fabric)
     , m_peers(peers)
@@ -49,7 +49,7 @@
 {
 }
 
-void VerdictSender::send(std::span<const PacketSummary> summaries, std::span<const std::span<const std::byte>> packets,
+void FouVerdictSender::send(std::span<const PacketSummary> summaries, std::span<const std::span<const std::byte>> packets,
     std::span<const Verdict> verdicts)
 {
     CR_ASSERT(verdicts.size() == summaries.size() && packets.size() == summaries.size(), "one verdict a packet");
@@ -59,7 +59,7 @@
     m_toPeers.send(m_peers.native_handle());
 }
 
-void VerdictSender::carryOut(const PacketSummary& summary, std::span<const std::byte> packet, const Verdict& verdict)
+void FouVerdictSender::carryOut(const PacketSummary& summary, std::span<const std::byte> packet, const Verdict& verdict)
 {
     switch (verdict.m_kind) {
     case VerdictKind::Drop:
@@ -92,7 +92,7 @@
     }
 }
 
-void VerdictSender::handToPeer(
+void FouVerdictSender::handToPeer(
     Arrival arrival, const PacketSummary& summary, std::span<const std::byte> packet, const Verdict& verdict)
 {
     const Endpoint backend = arrival == Arrival::Record ? verdict.m_backend : Endpoint {};
@@ -100,7 +100,7 @@
     m_toPeers.add(verdict.m_target, encodePeerPacket(message, m_toPeers.room()));
 }
 
-void VerdictSender::answerCaller(const PacketSummary& summary, std::span<const std::byte> packet, Reason reason)
+void FouVerdictSender::answerCaller(const PacketSummary& summary, std::span<const std::byte> packet, Reason reason)
 {
     const std::span<std::byte> room = m_toFabric.room();
     const std::span<std::byte> answer = summary.m_flow.m_protocol == Protocol::Tcp
--- a/src/flows/Packet.cpp
+++ b/src/packets/Packet.cpp
@@ -1,4 +1,4 @@
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 
 #include "base/Hash.h"
 
@@ -57,6 +57,12 @@
         return "truncated";
     case Reason::UnsupportedProtocol:
         return "unsupported_protocol";
+    case Reason::NotConfigured:
+        return "not_configured";
+    case Reason::UnknownBackend:
+        return "unknown_backend";
+    case Reason::BackendGone:
+        return "backend_gone";
     case Reason::Count:
         break;
     }
--- a/src/flows/Packet.h
+++ b/src/packets/Packet.h
@@ -55,6 +55,8 @@
     std::uint32_t m_acknowledgment = 0; ///< TCP only
     Endpoint m_peer; ///< the sending entry VM, unless from the fabric
     Endpoint m_recorded; ///< the backend server that the owner chose; for Arrival::Record
+    std::uint32_t m_carriedToken = 0; ///< names the flow's backend server where packets can carry that; 0: none
+    std::uint8_t m_copy = 0; ///< of an opening: how often it was sent before, as far as the packet says so
 };
 
 enum class VerdictKind : std::uint8_t {
@@ -87,6 +89,9 @@
     Fragment,
     Truncated,
     UnsupportedProtocol,
+    NotConfigured, ///< this VM has no configuration or no list of backend servers yet
+    UnknownBackend, ///< it names a backend server that this VM has not heard of
+    BackendGone, ///< its backend server has left or died
     Count,
 };
 
@@ -99,6 +104,8 @@
     Reason m_reason = Reason::None;
     Endpoint m_target;
     Endpoint m_backend;
+    std::uint64_t m_identity = 0; ///< of the one start of the backend server that may take the packet, where told apart
+    std::uint32_t m_token = 0; ///< what the packet is to carry from here on, where packets can carry that
 };
 
 } // namespace cuminrelay
--- a/src/packets/PacketFrontEnd.h
+++ b/src/packets/PacketFrontEnd.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
--- a/src/packets/PacketParser.h
+++ b/src/packets/PacketParser.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 
 #include <boost/outcome/result.hpp>
 #include <boost/outcome/std_result.hpp>
--- a/src/packets/PeerPacket.h
+++ b/src/packets/PeerPacket.h
@@ -2,7 +2,7 @@
 
 #include "base/Endpoint.h"
 #include "base/Error.h"
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/packets/ReasonCounters.h
+++ b/src/packets/ReasonCounters.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "flows/Packet.h"
+#include "packets/Packet.h"
 #include "observe/Metrics.h"
 
 #include <array>
--- a/src/packets/UdpFrontEndTest.cpp
+++ b/src/packets/UdpFrontEndTest.cpp
@@ -1,4 +1,5 @@
 #include "packets/FouFrontEnd.h"
+#include "packets/FouVerdictSender.h"
 #include "packets/PacketBuilder.h"
 #include "packets/PacketParser.h"
 #include "packets/PeerFrontEnd.h"
@@ -87,7 +88,7 @@
         udp::socket m_peer = open();
         udp::socket m_backend = open();
         std::array<std::uint32_t, 1> m_fabricSources { c_loopback };
-        VerdictSender m_sender { m_fabricSocket, m_peersSocket, localEndpoint(m_fabric), m_metrics };
+        FouVerdictSender m_sender { m_fabricSocket, m_peersSocket, localEndpoint(m_fabric), m_metrics };
         FouFrontEnd m_fouFrontEnd { m_fabricSocket, m_sender, m_fabricSources, m_metrics, m_log };
         PeerFilter m_filter;
         PeerFrontEnd m_peerFrontEnd { m_peersSocket, m_sender, m_filter, m_metrics, m_log };
--- /dev/null
+++ b/src/relay/FlowLog.cpp
@@ -0,0 +1,105 @@
+#include "relay/FlowLog.h"
+
+#include <fmt/format.h>
+#include <string>
+
+namespace cuminrelay {
+
+namespace {
+
+    std::string_view causeName(PlacementCause cause)
+    {
+        switch (cause) {
+        case PlacementCause::New:
+            return "new";
+        case PlacementCause::Copy:
+            return "copy";
+        case PlacementCause::SecondChoice:
+            return "second_choice";
+        }
+        return "unknown";
+    }
+
+    std::string_view verdictName(VerdictKind kind)
+    {
+        switch (kind) {
+        case VerdictKind::Refuse:
+            return "refused";
+        case VerdictKind::ResetCaller:
+            return "reset";
+        default:
+            return "dropped";
+        }
+    }
+
+    std::string_view presenceName(Presence presence)
+    {
+        switch (presence) {
+        case Presence::Announced:
+            return "announced";
+        case Presence::Lapsed:
+            return "lapsed";
+        case Presence::Departed:
+            return "departed";
+        }
+        return "unknown";
+    }
+
+    /// The name of a flow as a caller's complaint has it.
+    std::string flowName(const FlowKey& flow)
+    {
+        return fmt::format("{}>{}", formatEndpoint(flow.m_caller), formatEndpoint(flow.m_service));
+    }
+
+    /// Milliseconds since the last sign of life; -1 for none.
+    std::int64_t answerAge(const KnownBackend& backend, Instant now)
+    {
+        const Instant answered = backend.m_life.answeredAt();
+        return answered != Instant {} ? std::chrono::duration_cast<std::chrono::milliseconds>(now - answered).count()
+                                      : -1;
+    }
+
+} // namespace
+
+FlowLog::FlowLog(Log& log, Metrics& metrics)
+    : m_log(log)
+    , m_metrics(metrics)
+{
+}
+
+void FlowLog::placed(const PacketSummary& packet, const KnownBackend& backend, PlacementCause cause,
+    std::size_t candidates, Instant now)
+{
+    m_metrics.counter("cuminrelay_openings_total", causeName(cause)).add();
+    const BackendLoad& own = backend.m_own;
+    const BackendLoad& peers = backend.m_peers;
+    m_log.info("affinity", "flow_placed",
+        { { "flow", flowName(packet.m_flow) }, { "copy", packet.m_copy }, { "cause", causeName(cause) },
+            { "backend", backend.m_announced.m_server.m_name }, { "candidates", candidates },
+            { "active", own.m_activeRequests + peers.m_activeRequests },
+            { "long_flows", own.m_longFlows + peers.m_longFlows }, { "answer_age_ms", answerAge(backend, now) },
+            { "config", version() } });
+}
+
+void FlowLog::turnedAway(
+    const PacketSummary& packet, const Verdict& verdict, const KnownBackend* backend, Instant now)
+{
+    const std::string_view name = backend ? std::string_view { backend->m_announced.m_server.m_name } : "unknown";
+    m_log.info("affinity", "flow_turned_away",
+        { { "flow", flowName(packet.m_flow) }, { "copy", packet.m_copy }, { "outcome", verdictName(verdict.m_kind) },
+            { "reason", reasonName(verdict.m_reason) }, { "token", packet.m_carriedToken }, { "backend", name },
+            { "presence", backend ? presenceName(backend->m_presence) : "unknown" },
+            { "answer_age_ms", backend ? answerAge(*backend, now) : -1 }, { "config", version() } });
+}
+
+void FlowLog::lifeChanged(const KnownBackend& backend, bool silent, Instant now)
+{
+    const std::string_view state = backend.m_confirmedDead ? "dead" : silent ? "silent" : "answers";
+    m_metrics.counter("cuminrelay_backend_life_changes_total", state).add();
+    m_log.warning("affinity", "backend_life",
+        { { "backend", backend.m_announced.m_server.m_name }, { "state", state },
+            { "unanswered", backend.m_life.unanswered() }, { "answer_age_ms", answerAge(backend, now) },
+            { "presence", presenceName(backend.m_presence) } });
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/relay/FlowLog.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "affinity/CarriedRouter.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+
+namespace cuminrelay {
+
+/// Writes a line for each decision on a flow, with what decided it, and counts them.
+class FlowLog final : public RouterObserver {
+public:
+    FlowLog(Log& log, Metrics& metrics);
+
+    /// The router whose decisions are logged; set before the first.
+    void watch(const CarriedRouter& router) { m_router = &router; }
+
+    void placed(const PacketSummary& packet, const KnownBackend& backend, PlacementCause cause, std::size_t candidates,
+        Instant now) override;
+    void turnedAway(
+        const PacketSummary& packet, const Verdict& verdict, const KnownBackend* backend, Instant now) override;
+    void lifeChanged(const KnownBackend& backend, bool silent, Instant now) override;
+
+private:
+    std::uint64_t version() const { return m_router ? m_router->configVersion().m_number : 0; }
+
+    Log& m_log;
+    Metrics& m_metrics;
+    const CarriedRouter* m_router = nullptr;
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/relay/RelayProcess.cpp
@@ -0,0 +1,316 @@
+#include "relay/RelayProcess.h"
+
+#include "base/Hash.h"
+#include "packets/DatagramBatch.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <csignal>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using asio::ip::udp;
+
+    constexpr auto c_asTuple = asio::as_tuple(asio::use_awaitable);
+
+    constexpr std::chrono::milliseconds c_houseInterval { 25 };
+
+    /// An unchanged load is told again after this, so that others know that it still holds.
+    constexpr Duration c_tellInterval = std::chrono::milliseconds { 200 };
+
+    /// Several round trips to the farthest zone.
+    constexpr std::chrono::milliseconds c_probeTimeout { 300 };
+
+    /// What waited while the process stood still has been received after this.
+    constexpr Duration c_backlog = std::chrono::milliseconds { 50 };
+
+    constexpr std::uint64_t c_backendsSalt = 1;
+    constexpr std::uint64_t c_declarationsSalt = 2;
+
+    udp::endpoint toUdp(Endpoint endpoint)
+    {
+        return { asio::ip::address_v4 { endpoint.m_address }, endpoint.m_port };
+    }
+
+    std::int64_t toMilliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
+} // namespace
+
+RelayProcess::RelayProcess(RelaySettings settings, FlowPlacement& placement, const RelayParts& parts)
+    : m_settings(std::move(settings))
+    , m_parts(parts)
+    , m_flowLog(parts.m_log, parts.m_metrics)
+    , m_router({ m_settings.m_zone }, placement, m_flowLog)
+    , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
+    , m_backendsWatch(parts.m_backends, *this, { parts.m_clock, parts.m_metrics, parts.m_log },
+          hashText(m_settings.m_name, c_backendsSalt))
+    , m_declarationsWatch(parts.m_declarations, *this, { parts.m_clock, parts.m_metrics, parts.m_log },
+          hashText(m_settings.m_name, c_declarationsSalt))
+    , m_readiness(parts.m_context.get_executor(), m_settings.m_readinessPath, parts.m_metrics, parts.m_log)
+    , m_metricsServer(parts.m_context.get_executor(), parts.m_metrics, parts.m_log)
+    , m_signals(parts.m_context)
+{
+    m_flowLog.watch(m_router);
+    m_message.m_zone = hashZone(m_settings.m_zone);
+}
+
+Outcome<void> RelayProcess::open()
+{
+    const Outcome<void> readiness = m_readiness.start(m_settings.m_readiness);
+    if (!readiness)
+        return readiness.error();
+    const Outcome<void> metrics = m_metricsServer.start(m_settings.m_metrics);
+    if (!metrics)
+        return metrics.error();
+    Outcome<udp::socket> exchange
+        = openUdpSocket(m_parts.m_context.get_executor(), m_settings.m_exchange, "load of other entry VMs");
+    if (!exchange)
+        return exchange.error();
+    m_exchange.emplace(std::move(exchange.value()));
+    return boost::outcome_v2::success();
+}
+
+ExitStatus RelayProcess::run()
+{
+    // A peer that closes its connection while it is written to is an error of that connection only.
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler): ignoring installs no handler
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
+    m_signals.add(SIGHUP);
+    asio::io_context& context = m_parts.m_context;
+    asio::co_spawn(context, serveSignals(), asio::detached);
+    asio::co_spawn(context, m_backendsWatch.run(), asio::detached);
+    asio::co_spawn(context, m_declarationsWatch.run(), asio::detached);
+    asio::co_spawn(context, forwardPackets(), asio::detached);
+    asio::co_spawn(context, hearLoads(), asio::detached);
+    asio::co_spawn(context, keepHouse(), asio::detached);
+    m_parts.m_log.info("relay", "started",
+        { { "name", m_settings.m_name }, { "zone", m_settings.m_zone },
+            { "packets", formatEndpoint(m_settings.m_packets) }, { "exchange", formatEndpoint(m_settings.m_exchange) },
+            { "store", formatEndpoint(m_settings.m_store) }, { "seeds", m_settings.m_seeds.size() },
+            { "stop_within_ms", m_settings.m_stopWithin.count() }, { "version", CUMINRELAY_VERSION } });
+    context.run();
+    return ExitStatus::Success;
+}
+
+asio::awaitable<void> RelayProcess::forwardPackets()
+{
+    std::array<Verdict, c_maximumBatch> verdicts;
+    for (;;) {
+        const std::span<const PacketSummary> packets = co_await m_parts.m_packets.receive();
+        if (packets.empty())
+            co_return;
+        const Instant now = m_parts.m_clock.now();
+        noteRan(now);
+        if (m_departure)
+            m_departure->notePacket(now);
+        const std::span<Verdict> decided = std::span { verdicts }.first(packets.size());
+        m_router.decide(packets, decided, now);
+        m_parts.m_packets.send(decided);
+    }
+}
+
+asio::awaitable<void> RelayProcess::hearLoads()
+{
+    for (;;) {
+        udp::endpoint sender;
+        const auto [error, bytes]
+            = co_await m_exchange->async_receive_from(asio::buffer(m_receiveRoom), sender, c_asTuple);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error)
+            continue; // an earlier datagram met no listener
+        takeLoad(std::span { m_receiveRoom }.first(bytes), { sender.address().to_v4().to_uint(), sender.port() },
+            m_parts.m_clock.now());
+    }
+}
+
+void RelayProcess::takeLoad(std::span<const std::byte> datagram, Endpoint peer, Instant now)
+{
+    noteRan(now);
+    const Outcome<LoadMessage> message = decodeLoadMessage(datagram);
+    if (!message || peer.m_port != m_settings.m_exchange.m_port) {
+        m_parts.m_metrics.counter("cuminrelay_exchange_drops_total", message ? "not_member" : "malformed").add();
+        return;
+    }
+    const std::size_t before = m_peers.size();
+    m_peers.noteMessage(peer, message.value(), now);
+    m_router.notePeerLoad(peer, message.value().m_loads, now);
+    if (m_peers.size() != before)
+        m_parts.m_log.info("exchange", "peers_changed",
+            { { "peer", formatEndpoint(peer) }, { "leaving", message.value().m_leaving }, { "peers", m_peers.size() } });
+}
+
+asio::awaitable<void> RelayProcess::keepHouse()
+{
+    asio::steady_timer timer { m_parts.m_context };
+    for (;;) {
+        timer.expires_after(c_houseInterval);
+        co_await timer.async_wait(c_asTuple);
+        const Instant now = m_parts.m_clock.now();
+        noteRan(now);
+        m_router.tick(now);
+        updateReadiness();
+        startProbes(now);
+        tellLoad(now);
+        std::fflush(stdout);
+        if (m_departure && m_departure->mayEnd(m_readiness.refusals(), now))
+            break;
+    }
+    m_parts.m_log.info("relay", "stopped", { { "tracked_flows", m_router.trackedFlows() } });
+    m_parts.m_context.stop();
+}
+
+void RelayProcess::tellLoad(Instant now)
+{
+    m_router.ownLoad(m_message.m_loads);
+    if (m_message.m_loads.size() > c_mostLoads)
+        m_message.m_loads.resize(c_mostLoads);
+    if (now < m_tellAt && m_message.m_loads == m_toldLoads)
+        return;
+    m_tellAt = now + c_tellInterval;
+    m_toldLoads = m_message.m_loads;
+    m_message.m_leaving = m_departure.has_value();
+    m_message.m_peers = m_peers.somePeers(now);
+    const std::span<const std::byte> encoded = encodeLoadMessage(m_message, m_sendRoom);
+    for (const Endpoint target : m_peers.nextTargets(now)) {
+        boost::system::error_code failure;
+        m_exchange->send_to(asio::buffer(encoded.data(), encoded.size()), toUdp(target), 0, failure);
+        if (failure)
+            m_parts.m_metrics.counter("cuminrelay_exchange_drops_total", "not_sent").add();
+    }
+}
+
+void RelayProcess::startProbes(Instant now)
+{
+    for (const KnownBackend* const backend : m_router.takeProbes(now))
+        asio::co_spawn(m_parts.m_context, probe(backend->m_token, backend->m_announced.m_server.m_tunnel), asio::detached);
+}
+
+asio::awaitable<void> RelayProcess::probe(BackendToken backend, Endpoint endpoint)
+{
+    m_parts.m_metrics.counter("cuminrelay_probes_total").add();
+    boost::beast::tcp_stream stream { m_parts.m_context };
+    stream.expires_after(c_probeTimeout);
+    const asio::ip::tcp::endpoint target { asio::ip::address_v4 { endpoint.m_address }, endpoint.m_port };
+    const auto [error] = co_await stream.async_connect(target, c_asTuple);
+    m_router.noteProbe(backend, !error, m_parts.m_clock.now());
+}
+
+asio::awaitable<void> RelayProcess::serveSignals()
+{
+    for (;;) {
+        const auto [error, signal] = co_await m_signals.async_wait(c_asTuple);
+        if (error)
+            co_return;
+        if (signal == SIGHUP)
+            reload();
+        else
+            beginLeaving();
+    }
+}
+
+void RelayProcess::beginLeaving()
+{
+    if (m_departure)
+        return;
+    const Instant now = m_parts.m_clock.now();
+    m_departure.emplace(now, now + m_settings.m_stopWithin);
+    updateReadiness();
+    m_parts.m_log.info("relay", "stopping",
+        { { "tracked_flows", m_router.trackedFlows() }, { "stop_within_ms", m_settings.m_stopWithin.count() } });
+}
+
+void RelayProcess::reload()
+{
+    const Outcome<RelaySettings> loaded = m_parts.m_settings.load();
+    if (!loaded) {
+        m_parts.m_log.warning("relay", "reload_refused", { { "error", loaded.error().m_message } });
+        return;
+    }
+    const RelaySettings& settings = loaded.value();
+    const bool needsRestart = settings.m_packets != m_settings.m_packets || settings.m_store != m_settings.m_store
+        || settings.m_readiness != m_settings.m_readiness || settings.m_exchange != m_settings.m_exchange;
+    m_settings.m_stopWithin = settings.m_stopWithin;
+    m_parts.m_log.info("relay", "reloaded",
+        { { "stop_within_ms", m_settings.m_stopWithin.count() },
+            { "addresses", needsRestart ? "changed, in force after a restart" : "unchanged" } });
+}
+
+void RelayProcess::noteRan(Instant now)
+{
+    const Duration stoodStill = m_pauses.ran(now);
+    if (stoodStill == Duration::zero())
+        return;
+    m_parts.m_metrics.counter("cuminrelay_pauses_total").add();
+    m_parts.m_log.warning("relay", "paused", { { "for_ms", toMilliseconds(stoodStill) } });
+    m_router.notePause(now + c_backlog);
+}
+
+void RelayProcess::updateReadiness()
+{
+    const bool ready = !m_departure && m_hasBackends && m_router.isConfigured();
+    if (ready == m_readiness.isReady())
+        return;
+    m_readiness.setReady(ready);
+    m_parts.m_log.info("relay", "readiness",
+        { { "ready", ready }, { "config", m_router.configVersion().m_number },
+            { "backends", m_router.backends().size() } });
+}
+
+void RelayProcess::backendsListed(const BackendList& list)
+{
+    m_router.backends().replaceAll(list.m_backends, m_parts.m_clock.now());
+    m_hasBackends = true;
+    m_parts.m_log.info("discovery", "backends_listed",
+        { { "backends", list.m_backends.size() }, { "unreadable", list.m_unreadable },
+            { "revision", list.m_revision.m_number } });
+    updateReadiness();
+}
+
+void RelayProcess::backendsChanged(const BackendChanges& changes)
+{
+    const Instant now = m_parts.m_clock.now();
+    for (const BackendChange& change : changes.m_changes) {
+        if (change.m_backend)
+            m_router.backends().announce(*change.m_backend, now);
+        else
+            m_router.backends().withdraw(change.m_identity, now);
+        const std::string_view state
+            = !change.m_backend ? "withdrawn" : change.m_backend->m_server.m_draining ? "draining" : "ready";
+        m_parts.m_log.info("discovery", "backend_changed",
+            { { "backend", change.m_backend ? std::string_view { change.m_backend->m_server.m_name } : "" },
+                { "token", tokenOf(change.m_identity).m_value }, { "state", state },
+                { "revision", changes.m_revision.m_number } });
+    }
+}
+
+void RelayProcess::declared(const ServiceDeclarations& declarations)
+{
+    const bool taken = m_router.declare(declarations);
+    m_parts.m_metrics.counter("cuminrelay_declarations_total", taken ? "taken" : "not_newer").add();
+    m_parts.m_log.info("discovery", taken ? "declarations_taken" : "declarations_refused",
+        { { "config", declarations.m_version.m_number }, { "services", declarations.m_services.size() },
+            { "in_force", m_router.configVersion().m_number } });
+    updateReadiness();
+}
+
+void RelayProcess::declarationsCurrent(bool current)
+{
+    m_router.setDeclarationsCurrent(current);
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/relay/RelayProcess.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "affinity/CarriedRouter.h"
+#include "discovery/Watches.h"
+#include "exchange/ExchangePeers.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+#include "observe/MetricsServer.h"
+#include "packets/PacketFrontEnd.h"
+#include "relay/Departure.h"
+#include "relay/FlowLog.h"
+#include "relay/PauseDetector.h"
+#include "relay/ReadinessServer.h"
+#include "relay/RelaySettings.h"
+#include "settings/Program.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace cuminrelay {
+
+/// Where a process gets its settings from, again and again.
+class SettingsSource {
+public:
+    SettingsSource() = default;
+    SettingsSource(const SettingsSource&) = delete;
+    SettingsSource& operator=(const SettingsSource&) = delete;
+    virtual ~SettingsSource() = default;
+
+    /// Errors: NotFound, InvalidInput.
+    virtual Outcome<RelaySettings> load() = 0;
+};
+
+/// What differs between the surroundings that a relay serves in. Everything must outlive the process.
+struct RelayParts {
+    boost::asio::io_context& m_context;
+    PacketFrontEnd& m_packets;
+    Discovery& m_backends;
+    Discovery& m_declarations;
+    SettingsSource& m_settings;
+    const Clock& m_clock;
+    Metrics& m_metrics;
+    Log& m_log;
+};
+
+/// The process on an entry VM where packets carry their flow's backend server: one thread, and on it one task each for
+/// packets, for what the others tell of load, for telling them, for each watch, each connection and each probe.
+class RelayProcess final : private DiscoveryListener {
+public:
+    RelayProcess(RelaySettings settings, FlowPlacement& placement, const RelayParts& parts);
+
+    /// Opens the sockets. Errors: Unavailable, naming the endpoint.
+    Outcome<void> open();
+
+    /// Serves until it was told to stop and may end.
+    ExitStatus run();
+
+private:
+    void backendsListed(const BackendList& list) override;
+    void backendsChanged(const BackendChanges& changes) override;
+    void declared(const ServiceDeclarations& declarations) override;
+    void declarationsCurrent(bool current) override;
+
+    boost::asio::awaitable<void> forwardPackets();
+    boost::asio::awaitable<void> hearLoads();
+    boost::asio::awaitable<void> keepHouse();
+    boost::asio::awaitable<void> serveSignals();
+    boost::asio::awaitable<void> probe(BackendToken backend, Endpoint endpoint);
+
+    void takeLoad(std::span<const std::byte> datagram, Endpoint peer, Instant now);
+    void tellLoad(Instant now);
+    void startProbes(Instant now);
+    void beginLeaving();
+    void reload();
+    void noteRan(Instant now);
+    void updateReadiness();
+
+    RelaySettings m_settings;
+    RelayParts m_parts;
+    FlowLog m_flowLog;
+    CarriedRouter m_router;
+    ExchangePeers m_peers;
+    BackendsWatch m_backendsWatch;
+    DeclarationsWatch m_declarationsWatch;
+    ReadinessServer m_readiness;
+    MetricsServer m_metricsServer;
+    std::optional<boost::asio::ip::udp::socket> m_exchange;
+    boost::asio::signal_set m_signals;
+    PauseDetector m_pauses;
+    std::optional<Departure> m_departure;
+    bool m_hasBackends = false; ///< the list was read at least once
+    LoadMessage m_message; // reused by each telling
+    std::vector<BackendLoadReport> m_toldLoads;
+    Deadline m_tellAt {};
+    alignas(8) std::array<std::byte, c_loadMessageBytes> m_sendRoom {};
+    alignas(8) std::array<std::byte, c_loadMessageBytes> m_receiveRoom {};
+};
+
+} // namespace cuminrelay
--- a/src/standins/PlatformStandin.cpp
+++ b/src/standins/PlatformStandin.cpp
@@ -1,6 +1,6 @@
 #include "standins/PlatformStandin.h"
 
-#include "platform/PlatformClient.h"
+#include "objectapi/PlatformClient.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
