--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -21,8 +21,18 @@
     /// The store answers a watch that has waited in milliseconds; a slow one gets this much more.
     constexpr Duration c_waitGrace = std::chrono::milliseconds { 1'500 };
 
+    /// Changes come in groups. What comes within this after a change is taken with one call more, not with one for each.
+    constexpr std::chrono::milliseconds c_coalescing { 400 };
+
     constexpr Backoff::Limits c_retries { std::chrono::milliseconds { 50 }, std::chrono::milliseconds { 500 }, 1'000 };
 
+    asio::awaitable<void> sleepFor(Duration duration)
+    {
+        asio::steady_timer timer { co_await asio::this_coro::executor };
+        timer.expires_after(duration);
+        co_await timer.async_wait(c_asTuple);
+    }
+
 } // namespace
 
 StoreWatch::StoreWatch(std::string name, WatchEnvironment environment, std::uint64_t seed)
@@ -36,12 +46,15 @@
 {
     for (;;) {
         const Outcome<StoreRevision> taken = co_await takeNext();
+        const bool hasChanged = taken && m_hasAll && taken.value() > m_revision;
         if (taken) {
             m_hasAll = true;
             m_revision = taken.value();
             m_answeredAt = m_environment.m_clock.now();
             m_backoff.succeeded();
             noteContact(true, {});
+            if (hasChanged)
+                co_await sleepFor(c_coalescing);
         } else if (taken.error().m_kind == ErrorKind::Stale) {
             m_environment.m_metrics.counter("cuminrelay_store_retries_total", "history_gone").add();
             m_environment.m_log.warning("discovery", "store_history_gone",
@@ -68,9 +81,7 @@
 {
     m_environment.m_metrics.counter("cuminrelay_store_retries_total", errorKindName(error.m_kind)).add();
     const Instant now = m_environment.m_clock.now();
-    asio::steady_timer pause { co_await asio::this_coro::executor };
-    pause.expires_after(m_backoff.failed(now) - now);
-    co_await pause.async_wait(c_asTuple);
+    co_await sleepFor(m_backoff.failed(now) - now);
 }
 
 void StoreWatch::noteContact(bool isInContact, std::string_view reason)
