exchange: one VM of each zone follows the store, the others ask it what is new

Change: load messages say who follows the store and how new its state is; the highest-ranked VM of a zone that is in contact follows it, the others fetch what is new (NewsBook, Cap'n Proto over HTTP) and fall back to the store, or to another zone, when it falls silent or behind. In an outage every VM still retries on its own; next.

--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <algorithm>
 #include <utility>
 
 namespace cuminrelay {
@@ -45,11 +46,12 @@
 asio::awaitable<void> StoreWatch::run()
 {
     for (;;) {
+        co_await waitUntilReading();
         const Outcome<StoreRevision> taken = co_await takeNext();
         const bool hasChanged = taken && m_hasAll && taken.value() > m_revision;
         if (taken) {
             m_hasAll = true;
-            m_revision = taken.value();
+            m_revision = std::max(m_revision, taken.value());
             m_answeredAt = m_environment.m_clock.now();
             m_backoff.succeeded();
             noteContact(true, {});
@@ -67,6 +69,30 @@
     }
 }
 
+void StoreWatch::setReading(bool reading)
+{
+    m_isReading = reading;
+    if (reading && m_idle)
+        m_idle->cancel();
+}
+
+void StoreWatch::advanceTo(StoreRevision revision)
+{
+    m_revision = std::max(m_revision, revision);
+    m_hasAll = true;
+}
+
+asio::awaitable<void> StoreWatch::waitUntilReading()
+{
+    asio::steady_timer idle { co_await asio::this_coro::executor };
+    while (!m_isReading) {
+        idle.expires_at(asio::steady_timer::time_point::max());
+        m_idle = &idle;
+        co_await idle.async_wait(c_asTuple);
+        m_idle = nullptr;
+    }
+}
+
 asio::awaitable<Outcome<StoreRevision>> StoreWatch::takeNext()
 {
     const Instant now = m_environment.m_clock.now();
@@ -96,7 +122,6 @@
     else
         m_environment.m_log.warning("discovery", "store_lost",
             { { "watch", m_name }, { "revision", m_revision.m_number }, { "error", reason } });
-    contactChanged(isInContact);
 }
 
 } // namespace cuminrelay
--- a/src/discovery/StoreWatch.h
+++ b/src/discovery/StoreWatch.h
@@ -36,6 +36,15 @@
     boost::asio::awaitable<void> run();
 
 
+    /// Whether to follow the store. While it does not, others tell what is new; a call that waits is not given up.
+    void setReading(bool reading);
+
+    /// Others have told everything up to a revision.
+    void advanceTo(StoreRevision revision);
+
+    /// Whether it follows the store and the last call was answered.
+    bool isFollowing() const { return m_isReading && m_isInContact; }
+
     /// Whether the last call was answered.
     bool isInContact() const { return m_isInContact; }
 
@@ -53,14 +62,10 @@
         StoreRevision known, Deadline waitUntil, Deadline deadline)
         = 0;
 
-    /// Called when contact is lost and when it is regained.
-    virtual void contactChanged(bool isInContact) = 0;
-
-    const WatchEnvironment& environment() const { return m_environment; }
-
 private:
     boost::asio::awaitable<Outcome<StoreRevision>> takeNext();
     boost::asio::awaitable<void> pauseAfter(const Error& error);
+    boost::asio::awaitable<void> waitUntilReading();
     void noteContact(bool isInContact, std::string_view reason);
 
     std::string m_name;
@@ -69,6 +74,8 @@
     StoreRevision m_revision;
     Instant m_answeredAt {};
     bool m_hasAll = false;
+    bool m_isReading = true;
+    boost::asio::steady_timer* m_idle = nullptr; ///< set while the task waits for setReading
     bool m_isInContact = false;
     bool m_hasReported = false;
 };
--- a/src/discovery/Watches.cpp
+++ b/src/discovery/Watches.cpp
@@ -27,12 +27,11 @@
     const Outcome<BackendChanges> changes = co_await m_discovery.watchBackends(known, waitUntil, deadline);
     if (!changes)
         co_return changes.error();
-    m_listener.backendsChanged(changes.value());
+    if (!changes.value().m_changes.empty())
+        m_listener.backendsChanged(changes.value());
     co_return changes.value().m_revision;
 }
 
-void BackendsWatch::contactChanged(bool) { }
-
 DeclarationsWatch::DeclarationsWatch(
     Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed)
     : StoreWatch("declarations", environment, seed)
@@ -57,13 +56,8 @@
     if (!state)
         return state.error();
     if (state.value().m_declarations)
-        m_listener.declared(*state.value().m_declarations);
+        m_listener.declared(*state.value().m_declarations, state.value().m_revision);
     return state.value().m_revision;
 }
 
-void DeclarationsWatch::contactChanged(bool isInContact)
-{
-    m_listener.declarationsCurrent(isInContact);
-}
-
 } // namespace cuminrelay
--- a/src/discovery/Watches.h
+++ b/src/discovery/Watches.h
@@ -17,10 +17,7 @@
 
     virtual void backendsListed(const BackendList& list) = 0;
     virtual void backendsChanged(const BackendChanges& changes) = 0;
-    virtual void declared(const ServiceDeclarations& declarations) = 0;
-
-    /// Whether declarations are known to be current: a service that is not among them does not exist.
-    virtual void declarationsCurrent(bool current) = 0;
+    virtual void declared(const ServiceDeclarations& declarations, StoreRevision revision) = 0;
 };
 
 /// Follows the backend servers.
@@ -32,7 +29,6 @@
     boost::asio::awaitable<Outcome<StoreRevision>> takeAll(Deadline deadline) override;
     boost::asio::awaitable<Outcome<StoreRevision>> takeChanges(
         StoreRevision known, Deadline waitUntil, Deadline deadline) override;
-    void contactChanged(bool isInContact) override;
 
 private:
     Discovery& m_discovery;
@@ -49,7 +45,6 @@
     boost::asio::awaitable<Outcome<StoreRevision>> takeAll(Deadline deadline) override;
     boost::asio::awaitable<Outcome<StoreRevision>> takeChanges(
         StoreRevision known, Deadline waitUntil, Deadline deadline) override;
-    void contactChanged(bool isInContact) override;
 
 private:
     Outcome<StoreRevision> handOn(const Outcome<DeclarationState>& state);
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -1,5 +1,7 @@
 #include "exchange/ExchangePeers.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 
 namespace cuminrelay {
@@ -13,6 +15,25 @@
     /// A VM that was not heard from for this long is no longer told anything.
     constexpr Duration c_peerMemory = std::chrono::seconds { 3 };
 
+    /// A reader that was not heard from for this long has others take its place. Every VM of a zone of 24 is told by
+    /// every other one several times within it.
+    constexpr Duration c_readerSilence = std::chrono::milliseconds { 600 };
+
+    /// How long the own zone's reader gets to hear of what another zone knows.
+    constexpr Duration c_farPatience = std::chrono::milliseconds { 700 };
+
+    constexpr std::uint64_t c_rankSalt = 0x72616e6b; // "rank"
+
+    std::uint64_t rankOf(Endpoint peer)
+    {
+        return hashPair(peer.packed(), c_rankSalt);
+    }
+
+    bool isNewer(const KnownState& left, const KnownState& right)
+    {
+        return left.m_backends > right.m_backends || left.m_declarations > right.m_declarations;
+    }
+
     /// The element after a key in a ring, or the first.
     template <typename Map> typename Map::const_iterator after(const Map& map, Endpoint key)
     {
@@ -39,6 +60,8 @@
     known.m_zone = message.m_zone;
     known.m_heardAt = now;
     known.m_forgetAt = now + c_peerMemory;
+    known.m_isReading = message.m_isReading;
+    known.m_state = message.m_known;
     for (const ExchangePeer& passedOn : message.m_peers)
         learn(passedOn, now);
 }
@@ -84,6 +107,56 @@
     }
 }
 
+std::vector<Endpoint> ExchangePeers::nearPeers() const
+{
+    std::vector<Endpoint> near;
+    for (const auto& [peer, known] : m_peers) {
+        if (known.m_zone == m_zone)
+            near.push_back(peer);
+    }
+    return near;
+}
+
+bool ExchangePeers::shouldRead(Instant now) const
+{
+    const std::uint64_t own = rankOf(m_self);
+    return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const Known& known = entry.second;
+        return known.m_zone == m_zone && known.m_isReading && now - known.m_heardAt < c_readerSilence
+            && rankOf(entry.first) > own;
+    });
+}
+
+bool ExchangePeers::hearsReader(Instant now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const Known& known = entry.second;
+        return known.m_zone == m_zone && known.m_isReading && now - known.m_heardAt < c_readerSilence;
+    });
+}
+
+std::optional<Endpoint> ExchangePeers::newerPeer(const KnownState& own, Instant now)
+{
+    std::optional<Endpoint> far;
+    for (const auto& [peer, known] : m_peers) {
+        if (now - known.m_heardAt >= c_readerSilence || !isNewer(known.m_state, own))
+            continue;
+        if (known.m_zone == m_zone) {
+            m_behindSince = Instant {};
+            return peer;
+        }
+        far = peer;
+    }
+    if (!far) {
+        m_behindSince = Instant {};
+        return std::nullopt;
+    }
+    if (m_behindSince == Instant {})
+        m_behindSince = now;
+    const bool isFirst = own == KnownState {};
+    return isFirst || now - m_behindSince >= c_farPatience ? far : std::nullopt;
+}
+
 std::vector<ExchangePeer> ExchangePeers::somePeers(Instant now)
 {
     std::vector<ExchangePeer> some;
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -24,6 +25,21 @@
     /// Whom to tell now: at most c_nearFanout of the own zone and one of another; from time to time seeds, too.
     std::vector<Endpoint> nextTargets(Instant now);
 
+    /// All VMs of the own zone that were heard of lately: whom to tell at once that there is news.
+    std::vector<Endpoint> nearPeers() const;
+
+    /// Whether this VM is to follow the store for its zone. One VM of each zone does, the one that ranks highest among
+    /// those that are in contact with the store; the others learn what is new from it. When it falls silent or loses
+    /// contact, the next one takes over at once.
+    bool shouldRead(Instant now) const;
+
+    /// Whether a VM of the own zone that follows the store was heard of just now.
+    bool hearsReader(Instant now) const;
+
+    /// Another VM that knows a newer state of the store, if there is one. One of another zone counts only after a
+    /// while: the own zone's reader is about to hear of it, too.
+    std::optional<Endpoint> newerPeer(const KnownState& own, Instant now);
+
     /// Some VMs that were heard of lately, in turn, for a message.
     std::vector<ExchangePeer> somePeers(Instant now);
 
@@ -34,6 +50,8 @@
         ZoneHash m_zone;
         Instant m_heardAt {}; ///< from itself; epoch: never
         Deadline m_forgetAt {};
+        bool m_isReading = false;
+        KnownState m_state;
     };
 
     void learn(const ExchangePeer& peer, Instant now);
@@ -44,6 +62,7 @@
     std::vector<Endpoint> m_seeds;
     std::map<Endpoint, Known> m_peers;
     Deadline m_seedsAt {};
+    Instant m_behindSince {}; ///< since when only VMs of other zones know a newer state; epoch: not
     Endpoint m_lastNear;
     Endpoint m_lastFar;
     Endpoint m_lastPassedOn;
--- a/src/exchange/LoadExchange.capnp
+++ b/src/exchange/LoadExchange.capnp
@@ -9,6 +9,9 @@
   leaving @1 :Bool;
   loads @2 :List(BackendLoad);
   peers @3 :List(Peer); # some VMs that the sender hears of
+  reading @4 :Bool; # the sender follows the store and is in contact with it
+  backendsRevision @5 :UInt64;
+  declarationsVersion @6 :UInt64;
 }
 
 struct BackendLoad {
--- a/src/exchange/LoadExchange.capnp.h
+++ b/src/exchange/LoadExchange.capnp.h
@@ -34,7 +34,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -100,6 +100,12 @@
   inline bool hasPeers() const;
   inline  ::capnp::List< ::cuminrelay::wire::Peer,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
 
+  inline bool getReading() const;
+
+  inline  ::uint64_t getBackendsRevision() const;
+
+  inline  ::uint64_t getDeclarationsVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -148,6 +154,15 @@
   inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Peer,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Peer,  ::capnp::Kind::STRUCT>> disownPeers();
 
+  inline bool getReading();
+  inline void setReading(bool value);
+
+  inline  ::uint64_t getBackendsRevision();
+  inline void setBackendsRevision( ::uint64_t value);
+
+  inline  ::uint64_t getDeclarationsVersion();
+  inline void setDeclarationsVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -439,6 +454,48 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LoadMessage::Reader::getReading() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadMessage::Builder::getReading() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setReading(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LoadMessage::Reader::getBackendsRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadMessage::Builder::getBackendsRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setBackendsRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LoadMessage::Reader::getDeclarationsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadMessage::Builder::getDeclarationsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setDeclarationsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BackendLoad::Reader::getToken() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/exchange/LoadMessage.cpp
+++ b/src/exchange/LoadMessage.cpp
@@ -29,6 +29,8 @@
         LoadMessage message;
         message.m_zone = { reader.getZone() };
         message.m_leaving = reader.getLeaving();
+        message.m_isReading = reader.getReading();
+        message.m_known = { { reader.getBackendsRevision() }, { reader.getDeclarationsVersion() } };
         for (const wire::BackendLoad::Reader load : reader.getLoads())
             message.m_loads.push_back({ { load.getToken() }, { load.getActiveRequests(), load.getLongFlows() } });
         for (const wire::Peer::Reader peer : reader.getPeers())
@@ -50,6 +52,9 @@
     wire::LoadMessage::Builder root = builder.initRoot<wire::LoadMessage>();
     root.setZone(message.m_zone.m_value);
     root.setLeaving(message.m_leaving);
+    root.setReading(message.m_isReading);
+    root.setBackendsRevision(message.m_known.m_backends.m_number);
+    root.setDeclarationsVersion(message.m_known.m_declarations.m_number);
     capnp::List<wire::BackendLoad>::Builder loads = root.initLoads(static_cast<unsigned>(message.m_loads.size()));
     for (unsigned i = 0; i < loads.size(); ++i) {
         const BackendLoadReport& report = message.m_loads[i];
--- a/src/exchange/LoadMessage.h
+++ b/src/exchange/LoadMessage.h
@@ -3,6 +3,7 @@
 #include "affinity/CarriedRouter.h"
 #include "base/Endpoint.h"
 #include "base/Error.h"
+#include "discovery/Discovery.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -28,10 +29,20 @@
     friend constexpr bool operator==(const ExchangePeer&, const ExchangePeer&) = default;
 };
 
+/// How new what an entry VM knows of the store is.
+struct KnownState {
+    StoreRevision m_backends;
+    ConfigVersion m_declarations;
+
+    friend constexpr bool operator==(const KnownState&, const KnownState&) = default;
+};
+
 /// What one entry VM tells another.
 struct LoadMessage {
     ZoneHash m_zone; ///< of the sender
     bool m_leaving = false; ///< the sender is about to end
+    bool m_isReading = false; ///< the sender follows the store and is in contact with it
+    KnownState m_known;
     std::vector<BackendLoadReport> m_loads;
     std::vector<ExchangePeer> m_peers; ///< some that the sender hears of
 
@@ -42,7 +53,7 @@
 inline constexpr std::size_t c_loadMessageBytes = 1'400;
 
 /// The most loads and peers in one message.
-inline constexpr std::size_t c_mostLoads = 140;
+inline constexpr std::size_t c_mostLoads = 130;
 inline constexpr std::size_t c_mostPeers = 8;
 
 /// Encodes a message to the front of out and returns the part that it wrote. Precondition: at most c_mostLoads and
--- /dev/null
+++ b/src/exchange/NewsClient.cpp
@@ -0,0 +1,80 @@
+#include "exchange/NewsClient.h"
+
+#include "exchange/NewsMessage.h"
+#include "exchange/NewsServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace cuminrelay {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::chrono::milliseconds c_timeout { 300 }; // several round trips between zones
+    constexpr std::uint64_t c_longestAnswerBytes = 16'000'000;
+    constexpr unsigned c_httpVersion = 11;
+
+    Error unavailable(Endpoint peer, std::string_view what)
+    {
+        return { ErrorKind::Unavailable, fmt::format("news of {}: {}", formatEndpoint(peer), what) };
+    }
+
+} // namespace
+
+NewsClient::NewsClient(asio::any_io_executor executor, const Clock& clock)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+{
+}
+
+asio::awaitable<Outcome<News>> NewsClient::fetch(Endpoint peer, KnownState known)
+{
+    boost::system::error_code failure;
+    const bool isKept = m_stream && m_peer == peer;
+    // Taken out of its place meanwhile, so that a failure leaves none behind.
+    boost::beast::tcp_stream stream = isKept ? std::move(*m_stream) : boost::beast::tcp_stream { m_executor };
+    m_stream.reset();
+    stream.expires_after(c_timeout);
+    if (!isKept) {
+        const asio::ip::tcp::endpoint endpoint { asio::ip::address_v4 { peer.m_address }, peer.m_port };
+        co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return unavailable(peer, failure.message());
+    }
+    http::request<http::empty_body> request { http::verb::get, newsTarget(known), c_httpVersion };
+    request.set(http::field::host, formatEndpoint(peer));
+    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return unavailable(peer, failure.message());
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(c_longestAnswerBytes);
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return unavailable(peer, failure.message());
+    const http::response<http::string_body>& response = parser.get();
+    if (response.result() != http::status::ok)
+        co_return unavailable(peer, response.body());
+    if (response.keep_alive()) {
+        m_stream.emplace(std::move(stream));
+        m_peer = peer;
+    }
+    Outcome<News> news = decodeNews(response.body(), m_clock.now());
+    if (!news)
+        co_return unavailable(peer, news.error().m_message);
+    co_return news;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/exchange/NewsServer.cpp
@@ -0,0 +1,62 @@
+#include "exchange/NewsServer.h"
+
+#include "exchange/NewsMessage.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr std::string_view c_path = "/news?backends=";
+    constexpr std::string_view c_declarations = "&declarations=";
+
+    Outcome<std::uint64_t> parseNumber(std::string_view text)
+    {
+        std::uint64_t number = 0;
+        const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (text.empty() || parsed.ec != std::errc {} || parsed.ptr != text.data() + text.size())
+            return Error { ErrorKind::InvalidInput, fmt::format("found \"{}\"; allowed: a number", text) };
+        return number;
+    }
+
+} // namespace
+
+NewsServer::NewsServer(const boost::asio::any_io_executor& executor, const NewsBook& book, const Clock& clock,
+    Metrics& metrics, Log& log)
+    : GetServer(executor, "news", metrics, log)
+    , m_book(book)
+    , m_clock(clock)
+{
+}
+
+GetAnswer NewsServer::answer(std::string_view target)
+{
+    const Outcome<KnownState> known = parseNewsTarget(target);
+    if (!known)
+        return { 400, known.error().m_message };
+    return { 200, encodeNews(m_book.since(known.value()), m_clock.now()) };
+}
+
+std::string newsTarget(const KnownState& known)
+{
+    return fmt::format(
+        "{}{}{}{}", c_path, known.m_backends.m_number, c_declarations, known.m_declarations.m_number);
+}
+
+Outcome<KnownState> parseNewsTarget(std::string_view target)
+{
+    const std::size_t second = target.find(c_declarations);
+    if (!target.starts_with(c_path) || second == std::string_view::npos)
+        return Error { ErrorKind::InvalidInput, "only /news is served\n" };
+    const Outcome<std::uint64_t> backends = parseNumber(target.substr(c_path.size(), second - c_path.size()));
+    const Outcome<std::uint64_t> declarations = parseNumber(target.substr(second + c_declarations.size()));
+    if (!backends)
+        return backends.error();
+    if (!declarations)
+        return declarations.error();
+    return KnownState { { backends.value() }, { declarations.value() } };
+}
+
+} // namespace cuminrelay
--- a/src/observe/GetServer.h
+++ b/src/observe/GetServer.h
@@ -44,7 +44,7 @@
     virtual GetAnswer answer(std::string_view target) = 0;
 
 private:
-    static constexpr std::size_t s_maximumConnections = 16;
+    static constexpr std::size_t s_maximumConnections = 64;
 
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serveConnection(boost::asio::ip::tcp::socket socket);
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -55,6 +55,8 @@
     , m_flowLog(parts.m_log, parts.m_metrics)
     , m_router({ m_settings.m_zone }, placement, m_flowLog)
     , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
+    , m_newsClient(parts.m_context.get_executor(), parts.m_clock)
+    , m_newsServer(parts.m_context.get_executor(), m_book, parts.m_clock, parts.m_metrics, parts.m_log)
     , m_backendsWatch(parts.m_backends, *this, { parts.m_clock, parts.m_metrics, parts.m_log },
           hashText(m_settings.m_name, c_backendsSalt))
     , m_declarationsWatch(parts.m_declarations, *this, { parts.m_clock, parts.m_metrics, parts.m_log },
@@ -75,6 +77,9 @@
     const Outcome<void> metrics = m_metricsServer.start(m_settings.m_metrics);
     if (!metrics)
         return metrics.error();
+    const Outcome<void> news = m_newsServer.start(m_settings.m_exchange);
+    if (!news)
+        return news.error();
     Outcome<udp::socket> exchange
         = openUdpSocket(m_parts.m_context.get_executor(), m_settings.m_exchange, "load of other entry VMs");
     if (!exchange)
@@ -165,6 +170,8 @@
         m_router.tick(now);
         updateReadiness();
         startProbes(now);
+        chooseReader(now);
+        tellNews(now);
         tellLoad(now);
         std::fflush(stdout);
         if (m_departure && m_departure->mayEnd(m_readiness.refusals(), now))
@@ -174,19 +181,86 @@
     m_parts.m_context.stop();
 }
 
+/// Decides whether this VM follows the store, and asks another VM that knows more.
+void RelayProcess::chooseReader(Instant now)
+{
+    const bool isReading = !m_hasBackends || !m_router.isConfigured() || m_peers.shouldRead(now);
+    m_backendsWatch.setReading(isReading);
+    m_declarationsWatch.setReading(isReading);
+    m_router.setDeclarationsCurrent(m_declarationsWatch.isFollowing() || m_peers.hearsReader(now));
+    if (m_isFetching)
+        return;
+    const std::optional<Endpoint> peer = m_peers.newerPeer(m_book.state(), now);
+    if (!peer)
+        return;
+    m_isFetching = true;
+    asio::co_spawn(m_parts.m_context, fetchNews(*peer), asio::detached);
+}
+
+asio::awaitable<void> RelayProcess::fetchNews(Endpoint peer)
+{
+    const Outcome<News> news = co_await m_newsClient.fetch(peer, m_book.state());
+    m_isFetching = false;
+    m_parts.m_metrics.counter("cuminrelay_news_total", news ? "taken" : "unavailable").add();
+    if (news)
+        takeNews(news.value(), peer);
+    else
+        m_parts.m_log.warning("exchange", "news_unavailable", { { "error", news.error().m_message } });
+}
+
+void RelayProcess::takeNews(const News& news, Endpoint peer)
+{
+    m_parts.m_log.info("exchange", "news_taken",
+        { { "peer", formatEndpoint(peer) }, { "complete", news.m_isComplete }, { "backends", news.m_backends.size() },
+            { "withdrawn", news.m_withdrawn.size() }, { "revision", news.m_backendsRevision.m_number } });
+    if (news.m_isComplete) {
+        backendsListed({ news.m_backends, 0, news.m_backendsRevision });
+    } else {
+        BackendChanges changes;
+        changes.m_revision = news.m_backendsRevision;
+        for (const AnnouncedBackend& backend : news.m_backends)
+            changes.m_changes.push_back({ backend.m_identity, backend });
+        for (const BackendIdentity identity : news.m_withdrawn)
+            changes.m_changes.push_back({ identity, {} });
+        backendsChanged(changes);
+    }
+    m_backendsWatch.advanceTo(news.m_backendsRevision);
+    if (!news.m_declarations)
+        return;
+    declared(*news.m_declarations, news.m_declarationsRevision);
+    m_declarationsWatch.advanceTo(news.m_declarationsRevision);
+}
+
+/// Tells the own zone at once that there is something to ask for.
+void RelayProcess::tellNews(Instant now)
+{
+    if (!m_hasNews)
+        return;
+    m_hasNews = false;
+    sendTo(m_peers.nearPeers(), now);
+}
+
 void RelayProcess::tellLoad(Instant now)
 {
-    m_router.ownLoad(m_message.m_loads);
-    if (m_message.m_loads.size() > c_mostLoads)
-        m_message.m_loads.resize(c_mostLoads);
-    if (now < m_tellAt && m_message.m_loads == m_toldLoads)
+    std::vector<BackendLoadReport> loads;
+    m_router.ownLoad(loads);
+    if (loads.size() > c_mostLoads)
+        loads.resize(c_mostLoads);
+    if (now < m_tellAt && m_message.m_loads == loads)
         return;
     m_tellAt = now + c_tellInterval;
-    m_toldLoads = m_message.m_loads;
+    m_message.m_loads = std::move(loads);
+    sendTo(m_peers.nextTargets(now), now);
+}
+
+void RelayProcess::sendTo(std::span<const Endpoint> targets, Instant now)
+{
     m_message.m_leaving = m_departure.has_value();
+    m_message.m_isReading = !m_departure && m_backendsWatch.isFollowing() && m_declarationsWatch.isFollowing();
+    m_message.m_known = m_book.state();
     m_message.m_peers = m_peers.somePeers(now);
     const std::span<const std::byte> encoded = encodeLoadMessage(m_message, m_sendRoom);
-    for (const Endpoint target : m_peers.nextTargets(now)) {
+    for (const Endpoint target : targets) {
         boost::system::error_code failure;
         m_exchange->send_to(asio::buffer(encoded.data(), encoded.size()), toUdp(target), 0, failure);
         if (failure)
@@ -273,6 +347,9 @@
 
 void RelayProcess::backendsListed(const BackendList& list)
 {
+    if (!m_book.take(list))
+        return;
+    m_hasNews = true;
     m_router.backends().replaceAll(list.m_backends, m_parts.m_clock.now());
     m_hasBackends = true;
     m_parts.m_log.info("discovery", "backends_listed",
@@ -283,6 +360,9 @@
 
 void RelayProcess::backendsChanged(const BackendChanges& changes)
 {
+    if (!m_book.take(changes))
+        return;
+    m_hasNews = true;
     const Instant now = m_parts.m_clock.now();
     for (const BackendChange& change : changes.m_changes) {
         if (change.m_backend)
@@ -298,9 +378,11 @@
     }
 }
 
-void RelayProcess::declared(const ServiceDeclarations& declarations)
+void RelayProcess::declared(const ServiceDeclarations& declarations, StoreRevision revision)
 {
     const bool taken = m_router.declare(declarations);
+    if (taken && m_book.take(declarations, revision))
+        m_hasNews = true;
     m_parts.m_metrics.counter("cuminrelay_declarations_total", taken ? "taken" : "not_newer").add();
     m_parts.m_log.info("discovery", taken ? "declarations_taken" : "declarations_refused",
         { { "config", declarations.m_version.m_number }, { "services", declarations.m_services.size() },
@@ -308,9 +390,4 @@
     updateReadiness();
 }
 
-void RelayProcess::declarationsCurrent(bool current)
-{
-    m_router.setDeclarationsCurrent(current);
-}
-
 } // namespace cuminrelay
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -3,6 +3,9 @@
 #include "affinity/CarriedRouter.h"
 #include "discovery/Watches.h"
 #include "exchange/ExchangePeers.h"
+#include "exchange/NewsBook.h"
+#include "exchange/NewsClient.h"
+#include "exchange/NewsServer.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 #include "observe/MetricsServer.h"
@@ -63,17 +66,21 @@
 private:
     void backendsListed(const BackendList& list) override;
     void backendsChanged(const BackendChanges& changes) override;
-    void declared(const ServiceDeclarations& declarations) override;
-    void declarationsCurrent(bool current) override;
+    void declared(const ServiceDeclarations& declarations, StoreRevision revision) override;
 
     boost::asio::awaitable<void> forwardPackets();
     boost::asio::awaitable<void> hearLoads();
     boost::asio::awaitable<void> keepHouse();
     boost::asio::awaitable<void> serveSignals();
+    boost::asio::awaitable<void> fetchNews(Endpoint peer);
     boost::asio::awaitable<void> probe(BackendToken backend, Endpoint endpoint);
 
     void takeLoad(std::span<const std::byte> datagram, Endpoint peer, Instant now);
+    void takeNews(const News& news, Endpoint peer);
+    void chooseReader(Instant now);
     void tellLoad(Instant now);
+    void tellNews(Instant now);
+    void sendTo(std::span<const Endpoint> targets, Instant now);
     void startProbes(Instant now);
     void beginLeaving();
     void reload();
@@ -85,6 +92,9 @@
     FlowLog m_flowLog;
     CarriedRouter m_router;
     ExchangePeers m_peers;
+    NewsBook m_book;
+    NewsClient m_newsClient;
+    NewsServer m_newsServer;
     BackendsWatch m_backendsWatch;
     DeclarationsWatch m_declarationsWatch;
     ReadinessServer m_readiness;
@@ -95,8 +105,9 @@
     std::optional<Departure> m_departure;
     bool m_hasBackends = false; ///< the list was read at least once
     LoadMessage m_message; // reused by each telling
-    std::vector<BackendLoadReport> m_toldLoads;
     Deadline m_tellAt {};
+    bool m_hasNews = false; ///< not yet told to the own zone
+    bool m_isFetching = false;
     alignas(8) std::array<std::byte, c_loadMessageBytes> m_sendRoom {};
     alignas(8) std::array<std::byte, c_loadMessageBytes> m_receiveRoom {};
 };
