--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -25,7 +25,7 @@
     /// Changes come in groups. What comes within this after a change is taken with one call more, not with one for each.
     constexpr std::chrono::milliseconds c_coalescing { 400 };
 
-    constexpr Backoff::Limits c_retries { std::chrono::milliseconds { 50 }, std::chrono::milliseconds { 500 }, 1'000 };
+    constexpr Backoff::Limits c_retries { std::chrono::milliseconds { 50 }, std::chrono::milliseconds { 1'000 }, 1'000 };
 
     asio::awaitable<void> sleepFor(Duration duration)
     {
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -19,6 +19,9 @@
     /// every other one several times within it.
     constexpr Duration c_readerSilence = std::chrono::milliseconds { 600 };
 
+    /// How much later each further VM tries while nobody of the zone is in contact with the store.
+    constexpr Duration c_nextReader = std::chrono::milliseconds { 700 };
+
     /// How long the own zone's reader gets to hear of what another zone knows.
     constexpr Duration c_farPatience = std::chrono::milliseconds { 700 };
 
@@ -117,14 +120,24 @@
     return near;
 }
 
-bool ExchangePeers::shouldRead(Instant now) const
+bool ExchangePeers::shouldRead(Instant now)
 {
     const std::uint64_t own = rankOf(m_self);
-    return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
-        const Known& known = entry.second;
-        return known.m_zone == m_zone && known.m_isReading && now - known.m_heardAt < c_readerSilence
-            && rankOf(entry.first) > own;
-    });
+    unsigned higherRanked = 0;
+    bool isReadByHigher = false;
+    for (const auto& [peer, known] : m_peers) {
+        if (known.m_zone != m_zone || now - known.m_heardAt >= c_readerSilence || rankOf(peer) < own)
+            continue;
+        ++higherRanked;
+        isReadByHigher = isReadByHigher || known.m_isReading;
+    }
+    if (isReadByHigher || hearsReader(now))
+        m_readerlessSince = now;
+    if (isReadByHigher)
+        return false;
+    if (m_readerlessSince == Instant {})
+        m_readerlessSince = now;
+    return higherRanked <= (now - m_readerlessSince) / c_nextReader;
 }
 
 bool ExchangePeers::hearsReader(Instant now) const
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -29,9 +29,10 @@
     std::vector<Endpoint> nearPeers() const;
 
     /// Whether this VM is to follow the store for its zone. One VM of each zone does, the one that ranks highest among
-    /// those that are in contact with the store; the others learn what is new from it. When it falls silent or loses
-    /// contact, the next one takes over at once.
-    bool shouldRead(Instant now) const;
+    /// those that are in contact with the store; the others learn what is new from it. When it falls silent the next
+    /// one takes over at once. When it loses contact the others try, too, one after the other, so that an outage of the
+    /// store is not met by all of them while a store that refuses a few VMs is reached by others.
+    bool shouldRead(Instant now);
 
     /// Whether a VM of the own zone that follows the store was heard of just now.
     bool hearsReader(Instant now) const;
@@ -51,7 +52,7 @@
         Instant m_heardAt {}; ///< from itself; epoch: never
         Deadline m_forgetAt {};
         bool m_isReading = false;
-        KnownState m_state;
+        KnownState m_state {};
     };
 
     void learn(const ExchangePeer& peer, Instant now);
@@ -62,6 +63,7 @@
     std::vector<Endpoint> m_seeds;
     std::map<Endpoint, Known> m_peers;
     Deadline m_seedsAt {};
+    Instant m_readerlessSince {}; ///< since when nobody of the zone follows the store in contact; epoch: somebody does
     Instant m_behindSince {}; ///< since when only VMs of other zones know a newer state; epoch: not
     Endpoint m_lastNear;
     Endpoint m_lastFar;
