--- a/src/affinity/BackendCatalog.cpp
+++ b/src/affinity/BackendCatalog.cpp
@@ -37,6 +37,7 @@
 
 void BackendCatalog::announce(const AnnouncedBackend& announced, Instant now)
 {
+    retirePreviousOwner(announced, now);
     const BackendToken token = tokenOf(announced.m_identity);
     const auto [found, isNew] = m_backends.try_emplace(token.m_value);
     KnownBackend& known = found->second;
@@ -62,6 +63,21 @@
     ++m_generation;
 }
 
+void BackendCatalog::retirePreviousOwner(const AnnouncedBackend& announced, Instant now)
+{
+    for (auto& [token, known] : m_backends) {
+        if (known.m_announced.m_identity == announced.m_identity || known.m_presence == Presence::Departed
+            || known.m_announced.m_server.m_tunnel != announced.m_server.m_tunnel
+            || known.m_announced.m_startedAtUnixMs >= announced.m_startedAtUnixMs)
+            continue;
+        known.m_presence = Presence::Departed;
+        known.m_withdrawnAt = now;
+        known.m_presenceEnds = now + c_departedMemory;
+        known.m_confirmedDead = true;
+        ++m_generation;
+    }
+}
+
 void BackendCatalog::update(KnownBackend& known, const AnnouncedBackend& announced, Instant now)
 {
     const bool hasRestarted = known.m_announced.m_startedAtUnixMs != announced.m_startedAtUnixMs;
--- a/src/affinity/BackendCatalog.h
+++ b/src/affinity/BackendCatalog.h
@@ -91,6 +91,8 @@
     std::size_t size() const { return m_backends.size(); }
 
 private:
+    /// An address has one owner: whoever had it before a younger one announces it is gone, whatever its entry says.
+    void retirePreviousOwner(const AnnouncedBackend& announced, Instant now);
     void update(KnownBackend& known, const AnnouncedBackend& announced, Instant now);
 
     std::unordered_map<std::uint32_t, KnownBackend> m_backends; ///< by token; a node-based map keeps references valid
--- a/src/affinity/CarriedRouter.cpp
+++ b/src/affinity/CarriedRouter.cpp
@@ -69,7 +69,7 @@
     KnownBackend* const backend = place(*service, hash, BackendToken {}, now);
     if (!backend)
         return turnAway(packet, VerdictKind::Refuse, Reason::NoBackendServer, nullptr, now);
-    m_flows.open(hash, backend->m_token, service->m_kind == RequestKind::Idempotent, now);
+    m_flows.open(hash, packet.m_flow, backend->m_token, service->m_kind == RequestKind::Idempotent, now);
     m_observer.placed(packet, *backend, PlacementCause::New, m_eligible.size(), now);
     return forwardTo(*backend);
 }
@@ -127,13 +127,13 @@
         return turnAway(packet, VerdictKind::ResetCaller, Reason::BackendGone, backend, now);
     }
     if (!flow && packet.m_kind == PacketKind::Midstream)
-        flow = m_flows.adopt(hash, token, service->m_kind == RequestKind::Idempotent, now);
+        flow = m_flows.adopt(hash, packet.m_flow, token, service->m_kind == RequestKind::Idempotent, now);
     if (flow) {
         const FlowObservation seen = m_flows.observe(*flow, packet, now);
         if (seen.m_isAnswer)
             noteAnswer(*backend, now);
-        else if (seen.m_isRepetition)
-            backend->m_life.noteUnansweredData(now);
+        else if (seen.m_isRepetition && flow->m_isActive && now - flow->m_activeSince >= c_earliestCopy)
+            backend->m_life.noteUnansweredData(flow->m_activeSince);
     }
     if (packet.m_kind == PacketKind::HalfClose || packet.m_kind == PacketKind::Reset)
         m_flows.close(hash);
@@ -188,8 +188,8 @@
     const auto isListed = [](const KnownBackend& backend) {
         return backend.m_presence == Presence::Announced || backend.m_life.answeredAt() > backend.m_withdrawnAt;
     };
-    const auto isSound = [now](const KnownBackend& backend) {
-        return !backend.m_confirmedDead && !backend.m_life.isSilent(now);
+    const auto isSound = [this, now](const KnownBackend& backend) {
+        return !backend.m_confirmedDead && !backend.m_life.isSilent(now) && !isBeyondCut(backend, now);
     };
     // Rather a backend server whose entry lapsed, or one that is silent to this VM, than none.
     const bool found = collect([&](const KnownBackend& backend) { return isListed(backend) && isSound(backend); })
@@ -208,6 +208,9 @@
     }
     KnownBackend* const chosen = m_eligible[m_placement.choose(m_candidates, demand)];
     chosen->m_life.beginTrial(now);
+    const auto zone = m_zones.find(chosen->m_announced.m_server.m_zone);
+    if (zone != m_zones.end())
+        zone->second.beginTrial(now);
     return chosen;
 }
 
@@ -228,23 +231,34 @@
     return m_pools[selector];
 }
 
-void CarriedRouter::noteAnswer(KnownBackend& backend, Instant now) const
+void CarriedRouter::noteAnswer(KnownBackend& backend, Instant now)
 {
     const bool wasSilent = backend.m_confirmedDead || backend.m_life.isSilent(now);
     backend.m_life.noteAnswer(now);
     backend.m_confirmedDead = false;
+    if (backend.m_announced.m_server.m_zone != m_options.m_zone)
+        m_zones[backend.m_announced.m_server.m_zone].noteAnswer(now);
     if (wasSilent)
         m_observer.lifeChanged(backend, false, now);
 }
 
-void CarriedRouter::noteSilence(KnownBackend& backend, Instant sentAt, Instant now) const
+void CarriedRouter::noteSilence(KnownBackend& backend, Instant sentAt, Instant now)
 {
     const bool wasSilent = backend.m_life.isSilent(now);
     backend.m_life.noteUnansweredOpening(sentAt, now);
+    if (backend.m_announced.m_server.m_zone != m_options.m_zone)
+        m_zones[backend.m_announced.m_server.m_zone].noteUnansweredOpening(sentAt, now);
     if (!wasSilent && backend.m_life.isSilent(now))
         m_observer.lifeChanged(backend, true, now);
 }
 
+/// Whether nothing of the backend server's zone, which is another one, has answered since one there went silent.
+bool CarriedRouter::isBeyondCut(const KnownBackend& backend, Instant now) const
+{
+    const auto zone = m_zones.find(backend.m_announced.m_server.m_zone);
+    return zone != m_zones.end() && zone->second.isSilent(now);
+}
+
 /// Whether the flows of a backend server are certainly lost, so that their callers are better off with a new flow.
 bool CarriedRouter::isGone(const KnownBackend& backend, Instant now) const
 {
@@ -311,35 +325,65 @@
     });
 }
 
-std::vector<const KnownBackend*> CarriedRouter::takeProbes(Instant now)
+std::vector<LifeProbe> CarriedRouter::takeProbes(Instant now)
 {
-    std::vector<const KnownBackend*> probes;
+    std::vector<LifeProbe> probes;
     m_backends.forEach([&](KnownBackend& backend) {
-        const bool isWanted = backend.m_confirmedDead || backend.m_life.seemsDead(now);
+        const bool isWanted = backend.m_confirmedDead || backend.m_life.isDoubted();
         if (!isWanted || backend.m_isProbed || now < backend.m_probeAt || backend.m_presence == Presence::Departed)
             return;
         backend.m_isProbed = true;
         backend.m_probeAt = now + c_probeInterval;
-        probes.push_back(&backend);
+        const BackendServer& server = backend.m_announced.m_server;
+        const Instant answeredAt = backend.m_life.answeredAt();
+        const bool isRecent = answeredAt != Instant {} && now - answeredAt < m_options.m_addressReuse;
+        probes.push_back({ backend.m_token, backend.m_announced.m_identity, server.m_tunnel,
+            std::string { m_services.healthPath(server.m_labels) }, backend.m_confirmedDead || !isRecent });
     });
     return probes;
 }
 
-void CarriedRouter::noteProbe(BackendToken token, bool answered, Instant now)
+std::vector<FlowReset> CarriedRouter::noteProbe(BackendToken token, ProbeOutcome outcome, Instant now)
 {
+    std::vector<FlowReset> resets;
     KnownBackend* const backend = m_backends.find(token);
     if (!backend)
-        return;
+        return resets;
     backend->m_isProbed = false;
-    // It may have answered a caller, or this process may have been paused, while the probe was under way.
-    if (answered) {
+    if (outcome == ProbeOutcome::Answered)
         noteAnswer(*backend, now);
-    } else if (!backend->m_confirmedDead && backend->m_life.seemsDead(now)) {
-        backend->m_confirmedDead = true;
-        m_observer.lifeChanged(*backend, true, now);
+    if (outcome != ProbeOutcome::Unanswered)
+        return resets;
+    // It may have answered a caller, or this process may have been paused, while the probe was under way.
+    if (backend->m_confirmedDead || !backend->m_life.isDoubted())
+        return resets;
+    backend->m_confirmedDead = true;
+    m_observer.lifeChanged(*backend, true, now);
+    for (const TrackedFlow& flow : m_flows.closeActive(token))
+        resets.push_back({ flow.m_key, flow.m_acknowledged });
+    return resets;
+}
+
+void CarriedRouter::noteSilentHints(std::span<const BackendToken> silent, Instant now)
+{
+    for (const BackendToken token : silent) {
+        KnownBackend* const backend = m_backends.find(token);
+        if (backend && !backend->m_confirmedDead)
+            backend->m_life.noteHint(now);
     }
 }
 
+std::vector<BackendToken> CarriedRouter::silentBackends(Instant now) const
+{
+    std::vector<BackendToken> silent;
+    m_backends.forEach([&](const KnownBackend& backend) {
+        const bool isOwnFinding = backend.m_life.unanswered() > 0 && backend.m_life.isSilent(now);
+        if (backend.m_presence != Presence::Departed && (isOwnFinding || backend.m_confirmedDead))
+            silent.push_back(backend.m_token);
+    });
+    return silent;
+}
+
 void CarriedRouter::tick(Instant now)
 {
     m_backends.tick(now);
@@ -360,6 +404,7 @@
 void CarriedRouter::notePause(Deadline staleUntil)
 {
     m_staleUntil = staleUntil;
+    m_zones.clear();
     m_backends.forEach([](KnownBackend& backend) {
         backend.m_life.forgive();
         backend.m_confirmedDead = false;
--- a/src/affinity/CarriedRouter.h
+++ b/src/affinity/CarriedRouter.h
@@ -15,6 +15,12 @@
 
 namespace cuminrelay {
 
+/// A flow whose caller is to be reset although none of its packets is at hand.
+struct FlowReset {
+    FlowKey m_flow;
+    std::uint32_t m_acknowledgment = 0; ///< of the caller, as last seen
+};
+
 /// What one entry VM tells the others of the work that its flows have at a backend server.
 struct BackendLoadReport {
     BackendToken m_backend;
@@ -23,6 +29,22 @@
     friend constexpr bool operator==(const BackendLoadReport&, const BackendLoadReport&) = default;
 };
 
+/// A backend server whose life is in doubt, to be asked itself.
+struct LifeProbe {
+    BackendToken m_backend;
+    BackendIdentity m_identity;
+    Endpoint m_endpoint;
+    std::string m_healthPath; ///< where it says who it is; empty when nobody said
+    bool m_mustIdentify = false; ///< another one may have its address by now
+};
+
+/// What came of asking.
+enum class ProbeOutcome : std::uint8_t {
+    Answered, ///< by the backend server itself
+    Unanswered, ///< or answered by another one that has its address now
+    Unclear, ///< somebody answered, and did not say who
+};
+
 /// Decides, for one entry VM, what becomes of each packet when the flow's packets carry the token of its backend
 /// server. Any VM that knows the backend servers can serve any packet, so that nothing is handed over when VMs come and
 /// go and no flow is copied. What is kept of flows only helps to place new ones and to notice backend servers that died.
@@ -34,6 +56,7 @@
     struct Options {
         std::string m_zone; ///< of this VM; its backend servers are preferred
         std::size_t m_trackedFlows = 100'000;
+        Duration m_addressReuse = std::chrono::seconds { 2 }; ///< an address has no new owner sooner than this
     };
 
     /// placement and observer must outlive the router.
@@ -50,13 +73,21 @@
     /// Takes what another VM tells of its flows. Replaces what it told before.
     void notePeerLoad(Endpoint peer, std::span<const BackendLoadReport> reports, Instant now);
 
+    /// Another VM of the own zone finds these silent.
+    void noteSilentHints(std::span<const BackendToken> silent, Instant now);
+
+    /// Backend servers that are silent to this VM, for the others of its zone.
+    std::vector<BackendToken> silentBackends(Instant now) const;
+
     /// The work that this VM's own flows have, for the other VMs. Backend servers without any are left out.
     void ownLoad(std::vector<BackendLoadReport>& reports) const;
 
-    /// Backend servers that seem dead, or were found dead a while ago, and are to be asked by opening a connection to
-    /// each. noteProbe must say what came of it.
-    std::vector<const KnownBackend*> takeProbes(Instant now);
-    void noteProbe(BackendToken backend, bool answered, Instant now);
+    /// Backend servers whose life is in doubt, or that were found dead a while ago, and are to be asked. noteProbe must
+    /// say what came of each.
+    std::vector<LifeProbe> takeProbes(Instant now);
+
+    /// Returns the flows with requests at a backend server that was found dead by this: their callers need not wait.
+    std::vector<FlowReset> noteProbe(BackendToken backend, ProbeOutcome outcome, Instant now);
 
     /// Call at least every 100 ms.
     void tick(Instant now);
@@ -86,8 +117,9 @@
     KnownBackend* place(const ServiceMap::Entry& service, FlowHash hash, BackendToken avoided, Instant now);
     KnownBackend* placeIn(std::span<KnownBackend* const> pool, const FlowDemand& demand, BackendToken avoided, Instant now);
     std::span<KnownBackend* const> poolOf(SelectorIndex selector);
-    void noteAnswer(KnownBackend& backend, Instant now) const;
-    void noteSilence(KnownBackend& backend, Instant sentAt, Instant now) const;
+    void noteAnswer(KnownBackend& backend, Instant now);
+    void noteSilence(KnownBackend& backend, Instant sentAt, Instant now);
+    bool isBeyondCut(const KnownBackend& backend, Instant now) const;
     bool isGone(const KnownBackend& backend, Instant now) const;
     bool knowsAllServices() const { return m_declarationsCurrent && m_services.version() != ConfigVersion {}; }
     void forgetPeer(const PeerReports& peer);
@@ -105,6 +137,7 @@
     bool m_poolsValid = false;
     std::vector<KnownBackend*> m_eligible; // reused by each placement
     std::vector<FlowCandidate> m_candidates; // likewise
+    std::map<std::string, LifeSigns, std::less<>> m_zones; ///< what shows of the other zones
     bool m_declarationsCurrent = false;
     Deadline m_staleUntil {};
     Deadline m_sweepAt {};
--- a/src/affinity/LifeSigns.cpp
+++ b/src/affinity/LifeSigns.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    constexpr std::uint32_t c_deadRepetitions = 3; // one may be a lost packet, two a coincidence
+    /// What another VM finds is old by the time that it is heard; an answer here just before it counts for more.
+    constexpr Duration c_hintAge = std::chrono::milliseconds { 200 };
 
 } // namespace
 
@@ -25,14 +26,28 @@
         m_trialAt = now + c_trialInterval;
     }
     m_silentSince = std::min(m_silentSince, sentAt);
+    m_doubtedSince = m_silentSince;
     ++m_unanswered;
 }
 
-void LifeSigns::noteUnansweredData(Instant now)
+void LifeSigns::noteUnansweredData(Instant sentAt)
 {
-    // Data alone proves little, because a backend server that is busy acknowledges a single packet with its answer.
-    if (m_silentSince != Instant {} && now > m_silentSince)
-        ++m_unanswered;
+    if (sentAt <= m_answeredAt)
+        return;
+    m_doubtedSince = m_doubtedSince == Instant {} ? sentAt : std::min(m_doubtedSince, sentAt);
+    ++m_unanswered;
+}
+
+void LifeSigns::noteHint(Instant now)
+{
+    if (now - m_answeredAt < c_hintAge)
+        return;
+    if (m_silentSince == Instant {}) {
+        m_silentSince = now;
+        m_trialAt = now + c_trialInterval;
+    }
+    if (m_doubtedSince == Instant {})
+        m_doubtedSince = now;
 }
 
 bool LifeSigns::isSilent(Instant now) const
@@ -46,14 +61,10 @@
         m_trialAt = now + c_trialInterval;
 }
 
-bool LifeSigns::seemsDead(Instant now) const
-{
-    return m_silentSince != Instant {} && m_unanswered >= c_deadRepetitions && now - m_silentSince >= c_deadSilence;
-}
-
 void LifeSigns::forgive()
 {
     m_silentSince = Instant {};
+    m_doubtedSince = Instant {};
     m_trialAt = Deadline {};
     m_unanswered = 0;
 }
--- a/src/affinity/LifeSigns.h
+++ b/src/affinity/LifeSigns.h
@@ -17,15 +17,20 @@
     /// An opening that was first sent there at sentAt is sent again: it was not answered in time.
     void noteUnansweredOpening(Instant sentAt, Instant now);
 
-    /// Data that was first sent there before is sent again.
-    void noteUnansweredData(Instant now);
+    /// A request that was first sent there at sentAt is sent again. This alone proves little, because a backend server
+    /// that is busy acknowledges a single packet with its answer.
+    void noteUnansweredData(Instant sentAt);
+
+    /// Another entry VM finds the backend server silent.
+    void noteHint(Instant now);
 
     /// Whether new flows should go elsewhere. Every c_trialInterval one flow may try all the same (beginTrial).
     bool isSilent(Instant now) const;
     void beginTrial(Instant now);
 
-    /// Whether several callers went unanswered over c_deadSilence: grounds to ask the backend server itself.
-    bool seemsDead(Instant now) const;
+    /// Whether something went unanswered, here or at another entry VM, and nothing was answered since: grounds to ask
+    /// the backend server itself.
+    bool isDoubted() const { return m_doubtedSince != Instant {}; }
 
     /// Forgets what was held against the backend server, such as after this process was paused.
     void forgive();
@@ -36,6 +41,7 @@
 private:
     Instant m_answeredAt {}; ///< epoch: never
     Instant m_silentSince {}; ///< when the oldest opening was sent that is unanswered; epoch: none
+    Instant m_doubtedSince {}; ///< likewise for anything that was sent
     Deadline m_trialAt {};
     std::uint32_t m_unanswered = 0; ///< callers' repetitions since the last answer
 };
@@ -43,7 +49,4 @@
 /// How often a silent backend server is given a flow to find out whether it answers again.
 inline constexpr Duration c_trialInterval = std::chrono::seconds { 1 };
 
-/// Callers repeat what is not answered after 200 ms; a second repetition comes 400 ms after the first.
-inline constexpr Duration c_deadSilence = std::chrono::milliseconds { 350 };
-
 } // namespace cuminrelay
--- a/src/affinity/ServiceMap.cpp
+++ b/src/affinity/ServiceMap.cpp
@@ -1,11 +1,14 @@
 #include "affinity/ServiceMap.h"
 
+#include "configuration/Selector.h"
+
 #include <algorithm>
 
 namespace cuminrelay {
 
 ServiceMap::ServiceMap(const ServiceDeclarations& declarations)
     : m_version(declarations.m_version)
+    , m_healthChecks(declarations.m_healthChecks)
 {
     m_entries.reserve(declarations.m_services.size());
     for (const DeclaredService& service : declarations.m_services) {
@@ -22,6 +25,13 @@
     return found != m_entries.end() ? &found->second : nullptr;
 }
 
+std::string_view ServiceMap::healthPath(const Labels& labels) const
+{
+    const auto found = std::find_if(m_healthChecks.begin(), m_healthChecks.end(),
+        [&labels](const HealthCheck& check) { return matches(check.m_selector, labels); });
+    return found != m_healthChecks.end() ? std::string_view { found->m_path } : std::string_view {};
+}
+
 SelectorIndex ServiceMap::indexOf(const Selector& selector)
 {
     const auto found = std::find(m_selectors.begin(), m_selectors.end(), selector);
--- a/src/affinity/ServiceMap.h
+++ b/src/affinity/ServiceMap.h
@@ -4,9 +4,11 @@
 #include "configuration/Model.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <chrono>
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cuminrelay {
@@ -36,10 +38,19 @@
     friend bool operator==(const DeclaredService&, const DeclaredService&) = default;
 };
 
+/// Where backend servers can be asked, over HTTP, whether they serve and who they are.
+struct HealthCheck {
+    Selector m_selector;
+    std::string m_path;
+
+    friend bool operator==(const HealthCheck&, const HealthCheck&) = default;
+};
+
 /// All declared services under one version.
 struct ServiceDeclarations {
     ConfigVersion m_version;
     std::vector<DeclaredService> m_services;
+    std::vector<HealthCheck> m_healthChecks; ///< the first that selects a backend server holds
     std::chrono::milliseconds m_idleTimeout { 0 }; ///< a flow that is silent for longer may be forgotten; 0: not told
 };
 
@@ -68,6 +79,9 @@
     /// The service of an address, or nullptr.
     const Entry* find(Endpoint address) const;
 
+    /// Where a backend server with these labels is asked for its health; empty when nobody said.
+    std::string_view healthPath(const Labels& labels) const;
+
     std::span<const Selector> selectors() const { return m_selectors; }
     std::size_t size() const { return m_entries.size(); }
 
@@ -76,6 +90,7 @@
 
     ConfigVersion m_version;
     std::vector<Selector> m_selectors;
+    std::vector<HealthCheck> m_healthChecks;
     boost::unordered_flat_map<std::uint64_t, Entry> m_entries;
 };
 
--- a/src/affinity/TrackedFlows.cpp
+++ b/src/affinity/TrackedFlows.cpp
@@ -13,7 +13,7 @@
     constexpr Duration c_shortFlowPause = std::chrono::milliseconds { 2'000 };
 
     /// A request whose end was not seen, because the last answer needs no acknowledgment, no longer counts.
-    constexpr Duration c_longestRequest = std::chrono::milliseconds { 400 };
+    constexpr Duration c_longestRequest = std::chrono::milliseconds { 1'000 };
 
     /// Whether a sequence number lies after another, modulo 2^32.
     bool isAfter(std::uint32_t left, std::uint32_t right)
@@ -35,9 +35,9 @@
     return found != m_flows.end() ? &found->second : nullptr;
 }
 
-TrackedFlow* TrackedFlows::open(FlowHash hash, BackendToken backend, bool isLong, Instant now)
+TrackedFlow* TrackedFlows::open(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now)
 {
-    TrackedFlow* const flow = insert(hash, backend, isLong, now);
+    TrackedFlow* const flow = insert(hash, key, backend, isLong, now);
     if (!flow)
         return nullptr;
     flow->m_openedAt = now;
@@ -46,15 +46,15 @@
     return flow;
 }
 
-TrackedFlow* TrackedFlows::adopt(FlowHash hash, BackendToken backend, bool isLong, Instant now)
+TrackedFlow* TrackedFlows::adopt(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now)
 {
-    TrackedFlow* const flow = insert(hash, backend, isLong, now);
+    TrackedFlow* const flow = insert(hash, key, backend, isLong, now);
     if (flow)
         flow->m_isEstablished = true;
     return flow;
 }
 
-TrackedFlow* TrackedFlows::insert(FlowHash hash, BackendToken backend, bool isLong, Instant now)
+TrackedFlow* TrackedFlows::insert(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now)
 {
     const auto found = m_flows.find(hash.m_value);
     if (found == m_flows.end() && m_flows.size() >= m_limit)
@@ -62,6 +62,7 @@
     TrackedFlow& flow = found != m_flows.end() ? found->second : m_flows[hash.m_value];
     release(flow);
     flow = TrackedFlow {};
+    flow.m_key = key;
     flow.m_backend = backend;
     flow.m_isLong = isLong;
     flow.m_seenAt = now;
@@ -114,6 +115,22 @@
     m_flows.erase(found);
 }
 
+std::vector<TrackedFlow> TrackedFlows::closeActive(BackendToken backend)
+{
+    std::vector<TrackedFlow> closed;
+    for (auto position = m_flows.begin(); position != m_flows.end();) {
+        TrackedFlow& flow = position->second;
+        if (flow.m_backend != backend || !flow.m_isActive || !flow.m_isEstablished) {
+            ++position;
+            continue;
+        }
+        closed.push_back(flow);
+        release(flow);
+        m_flows.erase(position++);
+    }
+    return closed;
+}
+
 void TrackedFlows::sweep(Instant now)
 {
     for (auto position = m_flows.begin(); position != m_flows.end();) {
--- a/src/affinity/TrackedFlows.h
+++ b/src/affinity/TrackedFlows.h
@@ -5,11 +5,13 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
+#include <vector>
 
 namespace cuminrelay {
 
 /// What this entry VM has seen of a flow. Only an aid: a flow without a record is served all the same.
 struct TrackedFlow {
+    FlowKey m_key;
     BackendToken m_backend;
     bool m_isEstablished = false; ///< a packet beyond the opening was seen
     bool m_isLong = false; ///< it carries one request after the other
@@ -30,7 +32,7 @@
 };
 
 /// The flows that passed this entry VM lately, and the work at each backend server that follows from them. Memory: some
-/// 80 bytes a flow, bounded by the limit; flows beyond it are served untracked.
+/// 100 bytes a flow, bounded by the limit; flows beyond it are served untracked.
 class TrackedFlows {
 public:
     TrackedFlows(BackendCatalog& catalog, std::size_t limit);
@@ -39,10 +41,10 @@
     TrackedFlow* find(FlowHash hash);
 
     /// Begins a record for an opening; replaces an earlier one. nullptr when the limit is reached.
-    TrackedFlow* open(FlowHash hash, BackendToken backend, bool isLong, Instant now);
+    TrackedFlow* open(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now);
 
     /// Begins a record for a flow that was opened elsewhere. nullptr when the limit is reached.
-    TrackedFlow* adopt(FlowHash hash, BackendToken backend, bool isLong, Instant now);
+    TrackedFlow* adopt(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now);
 
     /// Moves a flow, and the work that it means, to another backend server.
     void move(TrackedFlow& flow, BackendToken backend);
@@ -53,13 +55,16 @@
     /// Ends a record.
     void close(FlowHash hash);
 
+    /// Ends the records of the flows at a backend server whose requests are believed to be there, and returns them.
+    std::vector<TrackedFlow> closeActive(BackendToken backend);
+
     /// Ends the records of silent flows; call about once a second. Cost: O(flows).
     void sweep(Instant now);
 
     std::size_t size() const { return m_flows.size(); }
 
 private:
-    TrackedFlow* insert(FlowHash hash, BackendToken backend, bool isLong, Instant now);
+    TrackedFlow* insert(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now);
     void setActive(TrackedFlow& flow, bool active, Instant now);
     void setCounted(TrackedFlow& flow, bool counted);
     void release(TrackedFlow& flow);
--- a/src/exchange/LoadExchange.capnp.h
+++ b/src/exchange/LoadExchange.capnp.h
@@ -34,7 +34,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -106,6 +106,9 @@
 
   inline  ::uint64_t getDeclarationsVersion() const;
 
+  inline bool hasSilent() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getSilent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -163,6 +166,14 @@
   inline  ::uint64_t getDeclarationsVersion();
   inline void setDeclarationsVersion( ::uint64_t value);
 
+  inline bool hasSilent();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getSilent();
+  inline void setSilent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSilent(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initSilent(unsigned int size);
+  inline void adoptSilent(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownSilent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -496,6 +507,44 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadMessage::Reader::hasSilent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadMessage::Builder::hasSilent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getSilent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getSilent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadMessage::Builder::setSilent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void LoadMessage::Builder::setSilent(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initSilent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadMessage::Builder::adoptSilent(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownSilent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t BackendLoad::Reader::getToken() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/exchange/News.capnp
+++ b/src/exchange/News.capnp
@@ -34,6 +34,12 @@
   version @0 :UInt64;
   idleTimeoutMs @1 :UInt64;
   services @2 :List(Service);
+  healthChecks @3 :List(HealthCheck);
+}
+
+struct HealthCheck {
+  selector @0 :Text;
+  path @1 :Text;
 }
 
 struct Service {
--- a/src/exchange/News.capnp.h
+++ b/src/exchange/News.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(f7acfe68269a4fd2);
 CAPNP_DECLARE_SCHEMA(ef1b49bdcf1b6752);
 CAPNP_DECLARE_SCHEMA(bf70c546cea41dd0);
+CAPNP_DECLARE_SCHEMA(bdf9c972c04ed324);
 CAPNP_DECLARE_SCHEMA(8c398bf0139d0cd0);
 CAPNP_DECLARE_SCHEMA(ac6d6bf4bd85956f);
 
@@ -82,7 +83,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bf70c546cea41dd0, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bf70c546cea41dd0, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HealthCheck {
+  HealthCheck() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bdf9c972c04ed324, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -485,6 +501,9 @@
   inline bool hasServices() const;
   inline  ::capnp::List< ::cuminrelay::wire::Service,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
+  inline bool hasHealthChecks() const;
+  inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader getHealthChecks() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -526,6 +545,13 @@
   inline void adoptServices(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Service,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Service,  ::capnp::Kind::STRUCT>> disownServices();
 
+  inline bool hasHealthChecks();
+  inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Builder getHealthChecks();
+  inline void setHealthChecks( ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Builder initHealthChecks(unsigned int size);
+  inline void adoptHealthChecks(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>> disownHealthChecks();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -552,6 +578,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class HealthCheck::Reader {
+public:
+  typedef HealthCheck Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSelector() const;
+  inline  ::capnp::Text::Reader getSelector() const;
+
+  inline bool hasPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HealthCheck::Builder {
+public:
+  typedef HealthCheck Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSelector();
+  inline  ::capnp::Text::Builder getSelector();
+  inline void setSelector( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSelector(unsigned int size);
+  inline void adoptSelector(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSelector();
+
+  inline bool hasPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HealthCheck::Pipeline {
+public:
+  typedef HealthCheck Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Service::Reader {
 public:
   typedef Service Reads;
@@ -1210,6 +1327,108 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Declarations::Reader::hasHealthChecks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Declarations::Builder::hasHealthChecks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader Declarations::Reader::getHealthChecks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Builder Declarations::Builder::getHealthChecks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Declarations::Builder::setHealthChecks( ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Builder Declarations::Builder::initHealthChecks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Declarations::Builder::adoptHealthChecks(
+    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>> Declarations::Builder::disownHealthChecks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HealthCheck::Reader::hasSelector() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HealthCheck::Builder::hasSelector() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HealthCheck::Reader::getSelector() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HealthCheck::Builder::getSelector() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HealthCheck::Builder::setSelector( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HealthCheck::Builder::initSelector(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HealthCheck::Builder::adoptSelector(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HealthCheck::Builder::disownSelector() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HealthCheck::Reader::hasPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HealthCheck::Builder::hasPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HealthCheck::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HealthCheck::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HealthCheck::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HealthCheck::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HealthCheck::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HealthCheck::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Service::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/exchange/NewsMessage.cpp
+++ b/src/exchange/NewsMessage.cpp
@@ -62,6 +62,12 @@
     {
         builder.setVersion(declarations.m_version.m_number);
         builder.setIdleTimeoutMs(static_cast<std::uint64_t>(declarations.m_idleTimeout.count()));
+        capnp::List<wire::HealthCheck>::Builder checks
+            = builder.initHealthChecks(static_cast<unsigned>(declarations.m_healthChecks.size()));
+        for (unsigned i = 0; i < checks.size(); ++i) {
+            checks[i].setSelector(formatSelector(declarations.m_healthChecks[i].m_selector));
+            checks[i].setPath(declarations.m_healthChecks[i].m_path);
+        }
         capnp::List<wire::Service>::Builder services
             = builder.initServices(static_cast<unsigned>(declarations.m_services.size()));
         for (unsigned i = 0; i < services.size(); ++i) {
@@ -100,6 +106,12 @@
         ServiceDeclarations declarations;
         declarations.m_version = { reader.getVersion() };
         declarations.m_idleTimeout = std::chrono::milliseconds { reader.getIdleTimeoutMs() };
+        for (const wire::HealthCheck::Reader check : reader.getHealthChecks()) {
+            Outcome<Selector> selector = parseSelector(check.getSelector().cStr());
+            if (!selector)
+                return selector.error();
+            declarations.m_healthChecks.push_back({ std::move(selector.value()), check.getPath().cStr() });
+        }
         for (const wire::Service::Reader service : reader.getServices()) {
             Outcome<DeclaredService> read = readService(service);
             if (!read)
--- a/src/packets/PacketFrontEnd.h
+++ b/src/packets/PacketFrontEnd.h
@@ -30,6 +30,10 @@
     /// Carries out verdicts[i] on packet i of the last batch. Never waits: what cannot be sent at once is dropped and
     /// counted, as a router does.
     virtual void send(std::span<const Verdict> verdicts) = 0;
+
+    /// Resets the caller of a flow of which no packet is at hand. acknowledgment: the caller's, as last seen. A front
+    /// end whose resets quote the packet does nothing.
+    virtual void reset(const FlowKey&, std::uint32_t /*acknowledgment*/) { }
 };
 
 } // namespace cuminrelay
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -7,10 +7,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <csignal>
 #include <utility>
 
@@ -28,9 +26,6 @@
     /// An unchanged load is told again after this, so that others know that it still holds.
     constexpr Duration c_tellInterval = std::chrono::milliseconds { 200 };
 
-    /// Several round trips to the farthest zone.
-    constexpr std::chrono::milliseconds c_probeTimeout { 300 };
-
     /// What waited while the process stood still has been received after this.
     constexpr Duration c_backlog = std::chrono::milliseconds { 50 };
 
@@ -42,6 +37,19 @@
         return { asio::ip::address_v4 { endpoint.m_address }, endpoint.m_port };
     }
 
+    std::string_view outcomeName(ProbeOutcome outcome)
+    {
+        switch (outcome) {
+        case ProbeOutcome::Answered:
+            return "answered";
+        case ProbeOutcome::Unanswered:
+            return "unanswered";
+        case ProbeOutcome::Unclear:
+            return "unclear";
+        }
+        return "unknown";
+    }
+
     std::int64_t toMilliseconds(Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -53,7 +61,7 @@
     : m_settings(std::move(settings))
     , m_parts(parts)
     , m_flowLog(parts.m_log, parts.m_metrics)
-    , m_router({ m_settings.m_zone }, placement, m_flowLog)
+    , m_router({ m_settings.m_zone, s_trackedFlows, m_settings.m_addressReuse }, placement, m_flowLog)
     , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
     , m_newsClient(parts.m_context.get_executor(), parts.m_clock)
     , m_newsServer(parts.m_context.get_executor(), m_book, parts.m_clock, parts.m_metrics, parts.m_log)
@@ -154,6 +162,8 @@
     const std::size_t before = m_peers.size();
     m_peers.noteMessage(peer, message.value(), now);
     m_router.notePeerLoad(peer, message.value().m_loads, now);
+    if (message.value().m_zone == m_message.m_zone)
+        m_router.noteSilentHints(message.value().m_silent, now);
     if (m_peers.size() != before)
         m_parts.m_log.info("exchange", "peers_changed",
             { { "peer", formatEndpoint(peer) }, { "leaving", message.value().m_leaving }, { "peers", m_peers.size() } });
@@ -246,10 +256,14 @@
     m_router.ownLoad(loads);
     if (loads.size() > c_mostLoads)
         loads.resize(c_mostLoads);
-    if (now < m_tellAt && m_message.m_loads == loads)
+    std::vector<BackendToken> silent = m_router.silentBackends(now);
+    if (silent.size() > c_mostSilent)
+        silent.resize(c_mostSilent);
+    if (now < m_tellAt && m_message.m_loads == loads && m_message.m_silent == silent)
         return;
     m_tellAt = now + c_tellInterval;
     m_message.m_loads = std::move(loads);
+    m_message.m_silent = std::move(silent);
     sendTo(m_peers.nextTargets(now), now);
 }
 
@@ -270,18 +284,20 @@
 
 void RelayProcess::startProbes(Instant now)
 {
-    for (const KnownBackend* const backend : m_router.takeProbes(now))
-        asio::co_spawn(m_parts.m_context, probe(backend->m_token, backend->m_announced.m_server.m_tunnel), asio::detached);
+    for (LifeProbe& probe : m_router.takeProbes(now))
+        asio::co_spawn(m_parts.m_context, ask(std::move(probe)), asio::detached);
 }
 
-asio::awaitable<void> RelayProcess::probe(BackendToken backend, Endpoint endpoint)
+asio::awaitable<void> RelayProcess::ask(LifeProbe probe)
 {
-    m_parts.m_metrics.counter("cuminrelay_probes_total").add();
-    boost::beast::tcp_stream stream { m_parts.m_context };
-    stream.expires_after(c_probeTimeout);
-    const asio::ip::tcp::endpoint target { asio::ip::address_v4 { endpoint.m_address }, endpoint.m_port };
-    const auto [error] = co_await stream.async_connect(target, c_asTuple);
-    m_router.noteProbe(backend, !error, m_parts.m_clock.now());
+    const BackendToken backend = probe.m_backend;
+    const ProbeOutcome outcome = co_await m_parts.m_inquiry.ask(std::move(probe));
+    m_parts.m_metrics.counter("cuminrelay_probes_total", outcomeName(outcome)).add();
+    const std::vector<FlowReset> resets = m_router.noteProbe(backend, outcome, m_parts.m_clock.now());
+    for (const FlowReset& reset : resets)
+        m_parts.m_packets.reset(reset.m_flow, reset.m_acknowledgment);
+    if (!resets.empty())
+        m_parts.m_log.info("affinity", "flows_reset", { { "token", backend.m_value }, { "flows", resets.size() } });
 }
 
 asio::awaitable<void> RelayProcess::serveSignals()
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -10,6 +10,7 @@
 #include "observe/Metrics.h"
 #include "observe/MetricsServer.h"
 #include "packets/PacketFrontEnd.h"
+#include "relay/BackendInquiry.h"
 #include "relay/Departure.h"
 #include "relay/FlowLog.h"
 #include "relay/PauseDetector.h"
@@ -45,6 +46,7 @@
     PacketFrontEnd& m_packets;
     Discovery& m_backends;
     Discovery& m_declarations;
+    BackendInquiry& m_inquiry;
     SettingsSource& m_settings;
     const Clock& m_clock;
     Metrics& m_metrics;
@@ -73,7 +75,7 @@
     boost::asio::awaitable<void> keepHouse();
     boost::asio::awaitable<void> serveSignals();
     boost::asio::awaitable<void> fetchNews(Endpoint peer);
-    boost::asio::awaitable<void> probe(BackendToken backend, Endpoint endpoint);
+    boost::asio::awaitable<void> ask(LifeProbe probe);
 
     void takeLoad(std::span<const std::byte> datagram, Endpoint peer, Instant now);
     void takeNews(const News& news, Endpoint peer);
@@ -87,6 +89,9 @@
     void noteRan(Instant now);
     void updateReadiness();
 
+    /// Some 100 bytes each.
+    static constexpr std::size_t s_trackedFlows = 100'000;
+
     RelaySettings m_settings;
     RelayParts m_parts;
     FlowLog m_flowLog;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -21,6 +21,7 @@
     Endpoint m_store; ///< where backend servers and services are found
     std::vector<Endpoint> m_seeds; ///< the exchange of some other entry VMs, which may be stale
     std::chrono::milliseconds m_stopWithin { 6'000 }; ///< the process must have ended this long after it is told to
+    std::chrono::milliseconds m_addressReuse { 2'000 }; ///< a backend server's address has no new owner sooner
     LogLevel m_logLevel = LogLevel::Info;
 
     friend bool operator==(const RelaySettings&, const RelaySettings&) = default;
