--- a/src/affinity/CarriedRouter.cpp
+++ b/src/affinity/CarriedRouter.cpp
@@ -25,6 +25,12 @@
     /// How often a backend server that was found dead is asked again.
     constexpr Duration c_probeInterval = std::chrono::seconds { 1 };
 
+    /// And one of which a probe did not tell.
+    constexpr Duration c_unclearInterval = std::chrono::milliseconds { 300 };
+
+    /// Who answered this lately can be expected to take a connection.
+    constexpr Duration c_controlAge = std::chrono::seconds { 2 };
+
     constexpr std::uint64_t c_weightSalt = 0x77656967; // "weig"
 
 } // namespace
@@ -334,15 +340,32 @@
             return;
         backend.m_isProbed = true;
         backend.m_probeAt = now + c_probeInterval;
-        const BackendServer& server = backend.m_announced.m_server;
-        const Instant answeredAt = backend.m_life.answeredAt();
-        const bool isRecent = answeredAt != Instant {} && now - answeredAt < m_options.m_addressReuse;
-        probes.push_back({ backend.m_token, backend.m_announced.m_identity, server.m_tunnel,
-            std::string { m_services.healthPath(server.m_labels) }, backend.m_confirmedDead || !isRecent });
+        const bool isRecent = backend.m_life.hasAnsweredWithin(m_options.m_addressReuse, now);
+        probes.push_back(probeOf(backend, backend.m_confirmedDead || !isRecent));
     });
     return probes;
 }
 
+LifeProbe CarriedRouter::probeOf(const KnownBackend& backend, bool mustIdentify) const
+{
+    const BackendServer& server = backend.m_announced.m_server;
+    return { backend.m_token, backend.m_announced.m_identity, server.m_tunnel,
+        std::string { m_services.healthPath(server.m_labels) }, mustIdentify };
+}
+
+std::optional<LifeProbe> CarriedRouter::controlProbe(BackendToken other, Instant now) const
+{
+    const KnownBackend* best = nullptr;
+    m_backends.forEach([&](const KnownBackend& backend) {
+        const bool isUsable = backend.m_token != other && !backend.m_confirmedDead && !backend.m_life.isSilent(now)
+            && backend.m_presence == Presence::Announced && backend.m_announced.m_server.m_zone == m_options.m_zone
+            && backend.m_life.hasAnsweredWithin(c_controlAge, now);
+        if (isUsable && (!best || backend.m_life.answeredAt() > best->m_life.answeredAt()))
+            best = &backend;
+    });
+    return best ? std::optional { probeOf(*best, false) } : std::nullopt;
+}
+
 std::vector<FlowReset> CarriedRouter::noteProbe(BackendToken token, ProbeOutcome outcome, Instant now)
 {
     std::vector<FlowReset> resets;
@@ -352,6 +375,8 @@
     backend->m_isProbed = false;
     if (outcome == ProbeOutcome::Answered)
         noteAnswer(*backend, now);
+    if (outcome == ProbeOutcome::Unclear)
+        backend->m_probeAt = std::min(backend->m_probeAt, now + c_unclearInterval);
     if (outcome != ProbeOutcome::Unanswered)
         return resets;
     // It may have answered a caller, or this process may have been paused, while the probe was under way.
@@ -364,24 +389,23 @@
     return resets;
 }
 
-void CarriedRouter::noteSilentHints(std::span<const BackendToken> silent, Instant now)
+void CarriedRouter::noteDeadHints(std::span<const BackendToken> dead, Instant now)
 {
-    for (const BackendToken token : silent) {
+    for (const BackendToken token : dead) {
         KnownBackend* const backend = m_backends.find(token);
         if (backend && !backend->m_confirmedDead)
             backend->m_life.noteHint(now);
     }
 }
 
-std::vector<BackendToken> CarriedRouter::silentBackends(Instant now) const
+std::vector<BackendToken> CarriedRouter::deadBackends() const
 {
-    std::vector<BackendToken> silent;
-    m_backends.forEach([&](const KnownBackend& backend) {
-        const bool isOwnFinding = backend.m_life.unanswered() > 0 && backend.m_life.isSilent(now);
-        if (backend.m_presence != Presence::Departed && (isOwnFinding || backend.m_confirmedDead))
-            silent.push_back(backend.m_token);
+    std::vector<BackendToken> dead;
+    m_backends.forEach([&dead](const KnownBackend& backend) {
+        if (backend.m_presence != Presence::Departed && backend.m_confirmedDead)
+            dead.push_back(backend.m_token);
     });
-    return silent;
+    return dead;
 }
 
 void CarriedRouter::tick(Instant now)
--- a/src/affinity/CarriedRouter.h
+++ b/src/affinity/CarriedRouter.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -73,11 +74,11 @@
     /// Takes what another VM tells of its flows. Replaces what it told before.
     void notePeerLoad(Endpoint peer, std::span<const BackendLoadReport> reports, Instant now);
 
-    /// Another VM of the own zone finds these silent.
-    void noteSilentHints(std::span<const BackendToken> silent, Instant now);
+    /// Another VM of the own zone finds these dead. They are asked before this VM believes it.
+    void noteDeadHints(std::span<const BackendToken> dead, Instant now);
 
-    /// Backend servers that are silent to this VM, for the others of its zone.
-    std::vector<BackendToken> silentBackends(Instant now) const;
+    /// Backend servers that this VM found dead, for the others of its zone.
+    std::vector<BackendToken> deadBackends() const;
 
     /// The work that this VM's own flows have, for the other VMs. Backend servers without any are left out.
     void ownLoad(std::vector<BackendLoadReport>& reports) const;
@@ -86,6 +87,10 @@
     /// say what came of each.
     std::vector<LifeProbe> takeProbes(Instant now);
 
+    /// A backend server of the own zone that answered lately: when it does not take a connection either, the fault is
+    /// this VM's own, and the silence of others proves nothing. Nothing when there is none.
+    std::optional<LifeProbe> controlProbe(BackendToken other, Instant now) const;
+
     /// Returns the flows with requests at a backend server that was found dead by this: their callers need not wait.
     std::vector<FlowReset> noteProbe(BackendToken backend, ProbeOutcome outcome, Instant now);
 
@@ -119,6 +124,7 @@
     std::span<KnownBackend* const> poolOf(SelectorIndex selector);
     void noteAnswer(KnownBackend& backend, Instant now);
     void noteSilence(KnownBackend& backend, Instant sentAt, Instant now);
+    LifeProbe probeOf(const KnownBackend& backend, bool mustIdentify) const;
     bool isBeyondCut(const KnownBackend& backend, Instant now) const;
     bool isGone(const KnownBackend& backend, Instant now) const;
     bool knowsAllServices() const { return m_declarationsCurrent && m_services.version() != ConfigVersion {}; }
--- a/src/affinity/LifeSigns.cpp
+++ b/src/affinity/LifeSigns.cpp
@@ -9,6 +9,12 @@
     /// What another VM finds is old by the time that it is heard; an answer here just before it counts for more.
     constexpr Duration c_hintAge = std::chrono::milliseconds { 200 };
 
+    /// Where the last answer came this shortly before a request, the silence after it stands out.
+    constexpr Duration c_frequentAnswers = std::chrono::milliseconds { 500 };
+
+    /// Elsewhere so many requests have to go unanswered.
+    constexpr std::uint32_t c_unansweredRequests = 2;
+
 } // namespace
 
 void LifeSigns::noteAnswer(Instant now)
@@ -34,8 +40,11 @@
 {
     if (sentAt <= m_answeredAt)
         return;
-    m_doubtedSince = m_doubtedSince == Instant {} ? sentAt : std::min(m_doubtedSince, sentAt);
     ++m_unanswered;
+    const bool isHeardOften = m_answeredAt != Instant {} && sentAt - m_answeredAt < c_frequentAnswers;
+    if (m_unanswered < c_unansweredRequests && !isHeardOften)
+        return;
+    m_doubtedSince = m_doubtedSince == Instant {} ? sentAt : std::min(m_doubtedSince, sentAt);
 }
 
 void LifeSigns::noteHint(Instant now)
--- a/src/affinity/LifeSigns.h
+++ b/src/affinity/LifeSigns.h
@@ -17,8 +17,8 @@
     /// An opening that was first sent there at sentAt is sent again: it was not answered in time.
     void noteUnansweredOpening(Instant sentAt, Instant now);
 
-    /// A request that was first sent there at sentAt is sent again. This alone proves little, because a backend server
-    /// that is busy acknowledges a single packet with its answer.
+    /// A request that was first sent there at sentAt is sent again. A backend server that is busy acknowledges a single
+    /// packet with its answer; one such request counts only where answers are frequent.
     void noteUnansweredData(Instant sentAt);
 
     /// Another entry VM finds the backend server silent.
@@ -32,6 +32,12 @@
     /// the backend server itself.
     bool isDoubted() const { return m_doubtedSince != Instant {}; }
 
+    /// Whether it was heard within a duration before now.
+    bool hasAnsweredWithin(Duration duration, Instant now) const
+    {
+        return m_answeredAt != Instant {} && now - m_answeredAt < duration;
+    }
+
     /// Forgets what was held against the backend server, such as after this process was paused.
     void forgive();
 
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -12,8 +12,9 @@
     constexpr std::size_t c_farFanout = 1;
     constexpr Duration c_seedInterval = std::chrono::seconds { 1 };
 
-    /// A VM that was not heard from for this long is no longer told anything.
-    constexpr Duration c_peerMemory = std::chrono::seconds { 3 };
+    /// A VM that was not heard from for this long is no longer told anything. One of another zone tells each of 60 VMs
+    /// in turn.
+    constexpr Duration c_peerMemory = std::chrono::seconds { 15 };
 
     /// A reader that was not heard from for this long has others take its place. Every VM of a zone of 24 is told by
     /// every other one several times within it.
@@ -151,14 +152,19 @@
 std::optional<Endpoint> ExchangePeers::newerPeer(const KnownState& own, Instant now)
 {
     std::optional<Endpoint> far;
+    std::vector<Endpoint> near;
     for (const auto& [peer, known] : m_peers) {
         if (now - known.m_heardAt >= c_readerSilence || !isNewer(known.m_state, own))
             continue;
-        if (known.m_zone == m_zone) {
-            m_behindSince = Instant {};
-            return peer;
-        }
-        far = peer;
+        if (known.m_zone == m_zone)
+            near.push_back(peer);
+        else
+            far = peer;
+    }
+    if (!near.empty()) {
+        m_behindSince = Instant {};
+        // Different VMs ask different ones, so that nobody's link has to carry all answers.
+        return near[hashPair(m_self.packed(), m_asked++) % near.size()];
     }
     if (!far) {
         m_behindSince = Instant {};
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -25,7 +25,7 @@
     /// Whom to tell now: at most c_nearFanout of the own zone and one of another; from time to time seeds, too.
     std::vector<Endpoint> nextTargets(Instant now);
 
-    /// All VMs of the own zone that were heard of lately: whom to tell at once that there is news.
+    /// All known VMs of the own zone: whom its reader tells at once that there is news.
     std::vector<Endpoint> nearPeers() const;
 
     /// Whether this VM is to follow the store for its zone. One VM of each zone does, the one that ranks highest among
@@ -65,6 +65,7 @@
     Deadline m_seedsAt {};
     Instant m_readerlessSince {}; ///< since when nobody of the zone follows the store in contact; epoch: somebody does
     Instant m_behindSince {}; ///< since when only VMs of other zones know a newer state; epoch: not
+    std::uint64_t m_asked = 0; ///< how often newerPeer named a VM of the own zone
     Endpoint m_lastNear;
     Endpoint m_lastFar;
     Endpoint m_lastPassedOn;
--- a/src/exchange/LoadExchange.capnp
+++ b/src/exchange/LoadExchange.capnp
@@ -12,7 +12,7 @@
   reading @4 :Bool; # the sender follows the store and is in contact with it
   backendsRevision @5 :UInt64;
   declarationsVersion @6 :UInt64;
-  silent @7 :List(UInt32); # tokens of backend servers that do not answer the sender
+  dead @7 :List(UInt32); # tokens of backend servers that the sender found dead
 }
 
 struct BackendLoad {
--- a/src/exchange/LoadExchange.capnp.h
+++ b/src/exchange/LoadExchange.capnp.h
@@ -106,8 +106,8 @@
 
   inline  ::uint64_t getDeclarationsVersion() const;
 
-  inline bool hasSilent() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getSilent() const;
+  inline bool hasDead() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDead() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -166,13 +166,13 @@
   inline  ::uint64_t getDeclarationsVersion();
   inline void setDeclarationsVersion( ::uint64_t value);
 
-  inline bool hasSilent();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getSilent();
-  inline void setSilent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setSilent(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initSilent(unsigned int size);
-  inline void adoptSilent(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownSilent();
+  inline bool hasDead();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getDead();
+  inline void setDead( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDead(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initDead(unsigned int size);
+  inline void adoptDead(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDead();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -507,40 +507,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LoadMessage::Reader::hasSilent() const {
+inline bool LoadMessage::Reader::hasDead() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool LoadMessage::Builder::hasSilent() {
+inline bool LoadMessage::Builder::hasDead() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getSilent() const {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getDead() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getSilent() {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getDead() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void LoadMessage::Builder::setSilent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void LoadMessage::Builder::setDead( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void LoadMessage::Builder::setSilent(::kj::ArrayPtr<const  ::uint32_t> value) {
+inline void LoadMessage::Builder::setDead(::kj::ArrayPtr<const  ::uint32_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initSilent(unsigned int size) {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initDead(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void LoadMessage::Builder::adoptSilent(
+inline void LoadMessage::Builder::adoptDead(
     ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownSilent() {
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownDead() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
--- a/src/exchange/LoadMessage.cpp
+++ b/src/exchange/LoadMessage.cpp
@@ -33,8 +33,8 @@
         message.m_known = { { reader.getBackendsRevision() }, { reader.getDeclarationsVersion() } };
         for (const wire::BackendLoad::Reader load : reader.getLoads())
             message.m_loads.push_back({ { load.getToken() }, { load.getActiveRequests(), load.getLongFlows() } });
-        for (const std::uint32_t token : reader.getSilent())
-            message.m_silent.push_back({ token });
+        for (const std::uint32_t token : reader.getDead())
+            message.m_dead.push_back({ token });
         for (const wire::Peer::Reader peer : reader.getPeers())
             message.m_peers.push_back({ Endpoint::fromPacked(peer.getExchange()), { peer.getZone() } });
         return message;
@@ -49,7 +49,7 @@
 
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out)
 {
-    CR_ASSERT(message.m_loads.size() <= c_mostLoads && message.m_silent.size() <= c_mostSilent
+    CR_ASSERT(message.m_loads.size() <= c_mostLoads && message.m_dead.size() <= c_mostDead
             && message.m_peers.size() <= c_mostPeers,
         "too long a message");
     capnp::MallocMessageBuilder builder;
@@ -66,9 +66,9 @@
         loads[i].setActiveRequests(saturated(report.m_load.m_activeRequests));
         loads[i].setLongFlows(saturated(report.m_load.m_longFlows));
     }
-    capnp::List<std::uint32_t>::Builder silent = root.initSilent(static_cast<unsigned>(message.m_silent.size()));
-    for (unsigned i = 0; i < silent.size(); ++i)
-        silent.set(i, message.m_silent[i].m_value);
+    capnp::List<std::uint32_t>::Builder dead = root.initDead(static_cast<unsigned>(message.m_dead.size()));
+    for (unsigned i = 0; i < dead.size(); ++i)
+        dead.set(i, message.m_dead[i].m_value);
     capnp::List<wire::Peer>::Builder peers = root.initPeers(static_cast<unsigned>(message.m_peers.size()));
     for (unsigned i = 0; i < peers.size(); ++i) {
         peers[i].setExchange(message.m_peers[i].m_exchange.packed());
--- a/src/exchange/LoadMessage.h
+++ b/src/exchange/LoadMessage.h
@@ -44,7 +44,7 @@
     bool m_isReading = false; ///< the sender follows the store and is in contact with it
     KnownState m_known;
     std::vector<BackendLoadReport> m_loads;
-    std::vector<BackendToken> m_silent; ///< backend servers that do not answer the sender
+    std::vector<BackendToken> m_dead; ///< backend servers that the sender found dead
     std::vector<ExchangePeer> m_peers; ///< some that the sender hears of
 
     friend bool operator==(const LoadMessage&, const LoadMessage&) = default;
@@ -53,13 +53,13 @@
 /// The most bytes of an encoded message: it fits into one datagram that is not fragmented.
 inline constexpr std::size_t c_loadMessageBytes = 1'400;
 
-/// The most loads, silent backend servers and peers in one message.
+/// The most loads, dead backend servers and peers in one message.
 inline constexpr std::size_t c_mostLoads = 120;
-inline constexpr std::size_t c_mostSilent = 24;
+inline constexpr std::size_t c_mostDead = 24;
 inline constexpr std::size_t c_mostPeers = 8;
 
 /// Encodes a message to the front of out and returns the part that it wrote. Precondition: at most c_mostLoads,
-/// c_mostSilent and c_mostPeers; out has c_loadMessageBytes and is aligned to 8 bytes.
+/// c_mostDead and c_mostPeers; out has c_loadMessageBytes and is aligned to 8 bytes.
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out);
 
 /// Decodes a datagram, which must be aligned to 8 bytes. Errors: InvalidInput.
--- a/src/exchange/News.capnp
+++ b/src/exchange/News.capnp
@@ -33,8 +33,11 @@
 struct Declarations {
   version @0 :UInt64;
   idleTimeoutMs @1 :UInt64;
-  services @2 :List(Service);
-  healthChecks @3 :List(HealthCheck);
+  complete @2 :Bool; # services holds all of them; otherwise what has changed
+  services @3 :List(Service);
+  removed @4 :List(Text); # names of services
+  selectors @5 :List(Text); # that services refer to
+  healthChecks @6 :List(HealthCheck);
 }
 
 struct HealthCheck {
@@ -50,6 +53,6 @@
 }
 
 struct WeightedSelector {
-  selector @0 :Text;
+  selector @0 :UInt32; # index into the declarations' selectors
   weight @1 :UInt32;
 }
--- a/src/exchange/News.capnp.h
+++ b/src/exchange/News.capnp.h
@@ -83,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bf70c546cea41dd0, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(bf70c546cea41dd0, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ac6d6bf4bd85956f, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ac6d6bf4bd85956f, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -498,9 +498,17 @@
 
   inline  ::uint64_t getIdleTimeoutMs() const;
 
+  inline bool getComplete() const;
+
   inline bool hasServices() const;
   inline  ::capnp::List< ::cuminrelay::wire::Service,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
+  inline bool hasRemoved() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemoved() const;
+
+  inline bool hasSelectors() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSelectors() const;
+
   inline bool hasHealthChecks() const;
   inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader getHealthChecks() const;
 
@@ -538,6 +546,9 @@
   inline  ::uint64_t getIdleTimeoutMs();
   inline void setIdleTimeoutMs( ::uint64_t value);
 
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
   inline bool hasServices();
   inline  ::capnp::List< ::cuminrelay::wire::Service,  ::capnp::Kind::STRUCT>::Builder getServices();
   inline void setServices( ::capnp::List< ::cuminrelay::wire::Service,  ::capnp::Kind::STRUCT>::Reader value);
@@ -545,6 +556,22 @@
   inline void adoptServices(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Service,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Service,  ::capnp::Kind::STRUCT>> disownServices();
 
+  inline bool hasRemoved();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemoved();
+  inline void setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemoved(unsigned int size);
+  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemoved();
+
+  inline bool hasSelectors();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getSelectors();
+  inline void setSelectors( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setSelectors(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initSelectors(unsigned int size);
+  inline void adoptSelectors(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSelectors();
+
   inline bool hasHealthChecks();
   inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Builder getHealthChecks();
   inline void setHealthChecks( ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader value);
@@ -787,8 +814,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSelector() const;
-  inline  ::capnp::Text::Reader getSelector() const;
+  inline  ::uint32_t getSelector() const;
 
   inline  ::uint32_t getWeight() const;
 
@@ -820,12 +846,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSelector();
-  inline  ::capnp::Text::Builder getSelector();
-  inline void setSelector( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSelector(unsigned int size);
-  inline void adoptSelector(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSelector();
+  inline  ::uint32_t getSelector();
+  inline void setSelector( ::uint32_t value);
 
   inline  ::uint32_t getWeight();
   inline void setWeight( ::uint32_t value);
@@ -1293,6 +1315,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Declarations::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Declarations::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Declarations::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Declarations::Reader::hasServices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1327,38 +1363,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Declarations::Reader::hasHealthChecks() const {
+inline bool Declarations::Reader::hasRemoved() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Declarations::Builder::hasHealthChecks() {
+inline bool Declarations::Builder::hasRemoved() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Declarations::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Declarations::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Declarations::Builder::setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Declarations::Builder::setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Declarations::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Declarations::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Declarations::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Declarations::Reader::hasSelectors() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Declarations::Builder::hasSelectors() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Declarations::Reader::getSelectors() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Declarations::Builder::getSelectors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Declarations::Builder::setSelectors( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Declarations::Builder::setSelectors(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Declarations::Builder::initSelectors(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Declarations::Builder::adoptSelectors(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Declarations::Builder::disownSelectors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Declarations::Reader::hasHealthChecks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Declarations::Builder::hasHealthChecks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
 inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader Declarations::Reader::getHealthChecks() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Builder Declarations::Builder::getHealthChecks() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void Declarations::Builder::setHealthChecks( ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Builder Declarations::Builder::initHealthChecks(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Declarations::Builder::adoptHealthChecks(
     ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>> Declarations::Builder::disownHealthChecks() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool HealthCheck::Reader::hasSelector() const {
@@ -1525,52 +1637,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WeightedSelector::Reader::hasSelector() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool WeightedSelector::Builder::hasSelector() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader WeightedSelector::Reader::getSelector() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder WeightedSelector::Builder::getSelector() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void WeightedSelector::Builder::setSelector( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder WeightedSelector::Builder::initSelector(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::uint32_t WeightedSelector::Reader::getSelector() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WeightedSelector::Builder::adoptSelector(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t WeightedSelector::Builder::getSelector() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> WeightedSelector::Builder::disownSelector() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void WeightedSelector::Builder::setSelector( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t WeightedSelector::Reader::getWeight() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t WeightedSelector::Builder::getWeight() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void WeightedSelector::Builder::setWeight( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 }  // namespace
--- a/src/exchange/NewsBook.cpp
+++ b/src/exchange/NewsBook.cpp
@@ -58,7 +58,7 @@
 {
     m_backends.erase(identity);
     m_withdrawn[identity] = revision;
-    if (m_withdrawn.size() <= c_keptWithdrawals)
+    if (m_withdrawn.size() <= c_keptRemovals)
         return;
     const auto oldest = std::min_element(m_withdrawn.begin(), m_withdrawn.end(),
         [](const auto& left, const auto& right) { return left.second < right.second; });
@@ -68,13 +68,78 @@
 
 bool NewsBook::take(const ServiceDeclarations& declarations, StoreRevision revision)
 {
-    if (declarations.m_version <= m_declarations.m_version)
+    const ConfigVersion version = declarations.m_version;
+    if (version <= m_rest.m_version)
         return false;
-    m_declarations = declarations;
+    const bool isFirst = m_rest.m_version == ConfigVersion {};
+    std::map<std::string, ServiceEntry, std::less<>> services;
+    for (const DeclaredService& service : declarations.m_services) {
+        const auto known = m_services.find(service.m_name);
+        const bool isSame = known != m_services.end() && known->second.m_service == service;
+        services[service.m_name] = { service, isSame ? known->second.m_version : version };
+        m_removedServices.erase(service.m_name);
+    }
+    for (const auto& [name, entry] : m_services) {
+        if (!services.contains(name))
+            removeService(name, version);
+    }
+    m_services = std::move(services);
+    if (isFirst)
+        m_servicesSince = version;
+    m_rest = declarations;
+    m_rest.m_services.clear();
     m_declarationsRevision = revision;
     return true;
 }
 
+void NewsBook::removeService(const std::string& name, ConfigVersion version)
+{
+    m_removedServices[name] = version;
+    if (m_removedServices.size() <= c_keptRemovals)
+        return;
+    const auto oldest = std::min_element(m_removedServices.begin(), m_removedServices.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    m_servicesSince = std::max(m_servicesSince, oldest->second);
+    m_removedServices.erase(oldest);
+}
+
+std::optional<ServiceDeclarations> NewsBook::merged(const DeclarationNews& news) const
+{
+    const bool follows = news.m_isComplete || m_rest.m_version != ConfigVersion {};
+    if (news.m_rest.m_version <= m_rest.m_version || !follows)
+        return std::nullopt;
+    std::map<std::string, DeclaredService> services;
+    if (!news.m_isComplete) {
+        for (const auto& [name, entry] : m_services)
+            services.emplace(name, entry.m_service);
+    }
+    for (const DeclaredService& service : news.m_changed)
+        services.insert_or_assign(service.m_name, service);
+    for (const std::string& name : news.m_removed)
+        services.erase(name);
+    ServiceDeclarations declarations = news.m_rest;
+    declarations.m_services.reserve(services.size());
+    for (auto& [name, service] : services)
+        declarations.m_services.push_back(std::move(service));
+    return declarations;
+}
+
+DeclarationNews NewsBook::declarationsSince(ConfigVersion known) const
+{
+    DeclarationNews news;
+    news.m_isComplete = known < m_servicesSince;
+    news.m_rest = m_rest;
+    for (const auto& [name, entry] : m_services) {
+        if (news.m_isComplete || entry.m_version > known)
+            news.m_changed.push_back(entry.m_service);
+    }
+    for (const auto& [name, version] : m_removedServices) {
+        if (!news.m_isComplete && version > known)
+            news.m_removed.push_back(name);
+    }
+    return news;
+}
+
 News NewsBook::since(const KnownState& known) const
 {
     News news;
@@ -89,8 +154,8 @@
             news.m_withdrawn.push_back(identity);
     }
     news.m_declarationsRevision = m_declarationsRevision;
-    if (m_declarations.m_version > known.m_declarations)
-        news.m_declarations = m_declarations;
+    if (m_rest.m_version > known.m_declarations)
+        news.m_declarations = declarationsSince(known.m_declarations);
     return news;
 }
 
--- a/src/exchange/NewsBook.h
+++ b/src/exchange/NewsBook.h
@@ -8,26 +8,35 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace cuminrelay {
 
+/// What is new of the declarations.
+struct DeclarationNews {
+    bool m_isComplete = false; ///< m_changed holds all services; otherwise what has changed
+    std::vector<DeclaredService> m_changed;
+    std::vector<std::string> m_removed; ///< names
+    ServiceDeclarations m_rest; ///< everything but the services
+};
+
 /// What one entry VM tells another of the store.
 struct News {
     bool m_isComplete = false; ///< m_backends holds all of them; otherwise what has changed
     std::vector<AnnouncedBackend> m_backends;
     std::vector<BackendIdentity> m_withdrawn;
     StoreRevision m_backendsRevision;
-    std::optional<ServiceDeclarations> m_declarations;
+    std::optional<DeclarationNews> m_declarations;
     StoreRevision m_declarationsRevision;
 };
 
 /// What this entry VM knows of the store, from the store itself or from others, and since when: answers what is new
 /// since a state that another VM knows. What is older than the state held is never taken, whoever tells it.
-/// Memory: O(backend servers and services); withdrawals of the last c_keptWithdrawals.
+/// Memory: O(backend servers and services); the last c_keptRemovals of each that are gone.
 class NewsBook {
 public:
-    static constexpr std::size_t c_keptWithdrawals = 512;
+    static constexpr std::size_t c_keptRemovals = 2'048;
 
     /// Take what is new; false, and nothing is taken, when it is not newer than what is held. Changes that are none do
     /// not make the state a newer one, unless another VM tells them.
@@ -35,10 +44,14 @@
     bool take(const BackendChanges& changes);
     bool take(const ServiceDeclarations& declarations, StoreRevision revision);
 
+    /// The whole declarations that news from another VM make of the ones held; nothing when they are not newer, or do
+    /// not follow on what is held.
+    std::optional<ServiceDeclarations> merged(const DeclarationNews& news) const;
+
     /// What is new since a state. Everything when what has changed since is no longer known.
     News since(const KnownState& known) const;
 
-    KnownState state() const { return { m_backendsRevision, m_declarations.m_version }; }
+    KnownState state() const { return { m_backendsRevision, m_rest.m_version }; }
 
 private:
     struct Entry {
@@ -46,13 +59,23 @@
         StoreRevision m_revision; ///< when it changed last
     };
 
+    struct ServiceEntry {
+        DeclaredService m_service;
+        ConfigVersion m_version; ///< when it changed last
+    };
+
+    void removeService(const std::string& name, ConfigVersion version);
+    DeclarationNews declarationsSince(ConfigVersion known) const;
     void withdraw(BackendIdentity identity, StoreRevision revision);
 
     std::map<BackendIdentity, Entry> m_backends;
     std::map<BackendIdentity, StoreRevision> m_withdrawn;
     StoreRevision m_backendsRevision;
     StoreRevision m_changesSince; ///< changes after this are known one by one
-    ServiceDeclarations m_declarations;
+    std::map<std::string, ServiceEntry, std::less<>> m_services; ///< by name
+    std::map<std::string, ConfigVersion, std::less<>> m_removedServices;
+    ServiceDeclarations m_rest; ///< everything but the services
+    ConfigVersion m_servicesSince; ///< changes after this are known one by one
     StoreRevision m_declarationsRevision;
 };
 
--- a/src/exchange/NewsClient.cpp
+++ b/src/exchange/NewsClient.cpp
@@ -22,7 +22,11 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds c_timeout { 300 }; // several round trips between zones
+    /// Many round trips between zones.
+    constexpr std::chrono::milliseconds c_connectTimeout { 300 };
+
+    /// A large change may have to wait for a narrow link; asking again would add to what it carries.
+    constexpr std::chrono::milliseconds c_answerTimeout { 2'000 };
     constexpr std::uint64_t c_longestAnswerBytes = 16'000'000;
     constexpr unsigned c_httpVersion = 11;
 
@@ -46,13 +50,14 @@
     // Taken out of its place meanwhile, so that a failure leaves none behind.
     boost::beast::tcp_stream stream = isKept ? std::move(*m_stream) : boost::beast::tcp_stream { m_executor };
     m_stream.reset();
-    stream.expires_after(c_timeout);
+    stream.expires_after(c_connectTimeout);
     if (!isKept) {
         const asio::ip::tcp::endpoint endpoint { asio::ip::address_v4 { peer.m_address }, peer.m_port };
         co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
             co_return unavailable(peer, failure.message());
     }
+    stream.expires_after(c_answerTimeout);
     http::request<http::empty_body> request { http::verb::get, newsTarget(known), c_httpVersion };
     request.set(http::field::host, formatEndpoint(peer));
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
--- a/src/exchange/NewsMessage.cpp
+++ b/src/exchange/NewsMessage.cpp
@@ -5,10 +5,11 @@
 
 #include <algorithm>
 #include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <cstring>
+#include <capnp/serialize-packed.h>
 #include <fmt/format.h>
 #include <kj/exception.h>
+#include <kj/io.h>
+#include <span>
 #include <vector>
 
 namespace cuminrelay {
@@ -16,7 +17,7 @@
 namespace {
 
     constexpr int c_nestingLimit = 8;
-    constexpr std::size_t c_longestNewsBytes = 16'000'000;
+    constexpr std::uint64_t c_longestNewsWords = 2'000'000;
 
     void writeBackend(wire::Backend::Builder builder, const AnnouncedBackend& backend, Instant now)
     {
@@ -58,33 +59,66 @@
         return backend;
     }
 
-    void writeDeclarations(wire::Declarations::Builder builder, const ServiceDeclarations& declarations)
-    {
-        builder.setVersion(declarations.m_version.m_number);
-        builder.setIdleTimeoutMs(static_cast<std::uint64_t>(declarations.m_idleTimeout.count()));
-        capnp::List<wire::HealthCheck>::Builder checks
-            = builder.initHealthChecks(static_cast<unsigned>(declarations.m_healthChecks.size()));
-        for (unsigned i = 0; i < checks.size(); ++i) {
-            checks[i].setSelector(formatSelector(declarations.m_healthChecks[i].m_selector));
-            checks[i].setPath(declarations.m_healthChecks[i].m_path);
+    /// Gathers distinct selectors; most services share a few.
+    class SelectorTable {
+    public:
+        std::uint32_t indexOf(const Selector& selector)
+        {
+            std::string text = formatSelector(selector);
+            const auto found = std::find(m_texts.begin(), m_texts.end(), text);
+            const std::size_t index = static_cast<std::size_t>(found - m_texts.begin());
+            if (found == m_texts.end())
+                m_texts.push_back(std::move(text));
+            return static_cast<std::uint32_t>(index);
         }
-        capnp::List<wire::Service>::Builder services
-            = builder.initServices(static_cast<unsigned>(declarations.m_services.size()));
-        for (unsigned i = 0; i < services.size(); ++i) {
-            const DeclaredService& service = declarations.m_services[i];
-            services[i].setName(service.m_name);
-            services[i].setAddress(service.m_address.packed());
-            services[i].setKind(static_cast<std::uint8_t>(service.m_kind));
-            capnp::List<wire::WeightedSelector>::Builder selectors
-                = services[i].initSelectors(static_cast<unsigned>(service.m_selectors.size()));
-            for (unsigned j = 0; j < selectors.size(); ++j) {
-                selectors[j].setSelector(formatSelector(service.m_selectors[j].m_selector));
-                selectors[j].setWeight(service.m_selectors[j].m_weight);
+
+        const std::vector<std::string>& texts() const { return m_texts; }
+
+    private:
+        std::vector<std::string> m_texts;
+    };
+
+    void writeServices(capnp::List<wire::Service>::Builder builders, std::span<const DeclaredService> services,
+        SelectorTable& selectors)
+    {
+        for (unsigned i = 0; i < builders.size(); ++i) {
+            const DeclaredService& service = services[i];
+            builders[i].setName(service.m_name);
+            builders[i].setAddress(service.m_address.packed());
+            builders[i].setKind(static_cast<std::uint8_t>(service.m_kind));
+            capnp::List<wire::WeightedSelector>::Builder weighted
+                = builders[i].initSelectors(static_cast<unsigned>(service.m_selectors.size()));
+            for (unsigned j = 0; j < weighted.size(); ++j) {
+                weighted[j].setSelector(selectors.indexOf(service.m_selectors[j].m_selector));
+                weighted[j].setWeight(service.m_selectors[j].m_weight);
             }
         }
     }
 
-    Outcome<DeclaredService> readService(wire::Service::Reader reader)
+    void writeDeclarations(wire::Declarations::Builder builder, const DeclarationNews& news)
+    {
+        builder.setVersion(news.m_rest.m_version.m_number);
+        builder.setIdleTimeoutMs(static_cast<std::uint64_t>(news.m_rest.m_idleTimeout.count()));
+        builder.setComplete(news.m_isComplete);
+        SelectorTable selectors;
+        writeServices(builder.initServices(static_cast<unsigned>(news.m_changed.size())), news.m_changed, selectors);
+        capnp::List<capnp::Text>::Builder removed
+            = builder.initRemoved(static_cast<unsigned>(news.m_removed.size()));
+        for (unsigned i = 0; i < removed.size(); ++i)
+            removed.set(i, news.m_removed[i]);
+        capnp::List<capnp::Text>::Builder texts
+            = builder.initSelectors(static_cast<unsigned>(selectors.texts().size()));
+        for (unsigned i = 0; i < texts.size(); ++i)
+            texts.set(i, selectors.texts()[i]);
+        const std::vector<HealthCheck>& known = news.m_rest.m_healthChecks;
+        capnp::List<wire::HealthCheck>::Builder checks = builder.initHealthChecks(static_cast<unsigned>(known.size()));
+        for (unsigned i = 0; i < checks.size(); ++i) {
+            checks[i].setSelector(formatSelector(known[i].m_selector));
+            checks[i].setPath(known[i].m_path);
+        }
+    }
+
+    Outcome<DeclaredService> readService(wire::Service::Reader reader, std::span<const Selector> selectors)
     {
         DeclaredService service;
         service.m_name = reader.getName().cStr();
@@ -93,32 +127,42 @@
         if (service.m_kind > RequestKind::Upload)
             return Error { ErrorKind::InvalidInput, fmt::format("found kind {}; allowed: 0 to 2", reader.getKind()) };
         for (const wire::WeightedSelector::Reader weighted : reader.getSelectors()) {
-            Outcome<Selector> selector = parseSelector(weighted.getSelector().cStr());
-            if (!selector)
-                return selector.error();
-            service.m_selectors.push_back({ std::move(selector.value()), weighted.getWeight() });
+            if (weighted.getSelector() >= selectors.size())
+                return Error { ErrorKind::InvalidInput,
+                    fmt::format("found selector {} of {}", weighted.getSelector(), selectors.size()) };
+            service.m_selectors.push_back({ selectors[weighted.getSelector()], weighted.getWeight() });
         }
         return service;
     }
 
-    Outcome<ServiceDeclarations> readDeclarations(wire::Declarations::Reader reader)
+    Outcome<DeclarationNews> readDeclarations(wire::Declarations::Reader reader)
     {
-        ServiceDeclarations declarations;
-        declarations.m_version = { reader.getVersion() };
-        declarations.m_idleTimeout = std::chrono::milliseconds { reader.getIdleTimeoutMs() };
+        DeclarationNews news;
+        news.m_isComplete = reader.getComplete();
+        news.m_rest.m_version = { reader.getVersion() };
+        news.m_rest.m_idleTimeout = std::chrono::milliseconds { reader.getIdleTimeoutMs() };
+        std::vector<Selector> selectors;
+        for (const capnp::Text::Reader text : reader.getSelectors()) {
+            Outcome<Selector> selector = parseSelector(text.cStr());
+            if (!selector)
+                return selector.error();
+            selectors.push_back(std::move(selector.value()));
+        }
         for (const wire::HealthCheck::Reader check : reader.getHealthChecks()) {
             Outcome<Selector> selector = parseSelector(check.getSelector().cStr());
             if (!selector)
                 return selector.error();
-            declarations.m_healthChecks.push_back({ std::move(selector.value()), check.getPath().cStr() });
+            news.m_rest.m_healthChecks.push_back({ std::move(selector.value()), check.getPath().cStr() });
         }
         for (const wire::Service::Reader service : reader.getServices()) {
-            Outcome<DeclaredService> read = readService(service);
+            Outcome<DeclaredService> read = readService(service, selectors);
             if (!read)
                 return read.error();
-            declarations.m_services.push_back(std::move(read.value()));
+            news.m_changed.push_back(std::move(read.value()));
         }
-        return declarations;
+        for (const capnp::Text::Reader name : reader.getRemoved())
+            news.m_removed.emplace_back(name.cStr());
+        return news;
     }
 
     Outcome<News> readNews(wire::News::Reader reader, Instant now)
@@ -132,7 +176,7 @@
             news.m_withdrawn.push_back({ identity });
         news.m_declarationsRevision = { reader.getDeclarationsRevision() };
         if (reader.hasDeclarations()) {
-            Outcome<ServiceDeclarations> declarations = readDeclarations(reader.getDeclarations());
+            Outcome<DeclarationNews> declarations = readDeclarations(reader.getDeclarations());
             if (!declarations)
                 return declarations.error();
             news.m_declarations = std::move(declarations.value());
@@ -157,22 +201,20 @@
     root.setDeclarationsRevision(news.m_declarationsRevision.m_number);
     if (news.m_declarations)
         writeDeclarations(root.initDeclarations(), *news.m_declarations);
-    const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
-    return { reinterpret_cast<const char*>(words.begin()), words.size() * sizeof(capnp::word) };
+    kj::VectorOutputStream packed;
+    capnp::writePackedMessage(packed, builder);
+    const kj::ArrayPtr<kj::byte> bytes = packed.getArray();
+    return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
 }
 
 Outcome<News> decodeNews(std::string_view bytes, Instant now)
 {
-    if (bytes.size() > c_longestNewsBytes)
-        return Error { ErrorKind::InvalidInput,
-            fmt::format("found {} bytes of news; allowed: {}", bytes.size(), c_longestNewsBytes) };
-    std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word)); // aligned, as the bytes may not be
-    std::memcpy(static_cast<void*>(words.data()), bytes.data(), words.size() * sizeof(capnp::word));
     capnp::ReaderOptions options;
-    options.traversalLimitInWords = 2 * words.size() + 1;
+    options.traversalLimitInWords = c_longestNewsWords;
     options.nestingLimit = c_nestingLimit;
     try {
-        capnp::FlatArrayMessageReader message { { words.data(), words.size() }, options };
+        kj::ArrayInputStream packed { { reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size() } };
+        capnp::PackedMessageReader message { packed, options };
         return readNews(message.getRoot<wire::News>(), now);
     } catch (const kj::Exception& exception) {
         return Error { ErrorKind::InvalidInput, fmt::format("malformed news: {}", exception.getDescription().cStr()) };
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -159,14 +159,15 @@
         m_parts.m_metrics.counter("cuminrelay_exchange_drops_total", message ? "not_member" : "malformed").add();
         return;
     }
-    const std::size_t before = m_peers.size();
+    const std::size_t before = m_peers.nearPeers().size();
     m_peers.noteMessage(peer, message.value(), now);
     m_router.notePeerLoad(peer, message.value().m_loads, now);
     if (message.value().m_zone == m_message.m_zone)
-        m_router.noteSilentHints(message.value().m_silent, now);
-    if (m_peers.size() != before)
+        m_router.noteDeadHints(message.value().m_dead, now);
+    if (m_peers.nearPeers().size() != before)
         m_parts.m_log.info("exchange", "peers_changed",
-            { { "peer", formatEndpoint(peer) }, { "leaving", message.value().m_leaving }, { "peers", m_peers.size() } });
+            { { "peer", formatEndpoint(peer) }, { "leaving", message.value().m_leaving },
+                { "near", m_peers.nearPeers().size() }, { "all", m_peers.size() } });
 }
 
 asio::awaitable<void> RelayProcess::keepHouse()
@@ -235,18 +236,20 @@
         backendsChanged(changes);
     }
     m_backendsWatch.advanceTo(news.m_backendsRevision);
-    if (!news.m_declarations)
+    const std::optional<ServiceDeclarations> declarations
+        = news.m_declarations ? m_book.merged(*news.m_declarations) : std::nullopt;
+    if (!declarations)
         return;
-    declared(*news.m_declarations, news.m_declarationsRevision);
+    declared(*declarations, news.m_declarationsRevision);
     m_declarationsWatch.advanceTo(news.m_declarationsRevision);
 }
 
 /// Tells the own zone at once that there is something to ask for.
 void RelayProcess::tellNews(Instant now)
 {
-    if (!m_hasNews)
+    const bool hasNews = std::exchange(m_hasNews, false);
+    if (!hasNews || !m_backendsWatch.isFollowing())
         return;
-    m_hasNews = false;
     sendTo(m_peers.nearPeers(), now);
 }
 
@@ -256,14 +259,14 @@
     m_router.ownLoad(loads);
     if (loads.size() > c_mostLoads)
         loads.resize(c_mostLoads);
-    std::vector<BackendToken> silent = m_router.silentBackends(now);
-    if (silent.size() > c_mostSilent)
-        silent.resize(c_mostSilent);
-    if (now < m_tellAt && m_message.m_loads == loads && m_message.m_silent == silent)
+    std::vector<BackendToken> dead = m_router.deadBackends();
+    if (dead.size() > c_mostDead)
+        dead.resize(c_mostDead);
+    if (now < m_tellAt && m_message.m_loads == loads && m_message.m_dead == dead)
         return;
     m_tellAt = now + c_tellInterval;
     m_message.m_loads = std::move(loads);
-    m_message.m_silent = std::move(silent);
+    m_message.m_dead = std::move(dead);
     sendTo(m_peers.nextTargets(now), now);
 }
 
@@ -291,7 +294,12 @@
 asio::awaitable<void> RelayProcess::ask(LifeProbe probe)
 {
     const BackendToken backend = probe.m_backend;
-    const ProbeOutcome outcome = co_await m_parts.m_inquiry.ask(std::move(probe));
+    ProbeOutcome outcome = co_await m_parts.m_inquiry.ask(std::move(probe));
+    if (outcome == ProbeOutcome::Unanswered) {
+        std::optional<LifeProbe> control = m_router.controlProbe(backend, m_parts.m_clock.now());
+        if (!control || co_await m_parts.m_inquiry.ask(std::move(*control)) != ProbeOutcome::Answered)
+            outcome = ProbeOutcome::Unclear;
+    }
     m_parts.m_metrics.counter("cuminrelay_probes_total", outcomeName(outcome)).add();
     const std::vector<FlowReset> resets = m_router.noteProbe(backend, outcome, m_parts.m_clock.now());
     for (const FlowReset& reset : resets)
