affinity: paired questions decide on death; silent backend servers are asked instead of tried with callers' flows

Change: after a first unanswered question the backend server and a control are asked at the same moment, and two rounds in which only the control answers are needed; those found dead are asked again after 1, 2, 4 s without a control; silence ends by an answer, never by a trial.

--- a/src/affinity/BackendCatalog.h
+++ b/src/affinity/BackendCatalog.h
@@ -38,6 +38,7 @@
     bool m_confirmedDead = false; ///< silent to callers, and it did not take a connection either
     bool m_isProbed = false; ///< a connection to it is being opened
     Deadline m_probeAt {}; ///< not to be asked again before
+    Duration m_recheckDelay {}; ///< grows with each time that it was found dead still
     BackendLoad m_own; ///< by flows that pass this VM
     BackendLoad m_peers; ///< as other VMs tell
 
--- a/src/affinity/CarriedRouter.cpp
+++ b/src/affinity/CarriedRouter.cpp
@@ -22,8 +22,9 @@
     /// A backend server that answered within this is alive, whatever the store says.
     constexpr Duration c_recentAnswer = std::chrono::seconds { 2 };
 
-    /// How often a backend server that was found dead is asked again.
+    /// When a backend server that was found dead is asked again at first, and how rarely in the end.
     constexpr Duration c_probeInterval = std::chrono::seconds { 1 };
+    constexpr Duration c_longestRecheck = std::chrono::seconds { 4 };
 
     /// And one of which a probe did not tell.
     constexpr Duration c_unclearInterval = std::chrono::milliseconds { 300 };
@@ -194,8 +195,8 @@
     const auto isListed = [](const KnownBackend& backend) {
         return backend.m_presence == Presence::Announced || backend.m_life.answeredAt() > backend.m_withdrawnAt;
     };
-    const auto isSound = [this, now](const KnownBackend& backend) {
-        return !backend.m_confirmedDead && !backend.m_life.isSilent(now) && !isBeyondCut(backend, now);
+    const auto isSound = [this](const KnownBackend& backend) {
+        return !backend.m_confirmedDead && !backend.m_life.isSilent() && !isBeyondCut(backend);
     };
     // Rather a backend server whose entry lapsed, or one that is silent to this VM, than none.
     const bool found = collect([&](const KnownBackend& backend) { return isListed(backend) && isSound(backend); })
@@ -213,10 +214,6 @@
         candidate.m_longFlows = backend->m_own.m_longFlows + backend->m_peers.m_longFlows;
     }
     KnownBackend* const chosen = m_eligible[m_placement.choose(m_candidates, demand)];
-    chosen->m_life.beginTrial(now);
-    const auto zone = m_zones.find(chosen->m_announced.m_server.m_zone);
-    if (zone != m_zones.end())
-        zone->second.beginTrial(now);
     return chosen;
 }
 
@@ -239,7 +236,7 @@
 
 void CarriedRouter::noteAnswer(KnownBackend& backend, Instant now)
 {
-    const bool wasSilent = backend.m_confirmedDead || backend.m_life.isSilent(now);
+    const bool wasSilent = backend.m_confirmedDead || backend.m_life.isSilent();
     backend.m_life.noteAnswer(now);
     backend.m_confirmedDead = false;
     if (backend.m_announced.m_server.m_zone != m_options.m_zone)
@@ -250,19 +247,19 @@
 
 void CarriedRouter::noteSilence(KnownBackend& backend, Instant sentAt, Instant now)
 {
-    const bool wasSilent = backend.m_life.isSilent(now);
-    backend.m_life.noteUnansweredOpening(sentAt, now);
+    const bool wasSilent = backend.m_life.isSilent();
+    backend.m_life.noteUnansweredOpening(sentAt);
     if (backend.m_announced.m_server.m_zone != m_options.m_zone)
-        m_zones[backend.m_announced.m_server.m_zone].noteUnansweredOpening(sentAt, now);
-    if (!wasSilent && backend.m_life.isSilent(now))
+        m_zones[backend.m_announced.m_server.m_zone].noteUnansweredOpening(sentAt);
+    if (!wasSilent && backend.m_life.isSilent())
         m_observer.lifeChanged(backend, true, now);
 }
 
 /// Whether nothing of the backend server's zone, which is another one, has answered since one there went silent.
-bool CarriedRouter::isBeyondCut(const KnownBackend& backend, Instant now) const
+bool CarriedRouter::isBeyondCut(const KnownBackend& backend) const
 {
     const auto zone = m_zones.find(backend.m_announced.m_server.m_zone);
-    return zone != m_zones.end() && zone->second.isSilent(now);
+    return zone != m_zones.end() && zone->second.isSilent();
 }
 
 /// Whether the flows of a backend server are certainly lost, so that their callers are better off with a new flow.
@@ -339,9 +336,12 @@
         if (!isWanted || backend.m_isProbed || now < backend.m_probeAt || backend.m_presence == Presence::Departed)
             return;
         backend.m_isProbed = true;
-        backend.m_probeAt = now + c_probeInterval;
+        backend.m_recheckDelay = backend.m_confirmedDead ? std::min(2 * backend.m_recheckDelay, c_longestRecheck)
+                                                         : c_probeInterval;
+        backend.m_probeAt = now + backend.m_recheckDelay;
         const bool isRecent = backend.m_life.hasAnsweredWithin(m_options.m_addressReuse, now);
         probes.push_back(probeOf(backend, backend.m_confirmedDead || !isRecent));
+        probes.back().m_isRecheck = backend.m_confirmedDead;
     });
     return probes;
 }
@@ -350,14 +350,14 @@
 {
     const BackendServer& server = backend.m_announced.m_server;
     return { backend.m_token, backend.m_announced.m_identity, server.m_tunnel,
-        std::string { m_services.healthPath(server.m_labels) }, mustIdentify };
+        std::string { m_services.healthPath(server.m_labels) }, mustIdentify, false };
 }
 
 std::optional<LifeProbe> CarriedRouter::controlProbe(BackendToken other, Instant now) const
 {
     const KnownBackend* best = nullptr;
     m_backends.forEach([&](const KnownBackend& backend) {
-        const bool isUsable = backend.m_token != other && !backend.m_confirmedDead && !backend.m_life.isSilent(now)
+        const bool isUsable = backend.m_token != other && !backend.m_confirmedDead && !backend.m_life.isSilent()
             && backend.m_presence == Presence::Announced && backend.m_announced.m_server.m_zone == m_options.m_zone
             && backend.m_life.hasAnsweredWithin(c_controlAge, now);
         if (isUsable && (!best || backend.m_life.answeredAt() > best->m_life.answeredAt()))
--- a/src/affinity/CarriedRouter.h
+++ b/src/affinity/CarriedRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "affinity/BackendCatalog.h"
+#include "affinity/LifeProbe.h"
 #include "affinity/RouterObserver.h"
 #include "affinity/ServiceMap.h"
 #include "affinity/TrackedFlows.h"
@@ -30,22 +31,6 @@
     friend constexpr bool operator==(const BackendLoadReport&, const BackendLoadReport&) = default;
 };
 
-/// A backend server whose life is in doubt, to be asked itself.
-struct LifeProbe {
-    BackendToken m_backend;
-    BackendIdentity m_identity;
-    Endpoint m_endpoint;
-    std::string m_healthPath; ///< where it says who it is; empty when nobody said
-    bool m_mustIdentify = false; ///< another one may have its address by now
-};
-
-/// What came of asking.
-enum class ProbeOutcome : std::uint8_t {
-    Answered, ///< by the backend server itself
-    Unanswered, ///< or answered by another one that has its address now
-    Unclear, ///< somebody answered, and did not say who
-};
-
 /// Decides, for one entry VM, what becomes of each packet when the flow's packets carry the token of its backend
 /// server. Any VM that knows the backend servers can serve any packet, so that nothing is handed over when VMs come and
 /// go and no flow is copied. What is kept of flows only helps to place new ones and to notice backend servers that died.
@@ -125,7 +110,7 @@
     void noteAnswer(KnownBackend& backend, Instant now);
     void noteSilence(KnownBackend& backend, Instant sentAt, Instant now);
     LifeProbe probeOf(const KnownBackend& backend, bool mustIdentify) const;
-    bool isBeyondCut(const KnownBackend& backend, Instant now) const;
+    bool isBeyondCut(const KnownBackend& backend) const;
     bool isGone(const KnownBackend& backend, Instant now) const;
     bool knowsAllServices() const { return m_declarationsCurrent && m_services.version() != ConfigVersion {}; }
     void forgetPeer(const PeerReports& peer);
--- /dev/null
+++ b/src/affinity/DeathTrial.cpp
@@ -0,0 +1,17 @@
+#include "affinity/DeathTrial.h"
+
+namespace cuminrelay {
+
+std::optional<ProbeOutcome> DeathTrial::take(const Round& round)
+{
+    ++m_rounds;
+    if (round.m_outcome != ProbeOutcome::Unanswered || m_isRecheck)
+        return round.m_outcome;
+    if (m_rounds > 1 && !round.m_hasControl)
+        return ProbeOutcome::Unclear; // nobody to tell this VM's faults from the backend server's
+    if (round.m_controlAnswered && ++m_against == s_roundsAgainst)
+        return ProbeOutcome::Unanswered;
+    return m_rounds < s_mostRounds ? std::nullopt : std::optional { ProbeOutcome::Unclear };
+}
+
+} // namespace cuminrelay
--- a/src/affinity/LifeSigns.cpp
+++ b/src/affinity/LifeSigns.cpp
@@ -23,15 +23,11 @@
     forgive();
 }
 
-void LifeSigns::noteUnansweredOpening(Instant sentAt, Instant now)
+void LifeSigns::noteUnansweredOpening(Instant sentAt)
 {
     if (sentAt <= m_answeredAt)
         return;
-    if (m_silentSince == Instant {}) {
-        m_silentSince = sentAt;
-        m_trialAt = now + c_trialInterval;
-    }
-    m_silentSince = std::min(m_silentSince, sentAt);
+    m_silentSince = m_silentSince == Instant {} ? sentAt : std::min(m_silentSince, sentAt);
     m_doubtedSince = m_silentSince;
     ++m_unanswered;
 }
@@ -51,30 +47,16 @@
 {
     if (now - m_answeredAt < c_hintAge)
         return;
-    if (m_silentSince == Instant {}) {
+    if (m_silentSince == Instant {})
         m_silentSince = now;
-        m_trialAt = now + c_trialInterval;
-    }
     if (m_doubtedSince == Instant {})
         m_doubtedSince = now;
 }
 
-bool LifeSigns::isSilent(Instant now) const
-{
-    return m_silentSince != Instant {} && now < m_trialAt;
-}
-
-void LifeSigns::beginTrial(Instant now)
-{
-    if (m_silentSince != Instant {})
-        m_trialAt = now + c_trialInterval;
-}
-
 void LifeSigns::forgive()
 {
     m_silentSince = Instant {};
     m_doubtedSince = Instant {};
-    m_trialAt = Deadline {};
     m_unanswered = 0;
 }
 
--- a/src/affinity/LifeSigns.h
+++ b/src/affinity/LifeSigns.h
@@ -14,8 +14,9 @@
     /// A caller has acknowledged something new from the backend server.
     void noteAnswer(Instant now);
 
-    /// An opening that was first sent there at sentAt is sent again: it was not answered in time.
-    void noteUnansweredOpening(Instant sentAt, Instant now);
+    /// An opening that was first sent there at sentAt is sent again: it was not answered in time. Nothing when there was
+    /// an answer since.
+    void noteUnansweredOpening(Instant sentAt);
 
     /// A request that was first sent there at sentAt is sent again. A backend server that is busy acknowledges a single
     /// packet with its answer; one such request counts only where answers are frequent.
@@ -24,9 +25,8 @@
     /// Another entry VM finds the backend server silent.
     void noteHint(Instant now);
 
-    /// Whether new flows should go elsewhere. Every c_trialInterval one flow may try all the same (beginTrial).
-    bool isSilent(Instant now) const;
-    void beginTrial(Instant now);
+    /// Whether new flows should go elsewhere, until it answers: a caller, or when it is asked because of the doubt.
+    bool isSilent() const { return m_silentSince != Instant {}; }
 
     /// Whether something went unanswered, here or at another entry VM, and nothing was answered since: grounds to ask
     /// the backend server itself.
@@ -48,11 +48,7 @@
     Instant m_answeredAt {}; ///< epoch: never
     Instant m_silentSince {}; ///< when the oldest opening was sent that is unanswered; epoch: none
     Instant m_doubtedSince {}; ///< likewise for anything that was sent
-    Deadline m_trialAt {};
     std::uint32_t m_unanswered = 0; ///< callers' repetitions since the last answer
 };
 
-/// How often a silent backend server is given a flow to find out whether it answers again.
-inline constexpr Duration c_trialInterval = std::chrono::seconds { 1 };
-
 } // namespace cuminrelay
--- a/src/relay/BackendInquiry.h
+++ b/src/relay/BackendInquiry.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "affinity/CarriedRouter.h"
+#include "affinity/LifeProbe.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -14,6 +14,7 @@
     BackendInquiry& operator=(const BackendInquiry&) = delete;
     virtual ~BackendInquiry() = default;
 
+    /// Asks once. Unanswered when no connection was taken within a time that is many round trips.
     virtual boost::asio::awaitable<ProbeOutcome> ask(LifeProbe probe) = 0;
 };
 
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -1,5 +1,6 @@
 #include "relay/RelayProcess.h"
 
+#include "affinity/DeathTrial.h"
 #include "base/Hash.h"
 #include "packets/DatagramBatch.h"
 
@@ -7,6 +8,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -18,6 +20,7 @@
 
     namespace asio = boost::asio;
     using asio::ip::udp;
+    using asio::experimental::awaitable_operators::operator&&;
 
     constexpr auto c_asTuple = asio::as_tuple(asio::use_awaitable);
 
@@ -294,12 +297,25 @@
 asio::awaitable<void> RelayProcess::ask(LifeProbe probe)
 {
     const BackendToken backend = probe.m_backend;
-    ProbeOutcome outcome = co_await m_parts.m_inquiry.ask(std::move(probe));
-    if (outcome == ProbeOutcome::Unanswered) {
-        std::optional<LifeProbe> control = m_router.controlProbe(backend, m_parts.m_clock.now());
-        if (!control || co_await m_parts.m_inquiry.ask(std::move(*control)) != ProbeOutcome::Answered)
-            outcome = ProbeOutcome::Unclear;
+    DeathTrial trial { probe.m_isRecheck };
+    std::optional<ProbeOutcome> finding;
+    while (!finding) {
+        DeathTrial::Round round;
+        std::optional<LifeProbe> control;
+        if (trial.needsControl())
+            control = m_router.controlProbe(backend, m_parts.m_clock.now());
+        round.m_hasControl = control.has_value();
+        if (control) {
+            const auto [asked, controlled]
+                = co_await (m_parts.m_inquiry.ask(probe) && m_parts.m_inquiry.ask(std::move(*control)));
+            round.m_outcome = asked;
+            round.m_controlAnswered = controlled == ProbeOutcome::Answered;
+        } else {
+            round.m_outcome = co_await m_parts.m_inquiry.ask(probe);
+        }
+        finding = trial.take(round);
     }
+    const ProbeOutcome outcome = *finding;
     m_parts.m_metrics.counter("cuminrelay_probes_total", outcomeName(outcome)).add();
     const std::vector<FlowReset> resets = m_router.noteProbe(backend, outcome, m_parts.m_clock.now());
     for (const FlowReset& reset : resets)
