--- a/src/affinity/BackendCatalog.cpp
+++ b/src/affinity/BackendCatalog.cpp
@@ -11,7 +11,7 @@
     bool isOlder(const AnnouncedBackend& left, const AnnouncedBackend& right)
     {
         return std::pair { left.m_startedAtUnixMs, left.m_identity }
-            < std::pair { right.m_startedAtUnixMs, right.m_identity };
+        < std::pair { right.m_startedAtUnixMs, right.m_identity };
     }
 
 } // namespace
--- a/src/affinity/BackendCatalog.h
+++ b/src/affinity/BackendCatalog.h
@@ -50,7 +50,8 @@
 /// gone: those that live are back within two seconds of the store's return.
 inline constexpr Duration c_lapseGrace = std::chrono::milliseconds { 2'500 };
 
-/// How long a backend server that has departed is remembered, so that its flows can be told: the longest life of a flow.
+/// How long a backend server that has departed is remembered, so that its flows can be told: the longest life of a
+/// flow.
 inline constexpr Duration c_departedMemory = std::chrono::seconds { 60 };
 
 /// All backend servers that this entry VM has heard of, by the token that packets carry. Two that share a token are
--- a/src/affinity/CarriedRouter.cpp
+++ b/src/affinity/CarriedRouter.cpp
@@ -147,8 +147,8 @@
     return forwardTo(*backend);
 }
 
-Verdict CarriedRouter::turnAway(const PacketSummary& packet, VerdictKind kind, Reason reason,
-    const KnownBackend* backend, Instant now) const
+Verdict CarriedRouter::turnAway(
+    const PacketSummary& packet, VerdictKind kind, Reason reason, const KnownBackend* backend, Instant now) const
 {
     Verdict verdict;
     verdict.m_kind = kind;
@@ -336,8 +336,8 @@
         if (!isWanted || backend.m_isProbed || now < backend.m_probeAt || backend.m_presence == Presence::Departed)
             return;
         backend.m_isProbed = true;
-        backend.m_recheckDelay = backend.m_confirmedDead ? std::min(2 * backend.m_recheckDelay, c_longestRecheck)
-                                                         : c_probeInterval;
+        backend.m_recheckDelay
+            = backend.m_confirmedDead ? std::min(2 * backend.m_recheckDelay, c_longestRecheck) : c_probeInterval;
         backend.m_probeAt = now + backend.m_recheckDelay;
         const bool isRecent = backend.m_life.hasAnsweredWithin(m_options.m_addressReuse, now);
         probes.push_back(probeOf(backend, backend.m_confirmedDead || !isRecent));
--- a/src/affinity/CarriedRouter.h
+++ b/src/affinity/CarriedRouter.h
@@ -33,7 +33,8 @@
 
 /// Decides, for one entry VM, what becomes of each packet when the flow's packets carry the token of its backend
 /// server. Any VM that knows the backend servers can serve any packet, so that nothing is handed over when VMs come and
-/// go and no flow is copied. What is kept of flows only helps to place new ones and to notice backend servers that died.
+/// go and no flow is copied. What is kept of flows only helps to place new ones and to notice backend servers that
+/// died.
 ///
 /// An opening is placed by FlowPlacement among the backend servers that the service's selectors take. A copy of it
 /// goes to the same one, unless that one has shown no sign of life since.
@@ -102,10 +103,11 @@
     Verdict decideOpening(const PacketSummary& packet, FlowHash hash, Instant now);
     Verdict decideMidstream(const PacketSummary& packet, FlowHash hash, Instant now);
     Verdict openAgain(const PacketSummary& packet, FlowHash hash, TrackedFlow& flow, Instant now);
-    Verdict turnAway(const PacketSummary& packet, VerdictKind kind, Reason reason, const KnownBackend* backend,
-        Instant now) const;
+    Verdict turnAway(
+        const PacketSummary& packet, VerdictKind kind, Reason reason, const KnownBackend* backend, Instant now) const;
     KnownBackend* place(const ServiceMap::Entry& service, FlowHash hash, BackendToken avoided, Instant now);
-    KnownBackend* placeIn(std::span<KnownBackend* const> pool, const FlowDemand& demand, BackendToken avoided, Instant now);
+    KnownBackend* placeIn(
+        std::span<KnownBackend* const> pool, const FlowDemand& demand, BackendToken avoided, Instant now);
     std::span<KnownBackend* const> poolOf(SelectorIndex selector);
     void noteAnswer(KnownBackend& backend, Instant now);
     void noteSilence(KnownBackend& backend, Instant sentAt, Instant now);
--- /dev/null
+++ b/src/affinity/CarriedRouterTest.cpp
@@ -0,0 +1,394 @@
+#include "affinity/CarriedRouter.h"
+
+#include "placement/LeastWorkPlacement.h"
+
+#include <algorithm>
+#include <array>
+#include <gtest/gtest.h>
+#include <memory>
+#include <rapidcheck/gtest.h>
+#include <string>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr Endpoint c_feeds { 0xc6120001, 443 };
+    constexpr Endpoint c_forms { 0xc6120001, 8080 };
+    constexpr Instant c_start { std::chrono::seconds { 100 } };
+
+    using std::chrono::milliseconds;
+
+    class SilentObserver final : public RouterObserver {
+    public:
+        void placed(const PacketSummary&, const KnownBackend&, PlacementCause, std::size_t, Instant) override { }
+        void turnedAway(const PacketSummary&, const Verdict&, const KnownBackend*, Instant) override { }
+        void lifeChanged(const KnownBackend&, bool, Instant) override { }
+    };
+
+    AnnouncedBackend makeBackend(
+        std::uint64_t identity, std::string_view zone = "a", std::string_view app = "kanteisha")
+    {
+        AnnouncedBackend backend;
+        backend.m_identity = { identity };
+        backend.m_startedAtUnixMs = identity;
+        backend.m_server.m_name = "i-" + std::to_string(identity);
+        backend.m_server.m_zone = zone;
+        backend.m_server.m_tunnel = { 0x0a800000 + static_cast<std::uint32_t>(identity), 8080 };
+        backend.m_server.m_slots = 2;
+        backend.m_server.m_labels.emplace("app", app);
+        return backend;
+    }
+
+    ServiceDeclarations makeDeclarations(std::uint64_t version)
+    {
+        const Selector selector { { { "app", SelectorOperator::Equals, { "kanteisha" } } } };
+        ServiceDeclarations declarations;
+        declarations.m_version = { version };
+        declarations.m_services = { { "feeds", c_feeds, RequestKind::Idempotent, { { selector, 1 } } },
+            { "forms", c_forms, RequestKind::NonIdempotent, { { selector, 1 } } } };
+        declarations.m_healthChecks = { { selector, "/health" } };
+        return declarations;
+    }
+
+    PacketSummary makePacket(PacketKind kind, std::uint16_t port, Endpoint service = c_forms)
+    {
+        PacketSummary packet;
+        packet.m_flow.m_caller = { 0x64400007, port };
+        packet.m_flow.m_service = service;
+        packet.m_kind = kind;
+        return packet;
+    }
+
+    /// One entry VM in zone a.
+    struct Vm {
+        explicit Vm(std::size_t backends = 3)
+        {
+            std::vector<AnnouncedBackend> announced;
+            for (std::uint64_t i = 1; i <= backends; ++i)
+                announced.push_back(makeBackend(i));
+            m_router.backends().replaceAll(announced, m_now);
+            m_router.declare(makeDeclarations(1));
+            m_router.setDeclarationsCurrent(true);
+        }
+
+        Verdict send(const PacketSummary& packet)
+        {
+            std::array<Verdict, 1> verdicts;
+            m_router.decide({ &packet, 1 }, verdicts, m_now);
+            return verdicts[0];
+        }
+
+        Verdict open(std::uint16_t port, Endpoint service = c_forms, std::uint8_t copy = 0)
+        {
+            PacketSummary packet = makePacket(PacketKind::Opening, port, service);
+            packet.m_copy = copy;
+            return send(packet);
+        }
+
+        /// Data of a flow that carries a token.
+        Verdict data(std::uint16_t port, std::uint32_t token, std::uint32_t sequence, std::uint32_t acknowledgment = 1,
+            Endpoint service = c_forms)
+        {
+            PacketSummary packet = makePacket(PacketKind::Midstream, port, service);
+            packet.m_carriedToken = token;
+            packet.m_sequence = sequence;
+            packet.m_acknowledgment = acknowledgment;
+            packet.m_payloadBytes = 100;
+            return send(packet);
+        }
+
+        void wait(Duration duration)
+        {
+            m_now += duration;
+            m_router.tick(m_now);
+        }
+
+        KnownBackend& backend(std::uint32_t token) { return *m_router.backends().find(BackendToken { token }); }
+
+        LeastWorkPlacement m_placement;
+        SilentObserver m_observer;
+        CarriedRouter m_router { { "a" }, m_placement, m_observer };
+        Instant m_now = c_start;
+    };
+
+    TEST(CarriedRouterTest, anyVmThatKnowsTheBackendServersContinuesAFlow)
+    {
+        Vm first;
+        const Verdict opened = first.open(1);
+        ASSERT_EQ(opened.m_kind, VerdictKind::ToBackend);
+        Vm second; // has seen nothing of the flow
+        const Verdict continued = second.data(1, opened.m_token, 10);
+        EXPECT_EQ(continued.m_kind, VerdictKind::ToBackend);
+        EXPECT_EQ(continued.m_target, opened.m_target);
+        EXPECT_EQ(continued.m_identity, opened.m_identity);
+        EXPECT_EQ(continued.m_token, opened.m_token);
+    }
+
+    TEST(CarriedRouterTest, aVmWithoutConfigurationRefusesAndResetsNothing)
+    {
+        SilentObserver observer;
+        LeastWorkPlacement placement;
+        CarriedRouter router { { "a" }, placement, observer };
+        for (const PacketKind kind :
+            { PacketKind::Opening, PacketKind::Midstream, PacketKind::HalfClose, PacketKind::Reset }) {
+            const PacketSummary packet = makePacket(kind, 1);
+            std::array<Verdict, 1> verdicts;
+            router.decide({ &packet, 1 }, verdicts, c_start);
+            EXPECT_EQ(verdicts[0].m_kind, VerdictKind::Drop);
+        }
+    }
+
+    TEST(CarriedRouterTest, anUnknownServiceIsRefusedOnlyByWhoIsCurrent)
+    {
+        Vm vm;
+        const Endpoint unknown { 0xc6120009, 443 };
+        EXPECT_EQ(vm.open(1, unknown).m_kind, VerdictKind::Refuse);
+        vm.m_router.setDeclarationsCurrent(false);
+        EXPECT_EQ(vm.open(1, unknown).m_kind, VerdictKind::Drop);
+        EXPECT_EQ(vm.data(1, 7, 10, 1, unknown).m_kind, VerdictKind::Drop);
+    }
+
+    TEST(CarriedRouterTest, olderDeclarationsAreNotTaken)
+    {
+        Vm vm;
+        EXPECT_TRUE(vm.m_router.declare(makeDeclarations(5)));
+        EXPECT_FALSE(vm.m_router.declare(makeDeclarations(4)));
+        EXPECT_FALSE(vm.m_router.declare(makeDeclarations(5)));
+        EXPECT_EQ(vm.m_router.configVersion().m_number, 5u);
+    }
+
+    TEST(CarriedRouterTest, anUnknownTokenIsDroppedAndNotReset)
+    {
+        Vm vm;
+        const Verdict verdict = vm.data(1, tokenOf({ 999 }).m_value, 10);
+        EXPECT_EQ(verdict.m_kind, VerdictKind::Drop);
+        EXPECT_EQ(verdict.m_reason, Reason::UnknownBackend);
+    }
+
+    TEST(CarriedRouterTest, aDrainingBackendServerKeepsItsFlowsAndGetsNoNewOnes)
+    {
+        Vm vm { 2 };
+        const Verdict opened = vm.open(1);
+        AnnouncedBackend draining = vm.backend(opened.m_token).m_announced;
+        draining.m_server.m_draining = true;
+        vm.m_router.backends().announce(draining, vm.m_now);
+        EXPECT_EQ(vm.data(1, opened.m_token, 10).m_target, opened.m_target);
+        for (std::uint16_t port = 2; port < 40; ++port)
+            EXPECT_NE(vm.open(port).m_target, opened.m_target);
+    }
+
+    TEST(CarriedRouterTest, whenAllEntriesLapseTheBackendServersAreStillUsed)
+    {
+        Vm vm;
+        const Verdict opened = vm.open(1);
+        vm.m_router.backends().replaceAll({}, vm.m_now); // the store has forgotten them in an outage
+        EXPECT_EQ(vm.open(2).m_kind, VerdictKind::ToBackend);
+        vm.wait(c_lapseGrace / 2);
+        EXPECT_EQ(vm.data(1, opened.m_token, 10).m_kind, VerdictKind::ToBackend);
+        vm.wait(c_lapseGrace);
+        EXPECT_EQ(vm.open(3).m_kind, VerdictKind::Refuse);
+        EXPECT_EQ(vm.data(1, opened.m_token, 200).m_kind, VerdictKind::ResetCaller);
+    }
+
+    TEST(CarriedRouterTest, aLapsedBackendServerThatStillAnswersKeepsItsFlows)
+    {
+        Vm vm;
+        const Verdict opened = vm.open(1);
+        vm.m_router.backends().replaceAll({}, vm.m_now);
+        std::uint32_t acknowledgment = 1;
+        for (int i = 0; i < 50; ++i) {
+            vm.wait(milliseconds { 100 });
+            EXPECT_EQ(vm.data(1, opened.m_token, 10 + 100 * static_cast<std::uint32_t>(i), ++acknowledgment).m_kind,
+                VerdictKind::ToBackend);
+        }
+    }
+
+    TEST(CarriedRouterTest, aCopyOfAnOpeningGoesToTheSameBackendServerWhileItLives)
+    {
+        Vm vm;
+        const Verdict opened = vm.open(1);
+        vm.wait(milliseconds { 100 });
+        vm.m_router.noteProbe(BackendToken { opened.m_token }, ProbeOutcome::Answered, vm.m_now);
+        vm.wait(milliseconds { 100 });
+        EXPECT_EQ(vm.open(1, c_forms, 1).m_target, opened.m_target);
+    }
+
+    TEST(CarriedRouterTest, aCopyOfAnOpeningLeavesASilentBackendServer)
+    {
+        Vm vm;
+        const Verdict opened = vm.open(1);
+        vm.wait(milliseconds { 200 });
+        const Verdict second = vm.open(1, c_forms, 1);
+        EXPECT_EQ(second.m_kind, VerdictKind::ToBackend);
+        EXPECT_NE(second.m_target, opened.m_target);
+        for (std::uint16_t port = 2; port < 40; ++port)
+            EXPECT_NE(vm.open(port).m_target, opened.m_target);
+    }
+
+    TEST(CarriedRouterTest, aDuplicatedOpeningIsNoCopy)
+    {
+        Vm vm;
+        const Verdict opened = vm.open(1);
+        vm.wait(milliseconds { 5 });
+        EXPECT_EQ(vm.open(1, c_forms, 1).m_target, opened.m_target);
+    }
+
+    // Two backend servers have answered the opening; the caller's packets carry the token of whichever answer came
+    // last, but the flow is open at the one whose answer the caller acknowledged first.
+    TEST(CarriedRouterTest, aFlowWithTwoChoicesStaysWhereItsFirstPacketSaid)
+    {
+        Vm vm;
+        const Verdict first = vm.open(1);
+        vm.wait(milliseconds { 200 });
+        const Verdict second = vm.open(1, c_forms, 1);
+        ASSERT_NE(first.m_token, second.m_token);
+        EXPECT_EQ(vm.data(1, first.m_token, 10).m_target, first.m_target);
+        const Verdict later = vm.data(1, second.m_token, 110);
+        EXPECT_EQ(later.m_target, first.m_target);
+        EXPECT_EQ(later.m_token, first.m_token); // so that the next packets carry the right one again
+    }
+
+    /// Makes a backend server doubtful: an opening and its copy without a sign of life.
+    Verdict doubt(Vm& vm, std::uint16_t port)
+    {
+        const Verdict opened = vm.open(port);
+        vm.wait(milliseconds { 200 });
+        vm.open(port, c_forms, 1);
+        return opened;
+    }
+
+    TEST(CarriedRouterTest, aBackendServerInDoubtIsAskedOnceAtATime)
+    {
+        Vm vm;
+        const Verdict opened = doubt(vm, 1);
+        const std::vector<LifeProbe> probes = vm.m_router.takeProbes(vm.m_now);
+        ASSERT_EQ(probes.size(), 1u);
+        EXPECT_EQ(probes[0].m_backend.m_value, opened.m_token);
+        EXPECT_EQ(probes[0].m_healthPath, "/health");
+        EXPECT_TRUE(vm.m_router.takeProbes(vm.m_now).empty());
+    }
+
+    TEST(CarriedRouterTest, flowsOfADeadBackendServerAreResetAndThoseOfALivingOneNever)
+    {
+        Vm vm;
+        const Verdict lost = vm.open(1);
+        vm.data(1, lost.m_token, 10);
+        vm.wait(milliseconds { 200 });
+        doubt(vm, 2);
+        std::vector<LifeProbe> probes = vm.m_router.takeProbes(vm.m_now);
+        vm.backend(lost.m_token).m_life.noteUnansweredOpening(vm.m_now);
+        probes = vm.m_router.takeProbes(vm.m_now);
+        const std::vector<FlowReset> resets
+            = vm.m_router.noteProbe(BackendToken { lost.m_token }, ProbeOutcome::Unanswered, vm.m_now);
+        ASSERT_EQ(resets.size(), 1u);
+        EXPECT_EQ(resets[0].m_flow.m_caller.m_port, 1);
+        EXPECT_EQ(vm.data(1, lost.m_token, 110).m_kind, VerdictKind::ResetCaller);
+
+        vm.m_router.noteProbe(BackendToken { lost.m_token }, ProbeOutcome::Answered, vm.m_now); // it was beyond a cut
+        EXPECT_EQ(vm.data(1, lost.m_token, 210).m_kind, VerdictKind::ToBackend);
+    }
+
+    TEST(CarriedRouterTest, anUnclearProbeResetsNobody)
+    {
+        Vm vm;
+        const Verdict opened = vm.open(1);
+        vm.data(1, opened.m_token, 10);
+        vm.backend(opened.m_token).m_life.noteUnansweredOpening(vm.m_now);
+        vm.m_router.takeProbes(vm.m_now);
+        EXPECT_TRUE(vm.m_router.noteProbe(BackendToken { opened.m_token }, ProbeOutcome::Unclear, vm.m_now).empty());
+        EXPECT_EQ(vm.data(1, opened.m_token, 110).m_kind, VerdictKind::ToBackend);
+    }
+
+    // An address is given to another backend server 2 s after its owner ended: whoever answers there then has to say
+    // who it is.
+    TEST(CarriedRouterTest, whoWasSilentForLongHasToSayWhoItIs)
+    {
+        Vm vm;
+        const Verdict opened = vm.open(1);
+        vm.data(1, opened.m_token, 10, 5);
+        vm.wait(milliseconds { 1'500 });
+        vm.backend(opened.m_token).m_life.noteUnansweredOpening(vm.m_now);
+        const std::vector<LifeProbe> early = vm.m_router.takeProbes(vm.m_now);
+        ASSERT_EQ(early.size(), 1u);
+        EXPECT_FALSE(early[0].m_mustIdentify);
+        vm.m_router.noteProbe(BackendToken { opened.m_token }, ProbeOutcome::Unclear, vm.m_now);
+        vm.wait(milliseconds { 1'000 });
+        const std::vector<LifeProbe> late = vm.m_router.takeProbes(vm.m_now);
+        ASSERT_EQ(late.size(), 1u);
+        EXPECT_TRUE(late[0].m_mustIdentify);
+    }
+
+    TEST(CarriedRouterTest, afterAPauseWaitingOpeningsAreDroppedAndSilenceIsForgiven)
+    {
+        Vm vm;
+        const Verdict opened = doubt(vm, 1);
+        ASSERT_TRUE(vm.backend(opened.m_token).m_life.isSilent());
+        vm.m_router.notePause(vm.m_now + milliseconds { 50 });
+        EXPECT_FALSE(vm.backend(opened.m_token).m_life.isSilent());
+        EXPECT_EQ(vm.open(2).m_kind, VerdictKind::Drop);
+        EXPECT_EQ(vm.data(3, opened.m_token, 10).m_kind, VerdictKind::ToBackend);
+        vm.wait(milliseconds { 60 });
+        EXPECT_EQ(vm.open(2).m_kind, VerdictKind::ToBackend);
+    }
+
+    TEST(CarriedRouterTest, aZoneOfWhichNothingAnswersIsAvoidedAsAWhole)
+    {
+        Vm vm { 0 };
+        std::vector<AnnouncedBackend> announced { makeBackend(1, "a"), makeBackend(2, "b"), makeBackend(3, "b"),
+            makeBackend(4, "b") };
+        vm.m_router.backends().replaceAll(announced, vm.m_now);
+        const BackendToken far = tokenOf({ 2 });
+        // Fill the near one until a far one is taken.
+        std::uint16_t port = 1;
+        Verdict opened = vm.open(port);
+        while (vm.backend(opened.m_token).m_announced.m_server.m_zone == "a" && port < 50)
+            opened = vm.open(++port);
+        ASSERT_EQ(vm.backend(opened.m_token).m_announced.m_server.m_zone, "b");
+        vm.wait(milliseconds { 200 });
+        vm.open(port, c_forms, 1);
+        for (std::uint16_t next = 100; next < 120; ++next)
+            EXPECT_EQ(vm.backend(vm.open(next).m_token).m_announced.m_server.m_zone, "a");
+        vm.m_router.noteProbe(far, ProbeOutcome::Answered, vm.m_now);
+        bool usesFar = false;
+        for (std::uint16_t next = 200; next < 240; ++next)
+            usesFar = usesFar || vm.backend(vm.open(next).m_token).m_announced.m_server.m_zone == "b";
+        EXPECT_TRUE(usesFar);
+    }
+
+    TEST(CarriedRouterTest, newFlowsLookAtWhatOtherVmsTell)
+    {
+        Vm vm;
+        const std::vector<BackendLoadReport> reports { { tokenOf({ 1 }), { 9, 0 } }, { tokenOf({ 2 }), { 9, 0 } } };
+        vm.m_router.notePeerLoad({ 1, 7720 }, reports, vm.m_now);
+        EXPECT_EQ(vm.open(1).m_identity, 3u);
+        vm.m_router.notePeerLoad({ 1, 7720 }, {}, vm.m_now);
+        EXPECT_EQ(vm.backend(tokenOf({ 1 }).m_value).m_peers, BackendLoad {});
+    }
+
+    TEST(CarriedRouterTest, aVmThatFallsSilentNoLongerCounts)
+    {
+        Vm vm;
+        const std::vector<BackendLoadReport> reports { { tokenOf({ 1 }), { 9, 4 } } };
+        vm.m_router.notePeerLoad({ 1, 7720 }, reports, vm.m_now);
+        vm.wait(milliseconds { 700 });
+        EXPECT_EQ(vm.backend(tokenOf({ 1 }).m_value).m_peers, BackendLoad {});
+    }
+
+    RC_GTEST_PROP(CarriedRouterTest, noPacketLeavesForABackendServerThatItsTokenDoesNotName, ())
+    {
+        Vm vm { 5 };
+        const std::vector<std::uint32_t> tokens = *rc::gen::container<std::vector<std::uint32_t>>(
+            rc::gen::oneOf(rc::gen::arbitrary<std::uint32_t>(), rc::gen::map(rc::gen::inRange(1, 6), [](int identity) {
+                return tokenOf({ static_cast<std::uint64_t>(identity) }).m_value;
+            })));
+        for (const std::uint32_t token : tokens) {
+            const std::uint16_t port = static_cast<std::uint16_t>(*rc::gen::inRange(1, 5));
+            const Verdict verdict = vm.data(port, token, *rc::gen::arbitrary<std::uint32_t>());
+            if (verdict.m_kind == VerdictKind::ToBackend && token != 0)
+                RC_ASSERT(tokenOf({ verdict.m_identity }).m_value == token);
+            vm.wait(milliseconds { *rc::gen::inRange(0, 500) });
+        }
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/affinity/LifeSigns.h
+++ b/src/affinity/LifeSigns.h
@@ -14,8 +14,8 @@
     /// A caller has acknowledged something new from the backend server.
     void noteAnswer(Instant now);
 
-    /// An opening that was first sent there at sentAt is sent again: it was not answered in time. Nothing when there was
-    /// an answer since.
+    /// An opening that was first sent there at sentAt is sent again: it was not answered in time. Nothing when there
+    /// was an answer since.
     void noteUnansweredOpening(Instant sentAt);
 
     /// A request that was first sent there at sentAt is sent again. A backend server that is busy acknowledges a single
--- a/src/bench/ChangeExperiment.cpp
+++ b/src/bench/ChangeExperiment.cpp
@@ -1,8 +1,8 @@
 #include "bench/ChangeExperiment.h"
 
+#include "base/Backoff.h"
 #include "configuration/Lookup.h"
 #include "configuration/Selector.h"
-#include "base/Backoff.h"
 #include "control/ControlState.h"
 
 #include <algorithm>
--- a/src/bench/FleetDesign.h
+++ b/src/bench/FleetDesign.h
@@ -3,8 +3,8 @@
 #include "backends/BackendBoard.h"
 #include "base/Time.h"
 #include "configuration/Model.h"
-#include "packets/Packet.h"
 #include "members/Member.h"
+#include "packets/Packet.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/control/ControlProcess.h
+++ b/src/control/ControlProcess.h
@@ -5,10 +5,10 @@
 #include "control/ControlSettings.h"
 #include "control/PlatformTasks.h"
 #include "control/ProbeTasks.h"
+#include "objectapi/HttpPlatformClient.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 #include "observe/MetricsServer.h"
-#include "objectapi/HttpPlatformClient.h"
 #include "settings/Program.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "control/ControlOptions.h"
-#include "observe/Log.h"
 #include "objectapi/PlatformSettings.h"
+#include "observe/Log.h"
 #include "settings/SettingsReader.h"
 
 namespace cuminrelay {
--- a/src/control/EntryTask.cpp
+++ b/src/control/EntryTask.cpp
@@ -1,8 +1,8 @@
 #include "control/EntryTask.h"
 
 #include "backends/BackendMessage.h"
-#include "configuration/ConfigurationMessage.h"
 #include "base/Backoff.h"
+#include "configuration/ConfigurationMessage.h"
 #include "members/MemberMessage.h"
 
 #include <capnp/rpc-twoparty.h>
--- a/src/control/PlatformTasks.h
+++ b/src/control/PlatformTasks.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "control/AsyncSignal.h"
 #include "base/Backoff.h"
+#include "control/AsyncSignal.h"
 #include "control/FleetInbox.h"
 #include "control/FleetListener.h"
+#include "objectapi/PlatformClient.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
-#include "objectapi/PlatformClient.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -1,9 +1,9 @@
 #include "discovery/StoreWatch.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <algorithm>
 #include <utility>
 
 namespace cuminrelay {
@@ -22,10 +22,12 @@
     /// The store answers a watch that has waited in milliseconds; a slow one gets this much more.
     constexpr Duration c_waitGrace = std::chrono::milliseconds { 1'500 };
 
-    /// Changes come in groups. What comes within this after a change is taken with one call more, not with one for each.
+    /// Changes come in groups. What comes within this after a change is taken with one call more, not with one for
+    /// each.
     constexpr std::chrono::milliseconds c_coalescing { 400 };
 
-    constexpr Backoff::Limits c_retries { std::chrono::milliseconds { 50 }, std::chrono::milliseconds { 1'000 }, 1'000 };
+    constexpr Backoff::Limits c_retries { std::chrono::milliseconds { 50 }, std::chrono::milliseconds { 1'000 },
+        1'000 };
 
     asio::awaitable<void> sleepFor(Duration duration)
     {
@@ -59,8 +61,8 @@
                 co_await sleepFor(c_coalescing);
         } else if (taken.error().m_kind == ErrorKind::Stale) {
             m_environment.m_metrics.counter("cuminrelay_store_retries_total", "history_gone").add();
-            m_environment.m_log.warning("discovery", "store_history_gone",
-                { { "watch", m_name }, { "revision", m_revision.m_number } });
+            m_environment.m_log.warning(
+                "discovery", "store_history_gone", { { "watch", m_name }, { "revision", m_revision.m_number } });
             m_hasAll = false;
         } else {
             noteContact(false, taken.error().m_message);
--- a/src/discovery/StoreWatch.h
+++ b/src/discovery/StoreWatch.h
@@ -35,7 +35,6 @@
     /// Runs for as long as the process does.
     boost::asio::awaitable<void> run();
 
-
     /// Whether to follow the store. While it does not, others tell what is new; a call that waits is not given up.
     void setReading(bool reading);
 
--- a/src/entry/PacketPath.h
+++ b/src/entry/PacketPath.h
@@ -9,9 +9,9 @@
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 #include "packets/FouFrontEnd.h"
+#include "packets/FouVerdictSender.h"
 #include "packets/PeerFilter.h"
 #include "packets/PeerFrontEnd.h"
-#include "packets/FouVerdictSender.h"
 #include "placement/PlacementPolicy.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -13,8 +13,8 @@
 namespace cuminrelay {
 
 /// Decides which entry VMs are told of this VM's load and when. VMs of the own zone place flows at the same backend
-/// servers and are told often; one VM of another zone is told each time, in turn. What is known of others comes from the
-/// seeds and from what those pass on; it only helps placement, and a VM that nobody knows of serves all the same.
+/// servers and are told often; one VM of another zone is told each time, in turn. What is known of others comes from
+/// the seeds and from what those pass on; it only helps placement, and a VM that nobody knows of serves all the same.
 class ExchangePeers {
 public:
     ExchangePeers(Endpoint self, ZoneHash zone, std::span<const Endpoint> seeds);
--- /dev/null
+++ b/src/exchange/ExchangePeersTest.cpp
@@ -0,0 +1,161 @@
+#include "exchange/ExchangePeers.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <memory>
+#include <set>
+
+namespace cuminrelay {
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::uint16_t c_port = 7720;
+
+    /// Some VMs in two zones that tell each other on a virtual clock; a VM can be cut off from the store or be killed.
+    class Fleet {
+    public:
+        Fleet(std::size_t perZone, std::size_t zones)
+        {
+            const std::vector<Endpoint> seeds { { 1, c_port }, { 2, c_port } };
+            for (std::uint32_t i = 0; i < perZone * zones; ++i) {
+                const Endpoint self { i + 1, c_port };
+                const ZoneHash zone { static_cast<std::uint32_t>(i % zones) };
+                m_vms.push_back(std::make_unique<Vm>(Vm { self, zone, ExchangePeers { self, zone, seeds } }));
+            }
+        }
+
+        void run(Duration duration)
+        {
+            for (const Instant end = m_now + duration; m_now < end; m_now += milliseconds { 25 }) {
+                for (const std::unique_ptr<Vm>& vm : m_vms)
+                    step(*vm);
+            }
+        }
+
+        /// The VMs of a zone that follow the store in contact.
+        std::vector<std::size_t> readers(std::uint32_t zone) const
+        {
+            std::vector<std::size_t> found;
+            for (std::size_t i = 0; i < m_vms.size(); ++i) {
+                if (m_vms[i]->m_zone.m_value == zone && m_vms[i]->m_isAlive && m_vms[i]->m_isReading)
+                    found.push_back(i);
+            }
+            return found;
+        }
+
+        struct Vm {
+            Endpoint m_self;
+            ZoneHash m_zone;
+            ExchangePeers m_peers;
+            bool m_isAlive = true;
+            bool m_reachesStore = true;
+            bool m_tries = false;
+            bool m_isReading = false;
+            KnownState m_known {};
+        };
+
+        std::vector<std::unique_ptr<Vm>> m_vms;
+        Instant m_now { std::chrono::seconds { 100 } };
+
+    private:
+        void step(Vm& vm)
+        {
+            if (!vm.m_isAlive)
+                return;
+            vm.m_tries = vm.m_peers.shouldRead(m_now);
+            vm.m_isReading = vm.m_tries && vm.m_reachesStore;
+            LoadMessage message;
+            message.m_zone = vm.m_zone;
+            message.m_isReading = vm.m_isReading;
+            message.m_known = vm.m_known;
+            message.m_peers = vm.m_peers.somePeers(m_now);
+            for (const Endpoint target : vm.m_peers.nextTargets(m_now)) {
+                Vm& other = *m_vms[target.m_address - 1];
+                if (other.m_isAlive && target != vm.m_self)
+                    other.m_peers.noteMessage(vm.m_self, message, m_now);
+            }
+        }
+    };
+
+    TEST(ExchangePeersTest, everybodyHearsOfEverybodyThroughTheSeeds)
+    {
+        Fleet fleet { 6, 3 };
+        fleet.run(std::chrono::seconds { 5 });
+        for (const std::unique_ptr<Fleet::Vm>& vm : fleet.m_vms)
+            EXPECT_EQ(vm->m_peers.size(), 17u);
+    }
+
+    TEST(ExchangePeersTest, oneVmOfEachZoneFollowsTheStore)
+    {
+        Fleet fleet { 20, 2 };
+        fleet.run(std::chrono::seconds { 5 });
+        EXPECT_EQ(fleet.readers(0).size(), 1u);
+        EXPECT_EQ(fleet.readers(1).size(), 1u);
+    }
+
+    TEST(ExchangePeersTest, theNextOneTakesOverFromAReaderThatDies)
+    {
+        Fleet fleet { 20, 2 };
+        fleet.run(std::chrono::seconds { 5 });
+        const std::size_t reader = fleet.readers(0).front();
+        fleet.m_vms[reader]->m_isAlive = false;
+        fleet.run(milliseconds { 700 });
+        ASSERT_EQ(fleet.readers(0).size(), 1u);
+        EXPECT_NE(fleet.readers(0).front(), reader);
+    }
+
+    TEST(ExchangePeersTest, whenTheStoreRefusesTheReaderAnotherOneIsFoundWithinTheBoundOfConfiguration)
+    {
+        Fleet fleet { 3, 3 };
+        fleet.run(std::chrono::seconds { 5 });
+        fleet.m_vms[fleet.readers(0).front()]->m_reachesStore = false;
+        fleet.run(milliseconds { 1'500 });
+        EXPECT_EQ(fleet.readers(0).size(), 1u);
+    }
+
+    TEST(ExchangePeersTest, anOutageIsNotMetByAllVmsAtOnce)
+    {
+        Fleet fleet { 20, 2 };
+        fleet.run(std::chrono::seconds { 5 });
+        for (const std::unique_ptr<Fleet::Vm>& vm : fleet.m_vms)
+            vm->m_reachesStore = false;
+        fleet.run(milliseconds { 2'000 });
+        const auto tries = std::count_if(
+            fleet.m_vms.begin(), fleet.m_vms.end(), [](const std::unique_ptr<Fleet::Vm>& vm) { return vm->m_tries; });
+        EXPECT_GE(tries, 2);
+        EXPECT_LE(tries, 8);
+    }
+
+    TEST(ExchangePeersTest, newsOfTheOwnZoneIsAskedForAtOnceAndThatOfAnotherAfterAWhile)
+    {
+        Fleet fleet { 2, 2 };
+        fleet.run(std::chrono::seconds { 3 });
+        Fleet::Vm& vm = *fleet.m_vms[0];
+        vm.m_known = { { 10 }, { 1 } };
+        for (const std::unique_ptr<Fleet::Vm>& other : fleet.m_vms)
+            other->m_known = vm.m_known;
+        fleet.run(milliseconds { 500 });
+        EXPECT_EQ(vm.m_peers.newerPeer(vm.m_known, fleet.m_now), std::nullopt);
+        fleet.m_vms[1]->m_known.m_backends = { 11 }; // another zone
+        fleet.run(milliseconds { 300 });
+        EXPECT_EQ(vm.m_peers.newerPeer(vm.m_known, fleet.m_now), std::nullopt);
+        fleet.run(milliseconds { 800 });
+        EXPECT_EQ(vm.m_peers.newerPeer(vm.m_known, fleet.m_now), fleet.m_vms[1]->m_self);
+        fleet.m_vms[2]->m_known.m_backends = { 11 }; // the own zone
+        fleet.run(milliseconds { 100 });
+        EXPECT_EQ(vm.m_peers.newerPeer(vm.m_known, fleet.m_now), fleet.m_vms[2]->m_self);
+    }
+
+    TEST(ExchangePeersTest, whoLeavesIsForgotten)
+    {
+        Fleet fleet { 3, 1 };
+        fleet.run(std::chrono::seconds { 2 });
+        LoadMessage goodbye;
+        goodbye.m_leaving = true;
+        fleet.m_vms[0]->m_peers.noteMessage(fleet.m_vms[1]->m_self, goodbye, fleet.m_now);
+        EXPECT_EQ(fleet.m_vms[0]->m_peers.size(), 1u);
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/exchange/NewsMessage.cpp
+++ b/src/exchange/NewsMessage.cpp
@@ -102,8 +102,7 @@
         builder.setComplete(news.m_isComplete);
         SelectorTable selectors;
         writeServices(builder.initServices(static_cast<unsigned>(news.m_changed.size())), news.m_changed, selectors);
-        capnp::List<capnp::Text>::Builder removed
-            = builder.initRemoved(static_cast<unsigned>(news.m_removed.size()));
+        capnp::List<capnp::Text>::Builder removed = builder.initRemoved(static_cast<unsigned>(news.m_removed.size()));
         for (unsigned i = 0; i < removed.size(); ++i)
             removed.set(i, news.m_removed[i]);
         capnp::List<capnp::Text>::Builder texts
--- a/src/exchange/NewsServer.cpp
+++ b/src/exchange/NewsServer.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-NewsServer::NewsServer(const boost::asio::any_io_executor& executor, const NewsBook& book, const Clock& clock,
-    Metrics& metrics, Log& log)
+NewsServer::NewsServer(
+    const boost::asio::any_io_executor& executor, const NewsBook& book, const Clock& clock, Metrics& metrics, Log& log)
     : GetServer(executor, "news", metrics, log)
     , m_book(book)
     , m_clock(clock)
@@ -41,8 +41,7 @@
 
 std::string newsTarget(const KnownState& known)
 {
-    return fmt::format(
-        "{}{}{}{}", c_path, known.m_backends.m_number, c_declarations, known.m_declarations.m_number);
+    return fmt::format("{}{}{}{}", c_path, known.m_backends.m_number, c_declarations, known.m_declarations.m_number);
 }
 
 Outcome<KnownState> parseNewsTarget(std::string_view target)
--- a/src/flows/FlowRouter.h
+++ b/src/flows/FlowRouter.h
@@ -7,10 +7,10 @@
 #include "flows/FlowRecord.h"
 #include "flows/FlowTable.h"
 #include "flows/OwnerMap.h"
-#include "packets/PacketRouter.h"
 #include "flows/ReplicaOutbox.h"
 #include "flows/ServiceTables.h"
 #include "flows/TableHistory.h"
+#include "packets/PacketRouter.h"
 #include "placement/PlacementPolicy.h"
 
 #include <cstdint>
--- a/src/flows/OwnerMap.h
+++ b/src/flows/OwnerMap.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "packets/Packet.h"
 #include "members/Member.h"
+#include "packets/Packet.h"
 
 #include <cstdint>
 #include <span>
--- a/src/objectapi/HttpPlatformClient.h
+++ b/src/objectapi/HttpPlatformClient.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/Time.h"
-#include "observe/Metrics.h"
 #include "objectapi/PlatformClient.h"
 #include "objectapi/PlatformSettings.h"
+#include "observe/Metrics.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
--- a/src/objectapi/RetryingPlatformClient.h
+++ b/src/objectapi/RetryingPlatformClient.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/Time.h"
-#include "observe/Metrics.h"
 #include "objectapi/PlatformClient.h"
 #include "objectapi/RetryPolicy.h"
+#include "observe/Metrics.h"
 
 #include <string_view>
 
--- a/src/operators/CommandLine.cpp
+++ b/src/operators/CommandLine.cpp
@@ -1,9 +1,9 @@
 #include "operators/CommandLine.h"
 
 #include "base/Hash.h"
-#include "observe/Metrics.h"
 #include "objectapi/HttpPlatformClient.h"
 #include "objectapi/RetryingPlatformClient.h"
+#include "observe/Metrics.h"
 #include "settings/JsonText.h"
 #include "settings/NearestName.h"
 #include "settings/Program.h"
--- a/src/operators/ExplainCommand.cpp
+++ b/src/operators/ExplainCommand.cpp
@@ -5,9 +5,9 @@
 #include "configuration/Lookup.h"
 #include "configuration/Selector.h"
 #include "flows/OwnerMap.h"
-#include "packets/Packet.h"
 #include "flows/ServiceTables.h"
 #include "operators/Fleet.h"
+#include "packets/Packet.h"
 
 #include <algorithm>
 #include <boost/json/array.hpp>
--- a/src/operators/Fleet.h
+++ b/src/operators/Fleet.h
@@ -4,8 +4,8 @@
 #include "base/Time.h"
 #include "configuration/Model.h"
 #include "members/Member.h"
-#include "operators/ZoneStatus.h"
 #include "objectapi/PlatformClient.h"
+#include "operators/ZoneStatus.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <optional>
--- a/src/packets/FouVerdictSender.cpp
+++ b/src/packets/FouVerdictSender.cpp
@@ -49,8 +49,8 @@
 {
 }
 
-void FouVerdictSender::send(std::span<const PacketSummary> summaries, std::span<const std::span<const std::byte>> packets,
-    std::span<const Verdict> verdicts)
+void FouVerdictSender::send(std::span<const PacketSummary> summaries,
+    std::span<const std::span<const std::byte>> packets, std::span<const Verdict> verdicts)
 {
     CR_ASSERT(verdicts.size() == summaries.size() && packets.size() == summaries.size(), "one verdict a packet");
     for (std::size_t i = 0; i < verdicts.size(); ++i)
--- a/src/packets/FouVerdictSender.h
+++ b/src/packets/FouVerdictSender.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "packets/Packet.h"
 #include "observe/Metrics.h"
 #include "packets/DatagramBatch.h"
+#include "packets/Packet.h"
 #include "packets/ReasonCounters.h"
 #include "packets/VerdictSender.h"
 
--- a/src/packets/ReasonCounters.h
+++ b/src/packets/ReasonCounters.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "packets/Packet.h"
 #include "observe/Metrics.h"
+#include "packets/Packet.h"
 
 #include <array>
 #include <string_view>
--- a/src/relay/FlowLog.cpp
+++ b/src/relay/FlowLog.cpp
@@ -67,8 +67,8 @@
 {
 }
 
-void FlowLog::placed(const PacketSummary& packet, const KnownBackend& backend, PlacementCause cause,
-    std::size_t candidates, Instant now)
+void FlowLog::placed(
+    const PacketSummary& packet, const KnownBackend& backend, PlacementCause cause, std::size_t candidates, Instant now)
 {
     m_metrics.counter("cuminrelay_openings_total", causeName(cause)).add();
     const BackendLoad& own = backend.m_own;
@@ -81,8 +81,7 @@
             { "config", version() } });
 }
 
-void FlowLog::turnedAway(
-    const PacketSummary& packet, const Verdict& verdict, const KnownBackend* backend, Instant now)
+void FlowLog::turnedAway(const PacketSummary& packet, const Verdict& verdict, const KnownBackend* backend, Instant now)
 {
     const std::string_view name = backend ? std::string_view { backend->m_announced.m_server.m_name } : "unknown";
     m_log.info("affinity", "flow_turned_away",
--- a/src/relay/ReadinessServer.cpp
+++ b/src/relay/ReadinessServer.cpp
@@ -4,7 +4,8 @@
 
 namespace cuminrelay {
 
-ReadinessServer::ReadinessServer(const boost::asio::any_io_executor& executor, std::string path, Metrics& metrics, Log& log)
+ReadinessServer::ReadinessServer(
+    const boost::asio::any_io_executor& executor, std::string path, Metrics& metrics, Log& log)
     : GetServer(executor, "readiness", metrics, log)
     , m_path(std::move(path))
     , m_yes(metrics.counter("cuminrelay_readiness_answers_total", "ready"))
--- a/src/relay/ReadinessServer.h
+++ b/src/relay/ReadinessServer.h
@@ -9,8 +9,7 @@
 /// Tells the fabric whether packets may be sent to this entry VM.
 class ReadinessServer final : public GetServer {
 public:
-    ReadinessServer(const boost::asio::any_io_executor& executor, std::string path,
-        Metrics& metrics, Log& log);
+    ReadinessServer(const boost::asio::any_io_executor& executor, std::string path, Metrics& metrics, Log& log);
 
     void setReady(bool ready);
     bool isReady() const { return m_isReady; }
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -409,8 +409,9 @@
             m_router.backends().announce(*change.m_backend, now);
         else
             m_router.backends().withdraw(change.m_identity, now);
-        const std::string_view state
-            = !change.m_backend ? "withdrawn" : change.m_backend->m_server.m_draining ? "draining" : "ready";
+        const std::string_view state = !change.m_backend ? "withdrawn"
+            : change.m_backend->m_server.m_draining      ? "draining"
+                                                         : "ready";
         m_parts.m_log.info("discovery", "backend_changed",
             { { "backend", change.m_backend ? std::string_view { change.m_backend->m_server.m_name } : "" },
                 { "token", tokenOf(change.m_identity).m_value }, { "state", state },
