affinity: a zone is believed about its own dead backend servers everywhere; exchange: kept connections end before the server's

Also five news_unavailable lines 'end of stream': the server closes connections that were idle for 5 s. Change: dead hints count in other zones when the teller is of the backend server's own zone; kept connections are used for 4 s. Test: aZoneIsBelievedAboutItsOwnBackendServersOnly.

--- a/src/affinity/CarriedRouter.cpp
+++ b/src/affinity/CarriedRouter.cpp
@@ -389,11 +389,14 @@
     return resets;
 }
 
-void CarriedRouter::noteDeadHints(std::span<const BackendToken> dead, Instant now)
+void CarriedRouter::noteDeadHints(std::span<const BackendToken> dead, ZoneHash teller, Instant now)
 {
+    const bool isNear = teller == hashZone(m_options.m_zone);
     for (const BackendToken token : dead) {
         KnownBackend* const backend = m_backends.find(token);
-        if (backend && !backend->m_confirmedDead)
+        if (!backend || backend->m_confirmedDead)
+            continue;
+        if (isNear || teller == hashZone(backend->m_announced.m_server.m_zone))
             backend->m_life.noteHint(now);
     }
 }
--- a/src/affinity/CarriedRouter.h
+++ b/src/affinity/CarriedRouter.h
@@ -5,6 +5,7 @@
 #include "affinity/RouterObserver.h"
 #include "affinity/ServiceMap.h"
 #include "affinity/TrackedFlows.h"
+#include "affinity/ZoneHash.h"
 #include "packets/PacketRouter.h"
 #include "placement/FlowPlacement.h"
 
@@ -60,8 +61,9 @@
     /// Takes what another VM tells of its flows. Replaces what it told before.
     void notePeerLoad(Endpoint peer, std::span<const BackendLoadReport> reports, Instant now);
 
-    /// Another VM of the own zone finds these dead. They are asked before this VM believes it.
-    void noteDeadHints(std::span<const BackendToken> dead, Instant now);
+    /// Another VM finds these dead. They are asked before this VM believes it. What a VM of another zone says counts
+    /// only for backend servers of that zone, because between zones there may be a cut.
+    void noteDeadHints(std::span<const BackendToken> dead, ZoneHash teller, Instant now);
 
     /// Backend servers that this VM found dead, for the others of its zone.
     std::vector<BackendToken> deadBackends() const;
--- a/src/affinity/CarriedRouterTest.cpp
+++ b/src/affinity/CarriedRouterTest.cpp
@@ -355,6 +355,21 @@
         EXPECT_TRUE(usesFar);
     }
 
+    // A dead backend server has no work and looks like the best choice from other zones, until its own zone tells them.
+    TEST(CarriedRouterTest, aZoneIsBelievedAboutItsOwnBackendServersOnly)
+    {
+        Vm vm { 0 };
+        vm.m_router.backends().replaceAll(
+            std::vector<AnnouncedBackend> { makeBackend(1, "a"), makeBackend(2, "b"), makeBackend(3, "c") }, vm.m_now);
+        const std::vector<BackendToken> dead { tokenOf({ 1 }), tokenOf({ 2 }), tokenOf({ 3 }) };
+        vm.m_router.noteDeadHints(dead, hashZone("b"), vm.m_now);
+        const std::vector<LifeProbe> probes = vm.m_router.takeProbes(vm.m_now);
+        ASSERT_EQ(probes.size(), 1u);
+        EXPECT_EQ(probes[0].m_identity.m_value, 2u);
+        vm.m_router.noteDeadHints(dead, hashZone("a"), vm.m_now);
+        EXPECT_EQ(vm.m_router.takeProbes(vm.m_now).size(), 2u);
+    }
+
     TEST(CarriedRouterTest, newFlowsLookAtWhatOtherVmsTell)
     {
         Vm vm;
--- a/src/exchange/LoadMessage.cpp
+++ b/src/exchange/LoadMessage.cpp
@@ -1,7 +1,6 @@
 #include "exchange/LoadMessage.h"
 
 #include "base/Assert.h"
-#include "base/Hash.h"
 #include "exchange/LoadExchange.capnp.h"
 
 #include <algorithm>
@@ -17,7 +16,6 @@
 namespace {
 
     constexpr int c_nestingLimit = 4;
-    constexpr std::uint64_t c_zoneSalt = 0x7a6f6e65; // "zone"
 
     std::uint16_t saturated(std::uint32_t value)
     {
@@ -42,11 +40,6 @@
 
 } // namespace
 
-ZoneHash hashZone(std::string_view zone)
-{
-    return { static_cast<std::uint32_t>(hashText(zone, c_zoneSalt)) };
-}
-
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out)
 {
     CR_ASSERT(message.m_loads.size() <= c_mostLoads && message.m_dead.size() <= c_mostDead
--- a/src/exchange/LoadMessage.h
+++ b/src/exchange/LoadMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "affinity/CarriedRouter.h"
+#include "affinity/ZoneHash.h"
 #include "base/Endpoint.h"
 #include "base/Error.h"
 #include "discovery/Discovery.h"
@@ -12,15 +13,6 @@
 
 namespace cuminrelay {
 
-/// The hash of a zone's name, as entry VMs name zones to each other.
-struct ZoneHash {
-    std::uint32_t m_value = 0;
-
-    friend constexpr auto operator<=>(ZoneHash, ZoneHash) = default;
-};
-
-ZoneHash hashZone(std::string_view zone);
-
 /// Another entry VM.
 struct ExchangePeer {
     Endpoint m_exchange;
--- a/src/exchange/NewsBook.cpp
+++ b/src/exchange/NewsBook.cpp
@@ -58,7 +58,7 @@
 {
     m_backends.erase(identity);
     m_withdrawn[identity] = revision;
-    if (m_withdrawn.size() <= c_keptRemovals)
+    if (m_withdrawn.size() <= s_keptRemovals)
         return;
     const auto oldest = std::min_element(m_withdrawn.begin(), m_withdrawn.end(),
         [](const auto& left, const auto& right) { return left.second < right.second; });
@@ -95,7 +95,7 @@
 void NewsBook::removeService(const std::string& name, ConfigVersion version)
 {
     m_removedServices[name] = version;
-    if (m_removedServices.size() <= c_keptRemovals)
+    if (m_removedServices.size() <= s_keptRemovals)
         return;
     const auto oldest = std::min_element(m_removedServices.begin(), m_removedServices.end(),
         [](const auto& left, const auto& right) { return left.second < right.second; });
--- a/src/exchange/NewsBook.h
+++ b/src/exchange/NewsBook.h
@@ -33,10 +33,10 @@
 
 /// What this entry VM knows of the store, from the store itself or from others, and since when: answers what is new
 /// since a state that another VM knows. What is older than the state held is never taken, whoever tells it.
-/// Memory: O(backend servers and services); the last c_keptRemovals of each that are gone.
+/// Memory: O(backend servers and services); the last s_keptRemovals of each that are gone.
 class NewsBook {
 public:
-    static constexpr std::size_t c_keptRemovals = 2'048;
+    static constexpr std::size_t s_keptRemovals = 2'048;
 
     /// Take what is new; false, and nothing is taken, when it is not newer than what is held. Changes that are none do
     /// not make the state a newer one, unless another VM tells them.
--- a/src/exchange/NewsBookTest.cpp
+++ b/src/exchange/NewsBookTest.cpp
@@ -127,7 +127,7 @@
     {
         NewsBook book;
         book.take(BackendList { {}, 0, { 1 } });
-        for (std::uint64_t i = 0; i <= NewsBook::c_keptRemovals; ++i) {
+        for (std::uint64_t i = 0; i <= NewsBook::s_keptRemovals; ++i) {
             book.take(BackendChanges { { { { i + 1 }, makeBackend(i + 1) } }, 0, { 2 * i + 2 } });
             book.take(BackendChanges { { { { i + 1 }, {} } }, 0, { 2 * i + 3 } });
         }
--- a/src/exchange/NewsClient.cpp
+++ b/src/exchange/NewsClient.cpp
@@ -27,6 +27,9 @@
 
     /// A large change may have to wait for a narrow link; asking again would add to what it carries.
     constexpr std::chrono::milliseconds c_answerTimeout { 2'000 };
+    /// Less than the five seconds that the server waits for a further request.
+    constexpr std::chrono::seconds c_keptFor { 4 };
+
     constexpr std::uint64_t c_longestAnswerBytes = 16'000'000;
     constexpr unsigned c_httpVersion = 11;
 
@@ -46,7 +49,7 @@
 asio::awaitable<Outcome<News>> NewsClient::fetch(Endpoint peer, KnownState known)
 {
     boost::system::error_code failure;
-    const bool isKept = m_stream && m_peer == peer;
+    const bool isKept = m_stream && m_peer == peer && m_clock.now() < m_keptUntil;
     // Taken out of its place meanwhile, so that a failure leaves none behind.
     boost::beast::tcp_stream stream = isKept ? std::move(*m_stream) : boost::beast::tcp_stream { m_executor };
     m_stream.reset();
@@ -75,6 +78,7 @@
     if (response.keep_alive()) {
         m_stream.emplace(std::move(stream));
         m_peer = peer;
+        m_keptUntil = m_clock.now() + c_keptFor;
     }
     Outcome<News> news = decodeNews(response.body(), m_clock.now());
     if (!news)
--- a/src/exchange/NewsClient.h
+++ b/src/exchange/NewsClient.h
@@ -26,6 +26,7 @@
     const Clock& m_clock;
     std::optional<boost::beast::tcp_stream> m_stream;
     Endpoint m_peer; ///< whom m_stream leads to
+    Deadline m_keptUntil {}; ///< the other end closes a connection that is not used for longer
 };
 
 } // namespace cuminrelay
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -165,8 +165,7 @@
     const std::size_t before = m_peers.nearPeers().size();
     m_peers.noteMessage(peer, message.value(), now);
     m_router.notePeerLoad(peer, message.value().m_loads, now);
-    if (message.value().m_zone == m_message.m_zone)
-        m_router.noteDeadHints(message.value().m_dead, now);
+    m_router.noteDeadHints(message.value().m_dead, message.value().m_zone, now);
     if (m_peers.nearPeers().size() != before)
         m_parts.m_log.info("exchange", "peers_changed",
             { { "peer", formatEndpoint(peer) }, { "leaving", message.value().m_leaving },
