--- a/cmake/Packaging.cmake
+++ b/cmake/Packaging.cmake
@@ -17,3 +17,4 @@
 
 add_test(NAME package COMMAND ${CMAKE_SOURCE_DIR}/packaging/PackageTest.sh ${CMAKE_BINARY_DIR})
 add_test(NAME operating_page COMMAND ${CMAKE_SOURCE_DIR}/tools/check-docs)
+add_test(NAME platform_names COMMAND ${CMAKE_SOURCE_DIR}/tools/check-platform-names)
--- a/packaging/PackageTest.sh
+++ b/packaging/PackageTest.sh
@@ -25,7 +25,7 @@
     program=$(sed -n 's/^ExecStart=\([^ ]*\).*/\1/p' "$file")
     [ -x "$root$program" ] || fail "$unit: ExecStart names $program, which is not in the package"
 done
-[ -f "$root/usr/share/doc/cuminrelay/OPERATING.md" ] || fail "the operators' page is not in the package"
+[ -f "$root/usr/share/doc/cuminrelay/OPERATIONS.md" ] || fail "the operators' page is not in the package"
 for deployment in shirakaba kalahari; do
     samples=$root/usr/share/cuminrelay/config/$deployment
     "$root/usr/bin/cuminrelay-entry" --check --config "$samples/entry.json" >/dev/null
--- a/src/exchange/News.capnp
+++ b/src/exchange/News.capnp
@@ -32,7 +32,7 @@
 
 struct Declarations {
   version @0 :UInt64;
-  idleTimeoutMs @1 :UInt64;
+  silenceLimitMs @1 :UInt64;
   complete @2 :Bool; # services holds all of them; otherwise what has changed
   services @3 :List(Service);
   removed @4 :List(Text); # names of services
--- a/src/exchange/News.capnp.h
+++ b/src/exchange/News.capnp.h
@@ -496,7 +496,7 @@
 
   inline  ::uint64_t getVersion() const;
 
-  inline  ::uint64_t getIdleTimeoutMs() const;
+  inline  ::uint64_t getSilenceLimitMs() const;
 
   inline bool getComplete() const;
 
@@ -543,8 +543,8 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
-  inline  ::uint64_t getIdleTimeoutMs();
-  inline void setIdleTimeoutMs( ::uint64_t value);
+  inline  ::uint64_t getSilenceLimitMs();
+  inline void setSilenceLimitMs( ::uint64_t value);
 
   inline bool getComplete();
   inline void setComplete(bool value);
@@ -1301,16 +1301,16 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Declarations::Reader::getIdleTimeoutMs() const {
+inline  ::uint64_t Declarations::Reader::getSilenceLimitMs() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Declarations::Builder::getIdleTimeoutMs() {
+inline  ::uint64_t Declarations::Builder::getSilenceLimitMs() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Declarations::Builder::setIdleTimeoutMs( ::uint64_t value) {
+inline void Declarations::Builder::setSilenceLimitMs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
--- a/src/exchange/NewsMessage.cpp
+++ b/src/exchange/NewsMessage.cpp
@@ -98,7 +98,7 @@
     void writeDeclarations(wire::Declarations::Builder builder, const DeclarationNews& news)
     {
         builder.setVersion(news.m_rest.m_version.m_number);
-        builder.setIdleTimeoutMs(static_cast<std::uint64_t>(news.m_rest.m_idleTimeout.count()));
+        builder.setSilenceLimitMs(static_cast<std::uint64_t>(news.m_rest.m_idleTimeout.count()));
         builder.setComplete(news.m_isComplete);
         SelectorTable selectors;
         writeServices(builder.initServices(static_cast<unsigned>(news.m_changed.size())), news.m_changed, selectors);
@@ -139,7 +139,7 @@
         DeclarationNews news;
         news.m_isComplete = reader.getComplete();
         news.m_rest.m_version = { reader.getVersion() };
-        news.m_rest.m_idleTimeout = std::chrono::milliseconds { reader.getIdleTimeoutMs() };
+        news.m_rest.m_idleTimeout = std::chrono::milliseconds { reader.getSilenceLimitMs() };
         std::vector<Selector> selectors;
         for (const capnp::Text::Reader text : reader.getSelectors()) {
             Outcome<Selector> selector = parseSelector(text.cStr());
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -336,6 +337,11 @@
     }
 }
 
+void RelayProcess::requestStop()
+{
+    asio::post(m_parts.m_context, [this] { beginLeaving(); });
+}
+
 void RelayProcess::beginLeaving()
 {
     if (m_departure)
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -65,6 +65,9 @@
     /// Serves until it was told to stop and may end.
     ExitStatus run();
 
+    /// Tells it to stop, as SIGTERM does; may be called from any thread while it runs.
+    void requestStop();
+
 private:
     void backendsListed(const BackendList& list) override;
     void backendsChanged(const BackendChanges& changes) override;
