--- a/src/exchange/NewsBookTest.cpp
+++ b/src/exchange/NewsBookTest.cpp
@@ -24,7 +24,7 @@
         return backend;
     }
 
-    ServiceDeclarations makeDeclarations(std::uint64_t version, std::vector<std::string> names)
+    ServiceDeclarations makeDeclarations(std::uint64_t version, const std::vector<std::string>& names)
     {
         ServiceDeclarations declarations;
         declarations.m_version = { version };
