--- a/src/affinity/CarriedRouter.cpp
+++ b/src/affinity/CarriedRouter.cpp
@@ -213,8 +213,7 @@
         candidate.m_activeRequests = backend->m_own.m_activeRequests + backend->m_peers.m_activeRequests;
         candidate.m_longFlows = backend->m_own.m_longFlows + backend->m_peers.m_longFlows;
     }
-    KnownBackend* const chosen = m_eligible[m_placement.choose(m_candidates, demand)];
-    return chosen;
+    return m_eligible[m_placement.choose(m_candidates, demand)];
 }
 
 std::span<KnownBackend* const> CarriedRouter::poolOf(SelectorIndex selector)
--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -54,7 +54,6 @@
         if (taken) {
             m_hasAll = true;
             m_revision = std::max(m_revision, taken.value());
-            m_answeredAt = m_environment.m_clock.now();
             m_backoff.succeeded();
             noteContact(true, {});
             if (hasChanged)
--- a/src/discovery/StoreWatch.h
+++ b/src/discovery/StoreWatch.h
@@ -44,14 +44,6 @@
     /// Whether it follows the store and the last call was answered.
     bool isFollowing() const { return m_isReading && m_isInContact; }
 
-    /// Whether the last call was answered.
-    bool isInContact() const { return m_isInContact; }
-
-    /// When the last answer came; epoch before the first.
-    Instant answeredAt() const { return m_answeredAt; }
-
-    StoreRevision revision() const { return m_revision; }
-
 protected:
     /// Reads everything and hands it on.
     virtual boost::asio::awaitable<Outcome<StoreRevision>> takeAll(Deadline deadline) = 0;
@@ -71,7 +63,6 @@
     WatchEnvironment m_environment;
     Backoff m_backoff;
     StoreRevision m_revision;
-    Instant m_answeredAt {};
     bool m_hasAll = false;
     bool m_isReading = true;
     boost::asio::steady_timer* m_idle = nullptr; ///< set while the task waits for setReading
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -121,6 +121,12 @@
     return near;
 }
 
+std::size_t ExchangePeers::nearCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_peers.begin(), m_peers.end(), [this](const auto& entry) { return entry.second.m_zone == m_zone; }));
+}
+
 bool ExchangePeers::shouldRead(Instant now)
 {
     const std::uint64_t own = rankOf(m_self);
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -28,6 +28,9 @@
     /// All known VMs of the own zone: whom its reader tells at once that there is news.
     std::vector<Endpoint> nearPeers() const;
 
+    /// How many there are of them.
+    std::size_t nearCount() const;
+
     /// Whether this VM is to follow the store for its zone. One VM of each zone does, the one that ranks highest among
     /// those that are in contact with the store; the others learn what is new from it. When it falls silent the next
     /// one takes over at once. When it loses contact the others try, too, one after the other, so that an outage of the
--- a/src/exchange/NewsBook.cpp
+++ b/src/exchange/NewsBook.cpp
@@ -13,6 +13,17 @@
 
 } // namespace
 
+BackendChanges changesOf(const News& news)
+{
+    BackendChanges changes;
+    changes.m_revision = news.m_backendsRevision;
+    for (const AnnouncedBackend& backend : news.m_backends)
+        changes.m_changes.push_back({ backend.m_identity, backend });
+    for (const BackendIdentity identity : news.m_withdrawn)
+        changes.m_changes.push_back({ identity, {} });
+    return changes;
+}
+
 bool NewsBook::take(const BackendList& list)
 {
     if (list.m_revision < m_backendsRevision)
--- a/src/exchange/NewsBook.h
+++ b/src/exchange/NewsBook.h
@@ -31,6 +31,9 @@
     StoreRevision m_declarationsRevision;
 };
 
+/// What news that is not complete changes of the backend servers.
+BackendChanges changesOf(const News& news);
+
 /// What this entry VM knows of the store, from the store itself or from others, and since when: answers what is new
 /// since a state that another VM knows. What is older than the state held is never taken, whoever tells it.
 /// Memory: O(backend servers and services); the last s_keptRemovals of each that are gone.
--- a/src/exchange/NewsBookTest.cpp
+++ b/src/exchange/NewsBookTest.cpp
@@ -45,13 +45,7 @@
         if (news.m_isComplete) {
             book.take(BackendList { news.m_backends, 0, news.m_backendsRevision });
         } else {
-            BackendChanges changes;
-            changes.m_revision = news.m_backendsRevision;
-            for (const AnnouncedBackend& backend : news.m_backends)
-                changes.m_changes.push_back({ backend.m_identity, backend });
-            for (const BackendIdentity identity : news.m_withdrawn)
-                changes.m_changes.push_back({ identity, {} });
-            book.take(changes);
+            book.take(changesOf(news));
         }
         if (news.m_declarations) {
             const std::optional<ServiceDeclarations> merged = book.merged(*news.m_declarations);
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -163,14 +163,14 @@
         m_parts.m_metrics.counter("cuminrelay_exchange_drops_total", message ? "not_member" : "malformed").add();
         return;
     }
-    const std::size_t before = m_peers.nearPeers().size();
+    const std::size_t before = m_peers.nearCount();
     m_peers.noteMessage(peer, message.value(), now);
     m_router.notePeerLoad(peer, message.value().m_loads, now);
     m_router.noteDeadHints(message.value().m_dead, message.value().m_zone, now);
-    if (m_peers.nearPeers().size() != before)
+    if (m_peers.nearCount() != before)
         m_parts.m_log.info("exchange", "peers_changed",
             { { "peer", formatEndpoint(peer) }, { "leaving", message.value().m_leaving },
-                { "near", m_peers.nearPeers().size() }, { "all", m_peers.size() } });
+                { "near", m_peers.nearCount() }, { "all", m_peers.size() } });
 }
 
 asio::awaitable<void> RelayProcess::keepHouse()
@@ -227,17 +227,10 @@
     m_parts.m_log.info("exchange", "news_taken",
         { { "peer", formatEndpoint(peer) }, { "complete", news.m_isComplete }, { "backends", news.m_backends.size() },
             { "withdrawn", news.m_withdrawn.size() }, { "revision", news.m_backendsRevision.m_number } });
-    if (news.m_isComplete) {
+    if (news.m_isComplete)
         backendsListed({ news.m_backends, 0, news.m_backendsRevision });
-    } else {
-        BackendChanges changes;
-        changes.m_revision = news.m_backendsRevision;
-        for (const AnnouncedBackend& backend : news.m_backends)
-            changes.m_changes.push_back({ backend.m_identity, backend });
-        for (const BackendIdentity identity : news.m_withdrawn)
-            changes.m_changes.push_back({ identity, {} });
-        backendsChanged(changes);
-    }
+    else
+        backendsChanged(changesOf(news));
     m_backendsWatch.advanceTo(news.m_backendsRevision);
     const std::optional<ServiceDeclarations> declarations
         = news.m_declarations ? m_book.merged(*news.m_declarations) : std::nullopt;
