settings: programs share the parsing of their command lines

Cause: read-through; cuminrelay-relay repeated it from settings/Program.cpp. Messages and exit statuses are unchanged.

--- a/src/settings/Program.cpp
+++ b/src/settings/Program.cpp
@@ -34,23 +34,6 @@
         return description;
     }
 
-    Outcome<void> parseCommandLine(std::span<char* const> arguments, const options::options_description& description)
-    {
-        // The library reports a bad command line by exception; here it becomes a value.
-        try {
-            options::variables_map variables;
-            options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
-                               .options(description)
-                               .positional({})
-                               .run(),
-                variables);
-            options::notify(variables);
-        } catch (const options::error& failure) {
-            return Error { ErrorKind::InvalidInput, failure.what() };
-        }
-        return boost::outcome_v2::success();
-    }
-
     int exitWith(ExitStatus status)
     {
         return static_cast<int>(status);
@@ -64,6 +47,23 @@
 
 } // namespace
 
+Outcome<void> parseCommandLine(std::span<char* const> arguments, const options::options_description& description)
+{
+    // The library reports a bad command line by exception; here it becomes a value.
+    try {
+        options::variables_map variables;
+        options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
+                           .options(description)
+                           .positional({})
+                           .run(),
+            variables);
+        options::notify(variables);
+    } catch (const options::error& failure) {
+        return Error { ErrorKind::InvalidInput, failure.what() };
+    }
+    return boost::outcome_v2::success();
+}
+
 std::string versionText(std::string_view name)
 {
     return fmt::format("{} {} (build {}, g++ {})", name, CUMINRELAY_VERSION, CUMINRELAY_BUILD, __VERSION__);
--- a/src/settings/Program.h
+++ b/src/settings/Program.h
@@ -2,6 +2,7 @@
 
 #include "settings/SettingsReader.h"
 
+#include <boost/program_options/options_description.hpp>
 #include <functional>
 #include <span>
 #include <string>
@@ -16,6 +17,10 @@
     BadInput = 2, ///< command line or settings are wrong; nothing was done
 };
 
+/// Parses the command line of main into the values that the description names. Errors: InvalidInput.
+Outcome<void> parseCommandLine(
+    std::span<char* const> arguments, const boost::program_options::options_description& description);
+
 /// "name 0.1.0 (build abc123, RelWithDebInfo, g++ 12.2.0)", as --version prints it.
 std::string versionText(std::string_view name);
 
