relay: operators for awaiting two things are brought in where they are used

Change: a using directive inside the one function that needs it. Conclusion: kept; ruled out removing the declaration alone, which does not compile.

--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -21,7 +21,6 @@
 
     namespace asio = boost::asio;
     using asio::ip::udp;
-    using asio::experimental::awaitable_operators::operator&&;
 
     constexpr auto c_asTuple = asio::as_tuple(asio::use_awaitable);
 
@@ -289,6 +288,7 @@
 
 asio::awaitable<void> RelayProcess::ask(LifeProbe probe)
 {
+    using namespace asio::experimental::awaitable_operators;
     const BackendToken backend = probe.m_backend;
     DeathTrial trial { probe.m_isRecheck };
     std::optional<ProbeOutcome> finding;
