affinity: a duplicated opening goes where the first one went, and an open flow ignores later tokens

Cause: an opening that the network doubles carries the same copy number and was placed anew; and a flow opened here followed the token of whichever answer reached its caller last. Ruled out: VMs that disagree (all packets of these flows reach one VM). Change: an opening with the sequence number of the known one is a copy; a flow that was opened here keeps the backend server that its first packet after the opening named. Tests: anOpeningThatWasDuplicatedOnTheWay..., aFlowThatWasOpenedHereStays..., aPortThatIsUsedAgain...

--- a/src/affinity/CarriedRouter.cpp
+++ b/src/affinity/CarriedRouter.cpp
@@ -68,15 +68,19 @@
         return turnAway(packet, VerdictKind::Refuse, Reason::UnknownService, nullptr, now);
     if (!isConfigured())
         return turnAway(packet, VerdictKind::Drop, Reason::NotConfigured, nullptr, now);
-    if (packet.m_copy > 0) {
-        TrackedFlow* const flow = m_flows.find(hash);
-        if (flow && flow->m_openedAt != Instant {})
-            return openAgain(packet, hash, *flow, now);
-    }
+    TrackedFlow* const known = m_flows.find(hash);
+    // A caller that uses its port again begins at another sequence number.
+    const bool isCopy
+        = known && known->wasOpenedHere() && (packet.m_copy > 0 || packet.m_sequence == known->m_openingSequence);
+    if (isCopy)
+        return openAgain(packet, hash, *known, now);
     KnownBackend* const backend = place(*service, hash, BackendToken {}, now);
     if (!backend)
         return turnAway(packet, VerdictKind::Refuse, Reason::NoBackendServer, nullptr, now);
-    m_flows.open(hash, packet.m_flow, backend->m_token, service->m_kind == RequestKind::Idempotent, now);
+    TrackedFlow* const flow
+        = m_flows.open(hash, packet.m_flow, backend->m_token, service->m_kind == RequestKind::Idempotent, now);
+    if (flow)
+        flow->m_openingSequence = packet.m_sequence;
     m_observer.placed(packet, *backend, PlacementCause::New, m_eligible.size(), now);
     return forwardTo(*backend);
 }
@@ -100,7 +104,6 @@
         return turnAway(packet, VerdictKind::Refuse, Reason::NoBackendServer, first, now);
     if (second->m_token != flow.m_backend) {
         m_flows.move(flow, second->m_token);
-        flow.m_hadSecondChoice = true;
         flow.m_openedAt = now;
     }
     m_observer.placed(packet, *second, PlacementCause::SecondChoice, m_eligible.size(), now);
@@ -119,8 +122,8 @@
     const BackendToken carried { packet.m_carriedToken };
     TrackedFlow* flow = m_flows.find(hash);
     // The token that the first packet after the opening carries came with the answer that opened the flow. A later one
-    // may come from a second choice that answered too.
-    const bool isPinned = flow && flow->m_hadSecondChoice && flow->m_isEstablished;
+    // may come from another backend server that answered a copy of the opening.
+    const bool isPinned = flow && flow->wasOpenedHere() && flow->m_isEstablished;
     if (flow && !isPinned && flow->m_backend != carried && carried != BackendToken {})
         m_flows.move(*flow, carried);
     const BackendToken token = isPinned || carried == BackendToken {} ? (flow ? flow->m_backend : carried) : carried;
--- a/src/affinity/CarriedRouterTest.cpp
+++ b/src/affinity/CarriedRouterTest.cpp
@@ -225,12 +225,27 @@
             EXPECT_NE(vm.open(port).m_target, opened.m_target);
     }
 
-    TEST(CarriedRouterTest, aDuplicatedOpeningIsNoCopy)
+    TEST(CarriedRouterTest, anOpeningThatWasDuplicatedOnTheWayGoesToTheSameBackendServer)
+    {
+        for (const std::uint8_t copy : { 0, 1 }) {
+            Vm vm;
+            const Verdict opened = vm.open(1);
+            vm.wait(milliseconds { 5 });
+            EXPECT_EQ(vm.open(1, c_forms, copy).m_target, opened.m_target);
+        }
+    }
+
+    TEST(CarriedRouterTest, aPortThatIsUsedAgainOpensANewFlow)
     {
         Vm vm;
         const Verdict opened = vm.open(1);
-        vm.wait(milliseconds { 5 });
-        EXPECT_EQ(vm.open(1, c_forms, 1).m_target, opened.m_target);
+        vm.data(1, opened.m_token, 10);
+        AnnouncedBackend draining = vm.backend(opened.m_token).m_announced;
+        draining.m_server.m_draining = true;
+        vm.m_router.backends().announce(draining, vm.m_now);
+        PacketSummary again = makePacket(PacketKind::Opening, 1);
+        again.m_sequence = 70'000;
+        EXPECT_NE(vm.send(again).m_target, opened.m_target);
     }
 
     // Two backend servers have answered the opening; the caller's packets carry the token of whichever answer came
@@ -248,6 +263,27 @@
         EXPECT_EQ(later.m_token, first.m_token); // so that the next packets carry the right one again
     }
 
+    // An earlier copy of the opening went through another VM, whose choice answers late: the caller's packets carry its
+    // token from then on, but the flow is open at the backend server of this VM's choice.
+    TEST(CarriedRouterTest, aFlowThatWasOpenedHereStaysWhenALaterAnswerBringsAnotherToken)
+    {
+        Vm vm;
+        const Verdict opened = vm.open(1, c_forms, 1);
+        EXPECT_EQ(vm.data(1, opened.m_token, 10).m_target, opened.m_target);
+        const std::uint32_t other = tokenOf({ opened.m_identity % 3 + 1 }).m_value;
+        const Verdict later = vm.data(1, other, 110);
+        EXPECT_EQ(later.m_target, opened.m_target);
+        EXPECT_EQ(later.m_token, opened.m_token);
+    }
+
+    // This VM knows nothing of how the flow was opened.
+    TEST(CarriedRouterTest, aFlowThatWasOpenedElsewhereFollowsItsToken)
+    {
+        Vm vm;
+        vm.data(1, tokenOf({ 1 }).m_value, 10);
+        EXPECT_EQ(vm.data(1, tokenOf({ 2 }).m_value, 110).m_identity, 2u);
+    }
+
     /// Makes a backend server doubtful: an opening and its copy without a sign of life.
     Verdict doubt(Vm& vm, std::uint16_t port)
     {
--- a/src/affinity/TrackedFlows.cpp
+++ b/src/affinity/TrackedFlows.cpp
@@ -87,7 +87,7 @@
     setCounted(flow, flow.m_isLong);
     const bool isFirst = !flow.m_isEstablished || flow.m_acknowledged == 0;
     if (isFirst || isAfter(packet.m_acknowledgment, flow.m_acknowledged)) {
-        observation.m_isAnswer = flow.m_openedAt != Instant {} || flow.m_acknowledged != 0;
+        observation.m_isAnswer = flow.wasOpenedHere() || flow.m_acknowledged != 0;
         flow.m_acknowledged = packet.m_acknowledgment;
         // The handshake's acknowledgment is no answer to a request.
         if (flow.m_isEstablished)
--- a/src/affinity/TrackedFlows.h
+++ b/src/affinity/TrackedFlows.h
@@ -17,12 +17,14 @@
     bool m_isLong = false; ///< it carries one request after the other
     bool m_isActive = false; ///< a request is believed to be at the backend server
     bool m_isCounted = false; ///< as a long flow, in the backend server's load
-    bool m_hadSecondChoice = false; ///< its opening went to more than one backend server
     Instant m_openedAt {}; ///< when its opening first came; epoch: before this VM knew it
     Instant m_activeSince {};
     Instant m_seenAt {};
+    std::uint32_t m_openingSequence = 0; ///< of its opening; meaningful when that came here
     std::uint32_t m_sentUpTo = 0; ///< the sequence number after the last data seen
     std::uint32_t m_acknowledged = 0;
+
+    bool wasOpenedHere() const { return m_openedAt != Instant {}; }
 };
 
 /// What a packet shows of its flow.
