bench: the product's carried design, and one set of tests for both routers

Cause: carried identity was compared by an idealised stand-in, and the two routers had no test in common. Change: CarriedDesign drives the real CarriedRouter and ExchangePeers behind FleetDesign; FleetDesignTest holds what must hold whichever router serves; the fabric may spread flows by hash (--fabric flows); callers acknowledge answers.

--- a/src/bench/BaselineDesigns.cpp
+++ b/src/bench/BaselineDesigns.cpp
@@ -97,7 +97,7 @@
     return backend;
 }
 
-Endpoint CarriedIdentityDesign::choose(VmIndex vm, const PacketSummary& packet, FlowHash hash)
+Endpoint CarriedByHashDesign::choose(VmIndex vm, const PacketSummary& packet, FlowHash hash)
 {
     const auto carried = m_carried.find(hash.m_value);
     if (carried != m_carried.end() && packet.m_kind != PacketKind::Opening)
--- a/src/bench/BaselineDesigns.h
+++ b/src/bench/BaselineDesigns.h
@@ -81,12 +81,11 @@
     ServiceTables m_horizon;
 };
 
-/// The backend server's identity travels in the caller's packets, as Cheetah does. An upper bound: it needs a backend
-/// server that puts the identity into its answers, which ours do not.
-class CarriedIdentityDesign final : public LocalDesign {
+/// The backend server's identity travels in the caller's packets, as Cheetah does, and a hash alone places new flows.
+class CarriedByHashDesign final : public LocalDesign {
 public:
     using LocalDesign::LocalDesign;
-    std::string_view name() const override { return "carried-identity"; }
+    std::string_view name() const override { return "carried-by-hash"; }
 
 protected:
     Endpoint choose(VmIndex vm, const PacketSummary& packet, FlowHash hash) override;
--- /dev/null
+++ b/src/bench/CarriedDesign.cpp
@@ -0,0 +1,182 @@
+#include "bench/CarriedDesign.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cuminrelay {
+
+namespace {
+
+    constexpr Duration c_tellInterval = std::chrono::milliseconds { 200 };
+    constexpr Duration c_backlog = std::chrono::milliseconds { 50 };
+
+    BackendIdentity identityOf(Endpoint tunnel)
+    {
+        return { tunnel.packed() };
+    }
+
+    void countBytes(std::uint64_t& bytes, const LoadMessage& message)
+    {
+        alignas(8) std::array<std::byte, c_loadMessageBytes> room {};
+        bytes += encodeLoadMessage(message, room).size();
+    }
+
+} // namespace
+
+ServiceDeclarations declarationsOf(const Configuration& configuration)
+{
+    ServiceDeclarations declarations;
+    declarations.m_version = configuration.m_version;
+    for (const Service& service : configuration.m_services) {
+        if (service.m_protocol == Protocol::Udp)
+            continue;
+        declarations.m_services.push_back(
+            { service.m_name, service.m_address, RequestKind::Idempotent, { { service.m_selector, 1 } } });
+    }
+    return declarations;
+}
+
+std::vector<AnnouncedBackend> announcedIn(const Configuration& configuration)
+{
+    std::vector<AnnouncedBackend> announced;
+    for (const BackendServer& server : configuration.m_backendServers)
+        announced.push_back({ identityOf(server.m_tunnel), server, 0, {} });
+    return announced;
+}
+
+CarriedDesign::CarriedDesign(
+    std::span<const Endpoint> addresses, std::span<const std::string> zones, FleetNetwork& network)
+    : m_network(network)
+{
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        Vm& vm = m_vms.emplace_back();
+        vm.m_address = addresses[i];
+        vm.m_zone = zones[i % zones.size()];
+    }
+}
+
+void CarriedDesign::start(VmIndex index, Instant now)
+{
+    Vm& vm = m_vms[index];
+    std::vector<Endpoint> seeds;
+    for (const Vm& other : m_vms) {
+        if (other.m_address != vm.m_address)
+            seeds.push_back(other.m_address);
+    }
+    CarriedRouter::Options options;
+    options.m_zone = vm.m_zone;
+    vm.m_router = std::make_unique<CarriedRouter>(std::move(options), m_placement, m_observer);
+    vm.m_peers = std::make_unique<ExchangePeers>(vm.m_address, hashZone(vm.m_zone), seeds);
+    vm.m_pauses = PauseDetector {};
+    vm.m_told = LoadMessage {};
+    vm.m_tellAt = Deadline {};
+    vm.m_ranAt = now;
+    vm.m_isLeaving = false;
+}
+
+void CarriedDesign::stop(VmIndex vm)
+{
+    m_vms[vm].m_router.reset();
+    m_vms[vm].m_peers.reset();
+}
+
+void CarriedDesign::beginLeaving(VmIndex vm)
+{
+    m_vms[vm].m_isLeaving = true;
+}
+
+/// Nothing is handed over.
+bool CarriedDesign::drained(VmIndex) const
+{
+    return true;
+}
+
+void CarriedDesign::installConfiguration(VmIndex index, const Configuration& configuration, Instant now)
+{
+    Vm& vm = m_vms[index];
+    if (!vm.m_router->declare(declarationsOf(configuration)))
+        return;
+    vm.m_router->setDeclarationsCurrent(true);
+    vm.m_router->backends().replaceAll(announcedIn(configuration), now);
+}
+
+/// A VM learns of the others from their messages.
+void CarriedDesign::installMembers(VmIndex, const MemberView&, Instant) { }
+
+void CarriedDesign::applyReports(VmIndex index, std::span<const BackendReport> reports)
+{
+    Vm& vm = m_vms[index];
+    for (const BackendReport& report : reports) {
+        if (report.m_health == BackendHealth::Unhealthy)
+            vm.m_router->backends().withdraw(identityOf(report.m_backend), vm.m_ranAt);
+    }
+}
+
+FleetOutcome CarriedDesign::route(VmIndex index, const PacketSummary& packet, Instant now)
+{
+    Vm& vm = m_vms[index];
+    noteRan(vm, now);
+    const std::uint64_t hash = hashFlow(packet.m_flow).m_value;
+    PacketSummary carrying = packet;
+    const auto carried = m_carried.find(hash);
+    if (packet.m_kind == PacketKind::Datagram)
+        carrying.m_kind = carried == m_carried.end() ? PacketKind::Opening : PacketKind::Midstream;
+    if (carried != m_carried.end() && carrying.m_kind != PacketKind::Opening)
+        carrying.m_carriedToken = carried->second;
+    Verdict verdict;
+    vm.m_router->decide({ &carrying, 1 }, { &verdict, 1 }, now);
+    FleetOutcome outcome;
+    outcome.m_kind = verdict.m_kind;
+    outcome.m_reason = verdict.m_reason;
+    outcome.m_backend = verdict.m_target;
+    outcome.m_lastVm = index;
+    if (verdict.m_kind == VerdictKind::ToBackend)
+        m_carried.insert_or_assign(hash, verdict.m_token);
+    return outcome;
+}
+
+void CarriedDesign::tick(VmIndex index, Instant now)
+{
+    Vm& vm = m_vms[index];
+    noteRan(vm, now);
+    vm.m_router->tick(now);
+    LoadMessage message;
+    message.m_zone = hashZone(vm.m_zone);
+    message.m_leaving = vm.m_isLeaving;
+    message.m_known.m_declarations = vm.m_router->configVersion();
+    vm.m_router->ownLoad(message.m_loads);
+    if (now < vm.m_tellAt && message.m_loads == vm.m_told.m_loads)
+        return;
+    vm.m_tellAt = now + c_tellInterval;
+    message.m_peers = vm.m_peers->somePeers(now);
+    for (const Endpoint target : vm.m_peers->nextTargets(now)) {
+        countBytes(m_controlBytes, message);
+        const VmIndex peer = m_network.vmAt(target);
+        if (m_network.isRunning(peer) && m_network.reaches(index, peer))
+            hear(m_vms[peer], vm.m_address, message, now);
+    }
+    vm.m_told = std::move(message);
+}
+
+void CarriedDesign::hear(Vm& vm, Endpoint teller, const LoadMessage& message, Instant now)
+{
+    vm.m_peers->noteMessage(teller, message, now);
+    vm.m_router->notePeerLoad(teller, message.m_loads, now);
+}
+
+void CarriedDesign::noteRan(Vm& vm, Instant now)
+{
+    vm.m_ranAt = now;
+    if (vm.m_pauses.ran(now) > Duration::zero())
+        vm.m_router->notePause(now + c_backlog);
+}
+
+std::size_t CarriedDesign::heldFlows() const
+{
+    std::size_t sum = 0;
+    for (const Vm& vm : m_vms)
+        sum += vm.m_router ? vm.m_router->trackedFlows() : 0;
+    return sum;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/CarriedDesign.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "affinity/CarriedRouter.h"
+#include "bench/FleetDesign.h"
+#include "exchange/ExchangePeers.h"
+#include "placement/LeastWorkPlacement.h"
+#include "relay/PauseDetector.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cuminrelay {
+
+/// The product's design where packets carry their flow's backend server: the real CarriedRouter and ExchangePeers of
+/// each VM, with load messages handed over by call. What callers' packets carry is kept here, by flow.
+///
+/// Backend servers in doubt are not asked: whether one is dead comes from the reports, which stand for the store.
+/// A datagram that carries nothing is presented as an opening, as a front end for datagrams would.
+class CarriedDesign final : public FleetDesign {
+public:
+    /// addresses: the peers endpoint of each VM. zones: theirs, in turn. network must outlive the design.
+    CarriedDesign(std::span<const Endpoint> addresses, std::span<const std::string> zones, FleetNetwork& network);
+
+    std::string_view name() const override { return "carried"; }
+    void start(VmIndex vm, Instant now) override;
+    void stop(VmIndex vm) override;
+    void beginLeaving(VmIndex vm) override;
+    bool drained(VmIndex vm) const override;
+    void installConfiguration(VmIndex vm, const Configuration& configuration, Instant now) override;
+    void installMembers(VmIndex vm, const MemberView& view, Instant now) override;
+    void applyReports(VmIndex vm, std::span<const BackendReport> reports) override;
+    FleetOutcome route(VmIndex vm, const PacketSummary& packet, Instant now) override;
+    void tick(VmIndex vm, Instant now) override;
+    std::uint64_t controlBytes() const override { return m_controlBytes; }
+    std::uint64_t relayedPackets() const override { return 0; }
+    std::size_t heldFlows() const override;
+
+private:
+    struct Vm {
+        Endpoint m_address;
+        std::string m_zone;
+        std::unique_ptr<CarriedRouter> m_router; ///< nullptr while the VM is dead
+        std::unique_ptr<ExchangePeers> m_peers;
+        PauseDetector m_pauses;
+        LoadMessage m_told;
+        Deadline m_tellAt {};
+        Instant m_ranAt {};
+        bool m_isLeaving = false;
+    };
+
+    /// Decisions are not logged here.
+    class SilentObserver final : public RouterObserver {
+    public:
+        void placed(const PacketSummary&, const KnownBackend&, PlacementCause, std::size_t, Instant) override { }
+        void turnedAway(const PacketSummary&, const Verdict&, const KnownBackend*, Instant) override { }
+        void lifeChanged(const KnownBackend&, bool, Instant) override { }
+    };
+
+    static void noteRan(Vm& vm, Instant now);
+    static void hear(Vm& vm, Endpoint teller, const LoadMessage& message, Instant now);
+
+    FleetNetwork& m_network;
+    LeastWorkPlacement m_placement;
+    SilentObserver m_observer;
+    std::vector<Vm> m_vms;
+    boost::unordered_flat_map<std::uint64_t, std::uint32_t> m_carried; ///< tokens, by flow hash
+    std::uint64_t m_controlBytes = 0;
+};
+
+/// What a configuration declares, as CarriedRouter takes it. Services over TCP and UDP at one address are one.
+ServiceDeclarations declarationsOf(const Configuration& configuration);
+
+/// The backend servers of a configuration as they would announce themselves: the tunnel stands for the identity.
+std::vector<AnnouncedBackend> announcedIn(const Configuration& configuration);
+
+} // namespace cuminrelay
--- a/src/bench/DesignCatalog.cpp
+++ b/src/bench/DesignCatalog.cpp
@@ -3,6 +3,7 @@
 #include "admission/UnlimitedAdmission.h"
 #include "base/Assert.h"
 #include "bench/BaselineDesigns.h"
+#include "bench/CarriedDesign.h"
 #include "bench/OwnerDesign.h"
 #include "placement/BoundedLoadPlacement.h"
 #include "placement/DefaultOnlyPlacement.h"
@@ -13,8 +14,8 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 7> c_names { "owner", "owner-without-copies", "owner-default-only", "modulo",
-        "connection-table", "horizon-tracking", "carried-identity" };
+    constexpr std::array<std::string_view, 8> c_names { "owner", "carried", "owner-without-copies",
+        "owner-default-only", "modulo", "connection-table", "horizon-tracking", "carried-by-hash" };
 
     PolicyFactory boundedLoad()
     {
@@ -60,8 +61,10 @@
         return std::make_unique<ConnectionTableDesign>(vms.size());
     if (name == "horizon-tracking")
         return std::make_unique<HorizonDesign>(vms.size(), horizonOf(profile));
-    CR_ASSERT(name == "carried-identity", "a design of the catalog");
-    return std::make_unique<CarriedIdentityDesign>(vms.size());
+    if (name == "carried")
+        return std::make_unique<CarriedDesign>(vms, profile.m_zones, network);
+    CR_ASSERT(name == "carried-by-hash", "a design of the catalog");
+    return std::make_unique<CarriedByHashDesign>(vms.size());
 }
 
 } // namespace cuminrelay
--- a/src/bench/DesignCatalog.h
+++ b/src/bench/DesignCatalog.h
@@ -8,7 +8,7 @@
 
 namespace cuminrelay {
 
-/// The names of the designs that the bench compares; the first is the product's.
+/// The names of the designs that the bench compares; the first two are the product's.
 std::span<const std::string_view> designNames();
 
 /// Makes a design by name for the fleet of a profile. Precondition: the name is one of designNames().
--- a/src/bench/FaultMatrix.cpp
+++ b/src/bench/FaultMatrix.cpp
@@ -95,6 +95,7 @@
         FaultRun& run = runs[i];
         FlowExperimentSettings experiment;
         experiment.m_profile = settings.m_profile;
+        experiment.m_fabric = settings.m_fabric;
         experiment.m_seed = run.m_seed;
         experiment.m_arrivalsPerSecond = settings.m_arrivalsPerSecond;
         experiment.m_length = c_firstFaultAt + run.m_gap + c_lengthAfterFaults;
--- a/src/bench/FaultMatrix.h
+++ b/src/bench/FaultMatrix.h
@@ -23,6 +23,7 @@
 struct FaultMatrixSettings {
     FleetProfile m_profile;
     std::string m_design;
+    FabricKind m_fabric = FabricKind::EachPacketAnywhere;
     std::uint64_t m_seed = 1;
     unsigned m_repeats = 1; ///< seeds of each single fault
     bool m_pairs = true; ///< also each ordered pair of faults, the gap drawn by the seed
--- /dev/null
+++ b/src/bench/FleetDesignTest.cpp
@@ -0,0 +1,287 @@
+#include "bench/DesignCatalog.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+#include <string>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr std::size_t c_flows = 300;
+    constexpr std::uint32_t c_callers = 0x0b000000;
+    constexpr Duration c_tick = std::chrono::milliseconds { 50 };
+
+    /// What must hold whichever router serves: the product's designs behind FleetDesign, each VM told of the others, of
+    /// declarations and of reports as an entry process is. The tests see packets and backend servers only.
+    class FleetDesignTest : public testing::TestWithParam<std::string_view>, private FleetNetwork {
+    protected:
+        FleetDesignTest()
+            : m_profile(findFleetProfile("shirakaba").value())
+            , m_configuration(makeConfiguration(m_profile))
+        {
+            for (std::uint32_t i = 0; i < m_profile.m_entryVms; ++i) {
+                m_addresses.push_back({ 0x0a000001 + i, 4001 });
+                m_isDown.push_back(false);
+                Member member;
+                member.m_name = "entry-" + std::to_string(i);
+                member.m_zone = m_profile.m_zones[i % m_profile.m_zones.size()];
+                member.m_peers = m_addresses.back();
+                member.m_incarnation = 1;
+                m_view.m_members.push_back(member);
+            }
+            m_design = makeDesign(GetParam(), m_profile, m_addresses, *this);
+        }
+
+        void startAll()
+        {
+            for (VmIndex vm = 0; vm < m_addresses.size(); ++vm) {
+                m_design->start(vm, m_now);
+                m_design->installConfiguration(vm, m_configuration, m_now);
+            }
+            tellMembers();
+            settle();
+        }
+
+        void tellMembers()
+        {
+            ++m_view.m_epoch;
+            for (VmIndex vm = 0; vm < m_addresses.size(); ++vm) {
+                if (!m_isDown[vm])
+                    m_design->installMembers(vm, m_view, m_now);
+            }
+        }
+
+        /// Time for the VMs to tell each other what they have to.
+        void settle(Duration duration = std::chrono::seconds { 3 })
+        {
+            for (const Instant end = m_now + duration; m_now < end;) {
+                m_now += c_tick;
+                for (VmIndex vm = 0; vm < m_addresses.size(); ++vm) {
+                    if (!m_isDown[vm])
+                        m_design->tick(vm, m_now);
+                }
+            }
+        }
+
+        void publish()
+        {
+            ++m_configuration.m_version.m_number;
+            for (VmIndex vm = 0; vm < m_addresses.size(); ++vm) {
+                if (!m_isDown[vm])
+                    m_design->installConfiguration(vm, m_configuration, m_now);
+            }
+            settle();
+        }
+
+        void kill(VmIndex vm)
+        {
+            m_design->stop(vm);
+            m_isDown[vm] = true;
+            m_view.m_members[vm].m_state = MemberState::Unreachable;
+            tellMembers();
+            settle();
+        }
+
+        void startAgain(VmIndex vm)
+        {
+            m_isDown[vm] = false;
+            m_view.m_members[vm].m_state = MemberState::Active;
+            ++m_view.m_members[vm].m_incarnation;
+            m_design->start(vm, m_now);
+            m_design->installConfiguration(vm, m_configuration, m_now);
+            tellMembers();
+            settle();
+        }
+
+        PacketSummary packetOf(std::size_t flow, PacketKind kind) const
+        {
+            PacketSummary packet;
+            packet.m_flow.m_caller = { c_callers + static_cast<std::uint32_t>(flow), 40'000 };
+            packet.m_flow.m_service = serviceOf(flow).m_address;
+            packet.m_kind = kind;
+            packet.m_sequence = 1;
+            return packet;
+        }
+
+        /// Two of three flows are of the first service. Each service is declared for TCP and UDP, in this order.
+        const Service& serviceOf(std::size_t flow) const { return m_configuration.m_services[flow % 3 == 0 ? 2 : 0]; }
+
+        /// Sends a packet in at some running VM; another one each time.
+        FleetOutcome send(const PacketSummary& packet)
+        {
+            do
+                m_nextVm = (m_nextVm + 1) % m_addresses.size();
+            while (m_isDown[m_nextVm]);
+            return m_design->route(m_nextVm, packet, m_now);
+        }
+
+        /// Opens a flow and sends its first data.
+        FleetOutcome open(std::size_t flow)
+        {
+            const FleetOutcome opened = send(packetOf(flow, PacketKind::Opening));
+            if (opened.m_kind == VerdictKind::ToBackend) {
+                m_homes[flow] = opened.m_backend;
+                sendData(flow);
+            }
+            return opened;
+        }
+
+        FleetOutcome sendData(std::size_t flow)
+        {
+            PacketSummary packet = packetOf(flow, PacketKind::Midstream);
+            packet.m_payloadBytes = 100;
+            packet.m_sequence += 1 + 100 * m_sent[flow];
+            packet.m_acknowledgment = ++m_sent[flow];
+            return send(packet);
+        }
+
+        void openAll()
+        {
+            for (std::size_t flow = 0; flow < c_flows; ++flow)
+                ASSERT_EQ(open(flow).m_kind, VerdictKind::ToBackend);
+            settle();
+        }
+
+        void expectAllStay()
+        {
+            for (const auto& [flow, home] : m_homes) {
+                const FleetOutcome outcome = sendData(flow);
+                ASSERT_EQ(outcome.m_kind, VerdictKind::ToBackend) << reasonName(outcome.m_reason) << ", flow " << flow;
+                ASSERT_EQ(outcome.m_backend, home) << "flow " << flow;
+            }
+        }
+
+        BackendServer& serverAt(Endpoint tunnel)
+        {
+            for (BackendServer& server : m_configuration.m_backendServers) {
+                if (server.m_tunnel == tunnel)
+                    return server;
+            }
+            ADD_FAILURE() << "no backend server at " << formatEndpoint(tunnel);
+            return m_configuration.m_backendServers.front();
+        }
+
+        FleetProfile m_profile;
+        Configuration m_configuration;
+        std::map<std::size_t, Endpoint> m_homes; ///< where each flow was opened
+        std::unique_ptr<FleetDesign> m_design;
+        Instant m_now { std::chrono::seconds { 100 } };
+
+    private:
+        bool reaches(VmIndex, VmIndex to) override { return !m_isDown[to]; }
+        bool isRunning(VmIndex vm) const override { return !m_isDown[vm]; }
+        VmIndex vmAt(Endpoint peers) const override { return peers.m_address - m_addresses.front().m_address; }
+
+        std::vector<Endpoint> m_addresses;
+        std::vector<bool> m_isDown;
+        MemberView m_view;
+        std::map<std::size_t, std::uint32_t> m_sent; ///< packets of data, by flow
+        VmIndex m_nextVm = 0;
+    };
+
+    TEST_P(FleetDesignTest, flowsReachTheirServiceOnly)
+    {
+        startAll();
+        openAll();
+        for (const auto& [flow, home] : m_homes)
+            EXPECT_EQ(serverAt(home).m_labels.at("app"), serviceOf(flow).m_name);
+    }
+
+    TEST_P(FleetDesignTest, anyVmCarriesAnyPacketOfAFlow)
+    {
+        startAll();
+        openAll();
+        for (int round = 0; round < 10; ++round)
+            expectAllStay();
+    }
+
+    TEST_P(FleetDesignTest, flowsStayWhileOneVmAfterTheOtherDiesAndComesBack)
+    {
+        startAll();
+        openAll();
+        for (VmIndex vm = 0; vm < m_profile.m_entryVms; ++vm) {
+            kill(vm);
+            expectAllStay();
+            startAgain(vm);
+            expectAllStay();
+        }
+    }
+
+    TEST_P(FleetDesignTest, flowsStayWhenSelectorsTakeBackendServersInAndOut)
+    {
+        startAll();
+        openAll();
+        for (BackendServer& server : m_configuration.m_backendServers) {
+            std::string& tier = server.m_labels["tier"];
+            tier = tier == "standby" ? "serving" : "standby";
+            publish();
+            expectAllStay();
+            tier = "serving";
+        }
+    }
+
+    TEST_P(FleetDesignTest, aDrainingBackendServerKeepsItsFlowsAndGetsNoNewOnes)
+    {
+        startAll();
+        openAll();
+        const Endpoint draining = m_homes.begin()->second;
+        serverAt(draining).m_draining = true;
+        publish();
+        expectAllStay();
+        for (std::size_t flow = c_flows; flow < 2 * c_flows; ++flow) {
+            ASSERT_EQ(open(flow).m_kind, VerdictKind::ToBackend);
+            ASSERT_NE(m_homes[flow], draining);
+        }
+    }
+
+    TEST_P(FleetDesignTest, newFlowsSpreadOverTheBackendServersOfTheirService)
+    {
+        startAll();
+        openAll();
+        std::map<std::string, std::set<Endpoint>> used;
+        for (const auto& [flow, home] : m_homes)
+            used[serviceOf(flow).m_name].insert(home);
+        for (const FleetProfile::ServiceSize& size : m_profile.m_services)
+            EXPECT_EQ(used[size.m_name].size(), size.m_backendServers);
+    }
+
+    TEST_P(FleetDesignTest, whatIsNotDeclaredReachesNobody)
+    {
+        startAll();
+        PacketSummary packet = packetOf(0, PacketKind::Opening);
+        packet.m_flow.m_service = { 0x0a02ffff, 443 };
+        const FleetOutcome outcome = send(packet);
+        EXPECT_NE(outcome.m_kind, VerdictKind::ToBackend);
+        EXPECT_EQ(outcome.m_reason, Reason::UnknownService);
+    }
+
+    TEST_P(FleetDesignTest, aVmThatKnowsNothingYetForwardsAndResetsNothing)
+    {
+        startAll();
+        openAll();
+        m_design->start(0, m_now);
+        for (std::size_t flow = 0; flow < c_flows; ++flow) {
+            const FleetOutcome outcome = m_design->route(0, packetOf(flow, PacketKind::Midstream), m_now);
+            EXPECT_EQ(outcome.m_kind, VerdictKind::Drop);
+        }
+    }
+
+    TEST_P(FleetDesignTest, anOlderConfigurationChangesNothing)
+    {
+        startAll();
+        const Configuration older = m_configuration;
+        serverAt(m_configuration.m_backendServers.front().m_tunnel).m_draining = true;
+        publish();
+        for (VmIndex vm = 0; vm < m_profile.m_entryVms; ++vm)
+            m_design->installConfiguration(vm, older, m_now);
+        openAll();
+        for (const auto& [flow, home] : m_homes)
+            ASSERT_NE(home, older.m_backendServers.front().m_tunnel) << "flow " << flow;
+    }
+
+    INSTANTIATE_TEST_SUITE_P(ProductDesigns, FleetDesignTest, testing::Values("owner", "carried"),
+        [](const testing::TestParamInfo<std::string_view>& info) { return std::string { info.param }; });
+
+} // namespace
+} // namespace cuminrelay
--- a/src/bench/FlowExperiment.cpp
+++ b/src/bench/FlowExperiment.cpp
@@ -338,10 +338,12 @@
     packet.m_flow = flow.m_key;
     packet.m_sequence = flow.m_sequence;
     packet.m_payloadBytes = flow.m_payload;
+    packet.m_acknowledgment = flow.m_delivered; // each delivered packet is answered
     if (flow.m_key.m_protocol == Protocol::Udp) {
         packet.m_kind = PacketKind::Datagram;
     } else if (flow.m_step == CallerFlow::Step::Opening) {
         packet.m_kind = PacketKind::Opening;
+        packet.m_copy = static_cast<std::uint8_t>(flow.m_attempts - 1);
         packet.m_payloadBytes = 0;
     } else if (flow.m_step == CallerFlow::Step::Closing) {
         packet.m_kind = PacketKind::HalfClose;
@@ -352,7 +354,7 @@
     const std::uint32_t generation = flow.m_generation;
     const bool duplicated = m_now < m_duplicationEnds && m_random.chance(c_disturbanceRate);
     for (unsigned copy = 0; copy < (duplicated ? 2U : 1U); ++copy) {
-        const std::optional<VmIndex> vm = spray();
+        const std::optional<VmIndex> vm = spray(packet.m_flow);
         ++m_result.m_packets;
         if (vm && m_flows[index].m_generation == generation && m_flows[index].m_step != CallerFlow::Step::Over)
             deliver(index, *vm, packet);
@@ -376,7 +378,7 @@
     m_events.push(Event { m_now + wait, m_nextEvent++, index, flow.m_generation });
 }
 
-std::optional<VmIndex> FlowExperiment::spray()
+std::optional<VmIndex> FlowExperiment::spray(const FlowKey& flow)
 {
     std::vector<VmIndex> listed;
     for (VmIndex vm = 0; vm < m_vms.size(); ++vm) {
@@ -388,7 +390,8 @@
     }
     if (listed.empty())
         return std::nullopt;
-    const VmIndex vm = listed[m_random.below(listed.size())];
+    const bool byHash = m_settings.m_fabric == FabricKind::EachFlowByHash;
+    const VmIndex vm = listed[byHash ? hashFlow(flow).m_value % listed.size() : m_random.below(listed.size())];
     return m_vms[vm].m_dead ? std::nullopt : std::optional<VmIndex> { vm };
 }
 
--- a/src/bench/FlowExperiment.h
+++ b/src/bench/FlowExperiment.h
@@ -49,7 +49,7 @@
     RemoveBackend, ///< a selector change that takes a backend server out; its flows live on
     CutZone, ///< one zone from the others, for 6 s
     LosePackets, ///< 5% of packets between VMs, for 3 s
-    DuplicatePackets, ///< 5% of callers' packets, the copy through another VM, for 3 s
+    DuplicatePackets, ///< 5% of callers' packets, the copy through whichever VM the fabric takes, for 3 s
     LoseAnswers, ///< half of the calls between VMs or their answers, for 3 s
     Count,
 };
@@ -77,8 +77,15 @@
 
 std::string_view flowStepName(FlowStep step);
 
+/// Which entry VM the fabric hands a packet to.
+enum class FabricKind : std::uint8_t {
+    EachPacketAnywhere, ///< any listed one, drawn for each packet
+    EachFlowByHash, ///< by the flow's hash modulo the listed ones: another one when the list changes
+};
+
 struct FlowExperimentSettings {
     FleetProfile m_profile;
+    FabricKind m_fabric = FabricKind::EachPacketAnywhere;
     std::uint64_t m_seed = 1;
     double m_arrivalsPerSecond = 300;
     Duration m_length = std::chrono::seconds { 20 };
@@ -168,7 +175,7 @@
     void receive(std::size_t flow, const PacketSummary& packet, const FleetOutcome& outcome);
     void breakFlow(CallerFlow& flow, std::uint64_t& counter, const FleetOutcome& outcome, PacketKind packet);
     void scheduleNext(std::size_t flow);
-    std::optional<VmIndex> spray();
+    std::optional<VmIndex> spray(const FlowKey& flow);
 
     void strike(const FaultEvent& fault);
     void noteSteps();
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -26,6 +26,7 @@
         std::string m_command;
         std::string m_profile;
         std::string m_design;
+        std::string m_fabric;
         std::uint64_t m_seed = 1;
         unsigned m_repeats = 1;
         double m_arrivalsPerSecond = 0;
@@ -42,6 +43,9 @@
         ReportFormat m_format = ReportFormat::Table;
     };
 
+    constexpr std::string_view c_byPacket = "packets";
+    constexpr std::string_view c_byFlow = "flows";
+
     constexpr std::string_view c_usage = R"(usage: cuminrelay-bench COMMAND [options]
 
   compare   plays the same arrivals and single faults against each design
@@ -60,6 +64,7 @@
         FaultMatrixSettings settings;
         settings.m_profile = profile;
         settings.m_design = given.m_design;
+        settings.m_fabric = given.m_fabric == c_byFlow ? FabricKind::EachFlowByHash : FabricKind::EachPacketAnywhere;
         settings.m_seed = given.m_seed;
         settings.m_repeats = given.m_repeats;
         settings.m_pairs = given.m_pairs;
@@ -173,6 +178,8 @@
         described.add_options()("help", "this text")("version", "the version")(
             "profile", options::value(&given.m_profile)->default_value("shirakaba"), "shirakaba or kalahari")("design",
             options::value(&given.m_design)->default_value("owner"), "the design that faults are played against")(
+            "fabric", options::value(&given.m_fabric)->default_value(std::string { c_byPacket }),
+            "what the fabric hands to an entry VM: single packets, or flows by their hash")(
             "seed", options::value(&given.m_seed)->default_value(1), "the same seed gives the same run")(
             "repeats", options::value(&given.m_repeats)->default_value(1), "seeds of each single fault")("arrivals",
             options::value(&given.m_arrivalsPerSecond)->default_value(300),
@@ -231,6 +238,11 @@
                 stderr, "cuminrelay-bench: no design \"{}\"; there are {}\n", given.m_design, fmt::join(designs, ", "));
             return static_cast<int>(ExitStatus::BadInput);
         }
+        if (given.m_fabric != c_byPacket && given.m_fabric != c_byFlow) {
+            fmt::print(stderr, "cuminrelay-bench: no fabric \"{}\"; there are {} and {}\n", given.m_fabric, c_byPacket,
+                c_byFlow);
+            return static_cast<int>(ExitStatus::BadInput);
+        }
         if (given.m_command == "compare")
             return static_cast<int>(compare(given, *profile));
         if (given.m_command == "faults" && given.m_of == "attempts")
