exchange: load messages keep to a budget of bytes

Cause: a busy VM told its load every 25 ms to three or four others, whatever that cost; the target for control is 20 KB/s a VM. Other VMs were passed on with each message. Change: TellingSchedule decides when load is told (changed and paid for, or 200 ms old; deaths at once), 16 KB/s; known VMs are passed on for 250 ms in each second and when a new one was heard of. The pacer of the owner design's replicas moves to base and serves both.

--- a/src/base/BytePacer.cpp
+++ b/src/base/BytePacer.cpp
@@ -1,4 +1,4 @@
-#include "entry/ReplicaPacer.h"
+#include "base/BytePacer.h"
 
 #include <algorithm>
 
@@ -10,7 +10,7 @@
 
 } // namespace
 
-void ReplicaPacer::charge(std::size_t bytes, Instant now)
+void BytePacer::charge(std::size_t bytes, Instant now)
 {
     const std::uint64_t microseconds = bytes * c_microsecondsPerSecond / m_bytesPerSecond;
     m_paidOffAt = std::max(m_paidOffAt, now) + Duration { static_cast<std::int64_t>(microseconds) };
--- a/src/base/BytePacer.h
+++ b/src/base/BytePacer.h
@@ -7,18 +7,18 @@
 
 namespace cuminrelay {
 
-/// Keeps exchanges of flow replicas under a budget of bytes a second, over all peers. An exchange may start whenever
-/// the bytes of those before it are paid off; it is never split.
-class ReplicaPacer {
+/// Keeps what is sent under a budget of bytes a second. A message may start whenever the bytes of those before it are
+/// paid off; it is never split.
+class BytePacer {
 public:
-    explicit ReplicaPacer(std::uint64_t bytesPerSecond)
+    explicit BytePacer(std::uint64_t bytesPerSecond)
         : m_bytesPerSecond(bytesPerSecond)
     {
     }
 
     bool mayStart(Instant now) const { return now >= m_paidOffAt; }
 
-    /// Notes that an exchange of this size started.
+    /// Notes that a message of this size started.
     void charge(std::size_t bytes, Instant now);
 
 private:
--- a/src/base/BytePacerTest.cpp
+++ b/src/base/BytePacerTest.cpp
@@ -1,4 +1,4 @@
-#include "entry/ReplicaPacer.h"
+#include "base/BytePacer.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -8,10 +8,10 @@
 namespace cuminrelay {
 namespace {
 
-    TEST(ReplicaPacer, nextExchangeWaitsUntilTheLastIsPaidOff)
+    TEST(BytePacer, nextExchangeWaitsUntilTheLastIsPaidOff)
     {
         ManualClock clock;
-        ReplicaPacer pacer { 1000 };
+        BytePacer pacer { 1000 };
         EXPECT_TRUE(pacer.mayStart(clock.now()));
         pacer.charge(500, clock.now());
         clock.advance(std::chrono::milliseconds { 499 });
@@ -20,21 +20,21 @@
         EXPECT_TRUE(pacer.mayStart(clock.now()));
     }
 
-    TEST(ReplicaPacer, quietTimeIsNotSavedUp)
+    TEST(BytePacer, quietTimeIsNotSavedUp)
     {
         ManualClock clock;
-        ReplicaPacer pacer { 1000 };
+        BytePacer pacer { 1000 };
         clock.advance(std::chrono::hours { 1 });
         pacer.charge(100, clock.now());
         EXPECT_FALSE(pacer.mayStart(clock.now()));
     }
 
-    RC_GTEST_PROP(ReplicaPacer, rateStaysUnderTheBudgetButForOneExchange, (const std::vector<std::uint16_t>& sizes))
+    RC_GTEST_PROP(BytePacer, rateStaysUnderTheBudgetButForOneExchange, (const std::vector<std::uint16_t>& sizes))
     {
         constexpr std::uint64_t bytesPerSecond = 12'000;
         ManualClock clock;
         const Instant start = clock.now();
-        ReplicaPacer pacer { bytesPerSecond };
+        BytePacer pacer { bytesPerSecond };
         std::uint64_t sent = 0;
         std::uint64_t largest = 0;
         for (const std::uint16_t size : sizes) {
--- a/src/bench/CarriedDesign.cpp
+++ b/src/bench/CarriedDesign.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-    constexpr Duration c_tellInterval = std::chrono::milliseconds { 200 };
+    constexpr std::uint64_t c_exchangeBytesPerSecond = 16'000;
+    constexpr std::size_t c_datagramHeaderBytes = 28;
     constexpr Duration c_backlog = std::chrono::milliseconds { 50 };
 
     BackendIdentity identityOf(Endpoint tunnel)
@@ -15,10 +16,10 @@
         return { tunnel.packed() };
     }
 
-    void countBytes(std::uint64_t& bytes, const LoadMessage& message)
+    std::size_t bytesOf(const LoadMessage& message)
     {
         alignas(8) std::array<std::byte, c_loadMessageBytes> room {};
-        bytes += encodeLoadMessage(message, room).size();
+        return encodeLoadMessage(message, room).size() + c_datagramHeaderBytes;
     }
 
 } // namespace
@@ -68,8 +69,7 @@
     vm.m_router = std::make_unique<CarriedRouter>(std::move(options), m_placement, m_observer);
     vm.m_peers = std::make_unique<ExchangePeers>(vm.m_address, hashZone(vm.m_zone), seeds);
     vm.m_pauses = PauseDetector {};
-    vm.m_told = LoadMessage {};
-    vm.m_tellAt = Deadline {};
+    vm.m_telling.emplace(c_exchangeBytesPerSecond);
     vm.m_ranAt = now;
     vm.m_isLeaving = false;
 }
@@ -145,17 +145,18 @@
     message.m_leaving = vm.m_isLeaving;
     message.m_known.m_declarations = vm.m_router->configVersion();
     vm.m_router->ownLoad(message.m_loads);
-    if (now < vm.m_tellAt && message.m_loads == vm.m_told.m_loads)
+    if (!vm.m_telling->isDue(message.m_loads, {}, now))
         return;
-    vm.m_tellAt = now + c_tellInterval;
     message.m_peers = vm.m_peers->somePeers(now);
-    for (const Endpoint target : vm.m_peers->nextTargets(now)) {
-        countBytes(m_controlBytes, message);
+    const std::vector<Endpoint> targets = vm.m_peers->nextTargets(now);
+    const std::size_t bytes = targets.size() * bytesOf(message);
+    vm.m_telling->noteTold(message.m_loads, {}, bytes, now);
+    m_controlBytes += bytes;
+    for (const Endpoint target : targets) {
         const VmIndex peer = m_network.vmAt(target);
         if (m_network.isRunning(peer) && m_network.reaches(index, peer))
             hear(m_vms[peer], vm.m_address, message, now);
     }
-    vm.m_told = std::move(message);
 }
 
 void CarriedDesign::hear(Vm& vm, Endpoint teller, const LoadMessage& message, Instant now)
--- a/src/bench/CarriedDesign.h
+++ b/src/bench/CarriedDesign.h
@@ -3,11 +3,13 @@
 #include "affinity/CarriedRouter.h"
 #include "bench/FleetDesign.h"
 #include "exchange/ExchangePeers.h"
+#include "exchange/TellingSchedule.h"
 #include "placement/LeastWorkPlacement.h"
 #include "relay/PauseDetector.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,8 +46,7 @@
         std::unique_ptr<CarriedRouter> m_router; ///< nullptr while the VM is dead
         std::unique_ptr<ExchangePeers> m_peers;
         PauseDetector m_pauses;
-        LoadMessage m_told;
-        Deadline m_tellAt {};
+        std::optional<TellingSchedule> m_telling;
         Instant m_ranAt {};
         bool m_isLeaving = false;
     };
--- a/src/entry/PacketPath.h
+++ b/src/entry/PacketPath.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "admission/AdmissionPolicy.h"
+#include "base/BytePacer.h"
 #include "base/Error.h"
 #include "base/Time.h"
 #include "entry/EntrySettings.h"
-#include "entry/ReplicaPacer.h"
 #include "flows/FlowRouter.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
@@ -124,7 +124,7 @@
     FouFrontEnd m_fabric;
     PeerFrontEnd m_peers;
     FlowRouter m_router;
-    ReplicaPacer m_pacer;
+    BytePacer m_pacer;
     std::map<Endpoint, std::unique_ptr<BatchTaker>> m_takers;
     Endpoint m_lastServed; ///< of m_takers; the next turn begins behind it
     bool m_leaving = false;
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -11,6 +11,10 @@
     constexpr std::size_t c_nearFanout = 3;
     constexpr std::size_t c_farFanout = 1;
     constexpr Duration c_seedInterval = std::chrono::seconds { 1 };
+    constexpr Duration c_passOnInterval = std::chrono::seconds { 1 };
+
+    /// Several messages go out within this, so that all of the own zone hear of a newcomer.
+    constexpr Duration c_passOnSpan = std::chrono::milliseconds { 250 };
 
     /// A VM that was not heard from for this long is no longer told anything. One of another zone tells each of 60 VMs
     /// in turn.
@@ -61,6 +65,8 @@
         return;
     }
     Known& known = m_peers[peer];
+    if (known.m_heardAt == Instant {})
+        m_passOnAt = now;
     known.m_zone = message.m_zone;
     known.m_heardAt = now;
     known.m_forgetAt = now + c_peerMemory;
@@ -185,6 +191,12 @@
 std::vector<ExchangePeer> ExchangePeers::somePeers(Instant now)
 {
     std::vector<ExchangePeer> some;
+    if (now >= m_passOnAt) {
+        m_passOnAt = now + c_passOnInterval;
+        m_passOnUntil = now + c_passOnSpan;
+    }
+    if (now >= m_passOnUntil)
+        return some;
     std::map<Endpoint, Known>::const_iterator position = after(m_peers, m_lastPassedOn);
     for (std::size_t i = 0; i < m_peers.size() && some.size() < c_mostPeers; ++i) {
         if (position->second.m_heardAt != Instant {} && now - position->second.m_heardAt < c_peerMemory) {
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -44,7 +44,8 @@
     /// while: the own zone's reader is about to hear of it, too.
     std::optional<Endpoint> newerPeer(const KnownState& own, Instant now);
 
-    /// Some VMs that were heard of lately, in turn, for a message.
+    /// Some VMs that were heard of lately, in turn, for a message. Empty most of the time: they are passed on when
+    /// somebody was heard of for the first time, and about once a second.
     std::vector<ExchangePeer> somePeers(Instant now);
 
     std::size_t size() const { return m_peers.size(); }
@@ -66,6 +67,8 @@
     std::vector<Endpoint> m_seeds;
     std::map<Endpoint, Known> m_peers;
     Deadline m_seedsAt {};
+    Deadline m_passOnAt {}; ///< when peers are passed on next
+    Deadline m_passOnUntil {}; ///< with each message until then
     Instant m_readerlessSince {}; ///< since when nobody of the zone follows the store in contact; epoch: somebody does
     Instant m_behindSince {}; ///< since when only VMs of other zones know a newer state; epoch: not
     std::uint64_t m_asked = 0; ///< how often newerPeer named a VM of the own zone
--- /dev/null
+++ b/src/exchange/TellingSchedule.cpp
@@ -0,0 +1,32 @@
+#include "exchange/TellingSchedule.h"
+
+#include <algorithm>
+
+namespace cuminrelay {
+
+namespace {
+
+    /// An unchanged load is told again after this; others forget it after three times as long.
+    constexpr Duration c_repeatInterval = std::chrono::milliseconds { 200 };
+
+} // namespace
+
+bool TellingSchedule::isDue(
+    std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead, Instant now) const
+{
+    if (!std::equal(dead.begin(), dead.end(), m_dead.begin(), m_dead.end()))
+        return true;
+    const bool hasChanged = !std::equal(loads.begin(), loads.end(), m_loads.begin(), m_loads.end());
+    return (hasChanged && m_pacer.mayStart(now)) || now >= m_repeatAt;
+}
+
+void TellingSchedule::noteTold(
+    std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead, std::size_t bytes, Instant now)
+{
+    m_loads.assign(loads.begin(), loads.end());
+    m_dead.assign(dead.begin(), dead.end());
+    m_repeatAt = now + c_repeatInterval;
+    m_pacer.charge(bytes, now);
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/exchange/TellingScheduleTest.cpp
@@ -0,0 +1,68 @@
+#include "exchange/TellingSchedule.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr Instant c_start { std::chrono::seconds { 100 } };
+    constexpr std::uint64_t c_budget = 20'000; // bytes a second
+
+    std::vector<BackendLoadReport> loadsOf(std::uint32_t requests)
+    {
+        return { { { 1 }, { requests, 0 } } };
+    }
+
+    TEST(TellingScheduleTest, whatHasChangedIsToldAsSoonAsTheBudgetAllows)
+    {
+        TellingSchedule schedule { c_budget };
+        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start));
+        schedule.noteTold(loadsOf(1), {}, 1'000, c_start); // 50 ms of the budget
+        EXPECT_FALSE(schedule.isDue(loadsOf(2), {}, c_start + milliseconds { 49 }));
+        EXPECT_TRUE(schedule.isDue(loadsOf(2), {}, c_start + milliseconds { 50 }));
+    }
+
+    TEST(TellingScheduleTest, whatHasNotChangedIsToldAgainSeldom)
+    {
+        TellingSchedule schedule { c_budget };
+        schedule.noteTold(loadsOf(1), {}, 100, c_start);
+        EXPECT_FALSE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 199 }));
+        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 200 }));
+    }
+
+    // Others would take the sender for silent.
+    TEST(TellingScheduleTest, aSpentBudgetDoesNotSilenceAVm)
+    {
+        TellingSchedule schedule { c_budget };
+        schedule.noteTold(loadsOf(1), {}, 1'000'000, c_start);
+        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 200 }));
+    }
+
+    TEST(TellingScheduleTest, aDeathWaitsForNoBudget)
+    {
+        TellingSchedule schedule { c_budget };
+        schedule.noteTold(loadsOf(1), {}, 1'000'000, c_start);
+        const std::vector<BackendToken> dead { { 7 } };
+        EXPECT_TRUE(schedule.isDue(loadsOf(1), dead, c_start));
+    }
+
+    TEST(TellingScheduleTest, aBusyVmStaysWithinItsBudget)
+    {
+        TellingSchedule schedule { c_budget };
+        std::size_t sent = 0;
+        std::uint32_t requests = 0;
+        for (Instant now = c_start; now < c_start + std::chrono::seconds { 10 }; now += milliseconds { 25 }) {
+            const std::vector<BackendLoadReport> loads = loadsOf(++requests);
+            if (!schedule.isDue(loads, {}, now))
+                continue;
+            schedule.noteTold(loads, {}, 1'700, now);
+            sent += 1'700;
+        }
+        EXPECT_LE(sent, 10 * c_budget + 1'700);
+        EXPECT_GE(sent, 8 * c_budget);
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -26,8 +26,7 @@
 
     constexpr std::chrono::milliseconds c_houseInterval { 25 };
 
-    /// An unchanged load is told again after this, so that others know that it still holds.
-    constexpr Duration c_tellInterval = std::chrono::milliseconds { 200 };
+    constexpr std::size_t c_datagramHeaderBytes = 28; // IPv4 and UDP
 
     /// What waited while the process stood still has been received after this.
     constexpr Duration c_backlog = std::chrono::milliseconds { 50 };
@@ -245,7 +244,7 @@
     const bool hasNews = std::exchange(m_hasNews, false);
     if (!hasNews || !m_backendsWatch.isFollowing())
         return;
-    sendTo(m_peers.nearPeers(), now);
+    m_telling.noteSent(sendTo(m_peers.nearPeers(), now), now);
 }
 
 void RelayProcess::tellLoad(Instant now)
@@ -257,15 +256,16 @@
     std::vector<BackendToken> dead = m_router.deadBackends();
     if (dead.size() > c_mostDead)
         dead.resize(c_mostDead);
-    if (now < m_tellAt && m_message.m_loads == loads && m_message.m_dead == dead)
+    if (!m_telling.isDue(loads, dead, now))
         return;
-    m_tellAt = now + c_tellInterval;
     m_message.m_loads = std::move(loads);
     m_message.m_dead = std::move(dead);
-    sendTo(m_peers.nextTargets(now), now);
+    const std::size_t bytes = sendTo(m_peers.nextTargets(now), now);
+    m_telling.noteTold(m_message.m_loads, m_message.m_dead, bytes, now);
 }
 
-void RelayProcess::sendTo(std::span<const Endpoint> targets, Instant now)
+/// Sends the message; returns the bytes that this put on the link.
+std::size_t RelayProcess::sendTo(std::span<const Endpoint> targets, Instant now)
 {
     m_message.m_leaving = m_departure.has_value();
     m_message.m_isReading = !m_departure && m_backendsWatch.isFollowing() && m_declarationsWatch.isFollowing();
@@ -278,6 +278,9 @@
         if (failure)
             m_parts.m_metrics.counter("cuminrelay_exchange_drops_total", "not_sent").add();
     }
+    const std::size_t bytes = targets.size() * (encoded.size() + c_datagramHeaderBytes);
+    m_parts.m_metrics.counter("cuminrelay_exchange_bytes_total", "sent").add(bytes);
+    return bytes;
 }
 
 void RelayProcess::startProbes(Instant now)
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -6,6 +6,7 @@
 #include "exchange/NewsBook.h"
 #include "exchange/NewsClient.h"
 #include "exchange/NewsServer.h"
+#include "exchange/TellingSchedule.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 #include "observe/MetricsServer.h"
@@ -85,7 +86,7 @@
     void chooseReader(Instant now);
     void tellLoad(Instant now);
     void tellNews(Instant now);
-    void sendTo(std::span<const Endpoint> targets, Instant now);
+    std::size_t sendTo(std::span<const Endpoint> targets, Instant now);
     void startProbes(Instant now);
     void beginLeaving();
     void reload();
@@ -95,6 +96,9 @@
     /// Some 100 bytes each.
     static constexpr std::size_t s_trackedFlows = 100'000;
 
+    /// Of what a VM may spend for control, 20 KB a second, the most; the rest is for news.
+    static constexpr std::uint64_t s_exchangeBytesPerSecond = 16'000;
+
     RelaySettings m_settings;
     RelayParts m_parts;
     FlowLog m_flowLog;
@@ -113,7 +117,7 @@
     std::optional<Departure> m_departure;
     bool m_hasBackends = false; ///< the list was read at least once
     LoadMessage m_message; // reused by each telling
-    Deadline m_tellAt {};
+    TellingSchedule m_telling { s_exchangeBytesPerSecond };
     bool m_hasNews = false; ///< not yet told to the own zone
     bool m_isFetching = false;
     alignas(8) std::array<std::byte, c_loadMessageBytes> m_sendRoom {};
