platform: each page of a list may take as long as a call

Ruled out: the store's rates (300 x 8 calls of 6,000 a second). Change: each page has the time of the first.

--- a/src/discovery/Discovery.h
+++ b/src/discovery/Discovery.h
@@ -53,6 +53,7 @@
     Discovery& operator=(const Discovery&) = delete;
     virtual ~Discovery() = default;
 
+    /// A list may come in several parts; the deadline is that of the first, and each further one may take as long.
     virtual boost::asio::awaitable<Outcome<BackendList>> listBackends(Deadline deadline) = 0;
 
     /// Waits for changes after a revision; returns none when there were none by waitUntil. Errors: also Stale when the
