trace: cuminrelay-trace tells the story of one flow from the logs of several VMs

Cause: from a complaint to its cause took a grep over every VM's log and knowledge of the code. Conclusion: kept as a program, not a verb of cuminrelayctl: it asks no platform and needs no settings.

--- /dev/null
+++ b/src/programs/trace.cpp
@@ -0,0 +1,145 @@
+#include "settings/Program.h"
+#include "trace/FlowStory.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+#include <fstream>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cuminrelay {
+namespace {
+
+    namespace options = boost::program_options;
+
+    constexpr std::string_view c_name = "cuminrelay-trace";
+
+    struct TraceOptions {
+        std::vector<std::string> m_words; ///< the flow, then files
+        std::string m_output = "table";
+        bool m_version = false;
+        bool m_help = false;
+    };
+
+    int refuse(std::string_view message)
+    {
+        fmt::print(stderr, "{}: {}; see {} --help\n", c_name, message, c_name);
+        return static_cast<int>(ExitStatus::BadInput);
+    }
+
+    /// Adds the lines of a file. Text of others is passed over. Errors: NotFound.
+    Outcome<void> readLines(const std::string& path, std::vector<LogLine>& lines)
+    {
+        std::ifstream file { path };
+        if (!file)
+            return Error { ErrorKind::NotFound, fmt::format("cannot read {}", path) };
+        const std::string name = std::filesystem::path { path }.stem().string();
+        for (std::string text; std::getline(file, text);) {
+            Outcome<LogLine> line = parseLogLine(text, name);
+            if (line)
+                lines.push_back(std::move(line.value()));
+        }
+        return boost::outcome_v2::success();
+    }
+
+    std::string timeText(const LogLine& line)
+    {
+        const std::int64_t millis = line.m_time.time_since_epoch().count() % 1'000;
+        return fmt::format("{:%H:%M:%S}.{:03}", fmt::gmtime(std::chrono::system_clock::to_time_t(line.m_time)), millis);
+    }
+
+    void printTable(const FlowStory& story)
+    {
+        for (const LogLine& line : story.m_lines)
+            fmt::print("{}  {:<24} {:<18} {}\n", timeText(line), line.m_source, line.m_event, line.m_details);
+        for (const std::string& finding : story.m_findings)
+            fmt::print("- {}\n", finding);
+    }
+
+    void printJson(const FlowStory& story)
+    {
+        boost::json::array lines;
+        for (const LogLine& line : story.m_lines)
+            lines.push_back({ { "time", timeText(line) }, { "source", line.m_source }, { "event", line.m_event },
+                { "details", line.m_details } });
+        boost::json::array findings;
+        for (const std::string& finding : story.m_findings)
+            findings.emplace_back(finding);
+        fmt::print(
+            "{}\n", boost::json::serialize(boost::json::object { { "lines", lines }, { "findings", findings } }));
+    }
+
+    int trace(const TraceOptions& given)
+    {
+        std::vector<LogLine> lines;
+        for (const std::string& path : std::span { given.m_words }.subspan(1)) {
+            const Outcome<void> read = readLines(path, lines);
+            if (!read)
+                return refuse(read.error().m_message);
+        }
+        const FlowStory story = tellFlowStory(given.m_words.front(), lines);
+        if (given.m_output == "json")
+            printJson(story);
+        else
+            printTable(story);
+        return static_cast<int>(story.m_lines.empty() ? ExitStatus::Failure : ExitStatus::Success);
+    }
+
+    int runMain(std::span<char* const> arguments)
+    {
+        TraceOptions given;
+        options::options_description described { "Options" };
+        described.add_options()(
+            "output", options::value(&given.m_output)->value_name("json|table"), "form of the output (default table)")(
+            "version", options::bool_switch(&given.m_version), "print version and build and exit")(
+            "help", options::bool_switch(&given.m_help), "print this text and exit");
+        options::options_description all;
+        all.add(described).add_options()("word", options::value(&given.m_words));
+        options::positional_options_description positions;
+        positions.add("word", -1);
+        // The library reports a bad command line by exception; here it becomes an exit status.
+        try {
+            options::variables_map values;
+            options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
+                               .options(all)
+                               .positional(positions)
+                               .run(),
+                values);
+            options::notify(values);
+        } catch (const options::error& problem) {
+            return refuse(problem.what());
+        }
+        if (given.m_help) {
+            fmt::print("Usage: {0} FLOW FILE...\nMerges the logs of entry VMs into the story of one flow.\n\n"
+                       "Example: {0} '100.64.0.7:40001>198.18.0.1:443' vm-*.log\n\n{1}\n"
+                       "Exit status: 0 the flow was found; 1 no line names it; 2 bad command line or file.\n",
+                c_name, fmt::streamed(described));
+            return static_cast<int>(ExitStatus::Success);
+        }
+        if (given.m_version) {
+            fmt::print("{}\n", versionText(c_name));
+            return static_cast<int>(ExitStatus::Success);
+        }
+        if (given.m_words.size() < 2)
+            return refuse("expected a flow and files");
+        if (given.m_words.front().find('>') == std::string::npos)
+            return refuse(fmt::format("found \"{}\"; a flow is CALLER:PORT>SERVICE:PORT", given.m_words.front()));
+        if (given.m_output != "json" && given.m_output != "table")
+            return refuse(fmt::format("--output: found \"{}\"; allowed: json, table", given.m_output));
+        return trace(given);
+    }
+
+} // namespace
+} // namespace cuminrelay
+
+int main(int argc, char** argv)
+{
+    return cuminrelay::runMain({ argv, static_cast<std::size_t>(argc) });
+}
--- /dev/null
+++ b/src/trace/FlowStory.cpp
@@ -0,0 +1,126 @@
+#include "trace/FlowStory.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <set>
+
+namespace cuminrelay {
+
+namespace {
+
+    using TimePoint = std::chrono::sys_time<std::chrono::milliseconds>;
+
+    /// What bears on a flow may have happened this long before its first line, or after its last.
+    constexpr std::chrono::seconds c_before { 10 };
+    constexpr std::chrono::seconds c_after { 5 };
+
+    constexpr std::array<std::string_view, 9> c_processEvents { "started", "stopping", "stopped", "paused", "readiness",
+        "store_lost", "store_regained", "declarations_taken", "flows_reset" };
+
+    bool isProcessEvent(std::string_view event)
+    {
+        return std::find(c_processEvents.begin(), c_processEvents.end(), event) != c_processEvents.end();
+    }
+
+    /// What the lines of the flow itself name.
+    struct Mentioned {
+        std::set<std::string, std::less<>> m_sources;
+        std::set<std::string, std::less<>> m_backends;
+        TimePoint m_first = TimePoint::max();
+        TimePoint m_last = TimePoint::min();
+    };
+
+    Mentioned mentionedBy(std::string_view flow, std::span<const LogLine> lines)
+    {
+        Mentioned mentioned;
+        for (const LogLine& line : lines) {
+            if (line.m_flow != flow)
+                continue;
+            mentioned.m_sources.insert(line.m_source);
+            if (!line.m_backend.empty())
+                mentioned.m_backends.insert(line.m_backend);
+            mentioned.m_first = std::min(mentioned.m_first, line.m_time);
+            mentioned.m_last = std::max(mentioned.m_last, line.m_time);
+        }
+        return mentioned;
+    }
+
+    std::string clockTime(TimePoint time)
+    {
+        const std::int64_t millis = time.time_since_epoch().count() % 1'000;
+        return fmt::format("{:%H:%M:%S}.{:03}", fmt::gmtime(std::chrono::system_clock::to_time_t(time)), millis);
+    }
+
+    /// What a line says of why the flow went as it did; empty when it says nothing of that.
+    std::string findingOf(const LogLine& line, std::string_view flow)
+    {
+        const std::string where = fmt::format("{} at {}", line.m_source, clockTime(line.m_time));
+        if (line.m_event == "flow_placed" && line.m_flow == flow)
+            return fmt::format("{} sent the opening to {} ({})", where, line.m_backend, line.m_cause);
+        if (line.m_event == "flow_turned_away" && line.m_flow == flow)
+            return fmt::format("{}: {}, because {} ({})", where, line.m_outcome, line.m_reason, line.m_details);
+        if (line.m_event == "backend_life" && line.m_state != "answers")
+            return fmt::format("{}: {} was found {}", where, line.m_backend, line.m_state);
+        if (line.m_event == "backend_changed" && line.m_state != "ready")
+            return fmt::format("{} learnt that {} is {}", where, line.m_backend, line.m_state);
+        if (line.m_event == "paused" || line.m_event == "stopping" || line.m_event == "store_lost")
+            return fmt::format("{}: {} ({})", where, line.m_event, line.m_details);
+        return {};
+    }
+
+    /// VMs that started without having said that they stop: they were killed, and lost the packets on their way.
+    std::vector<std::string> findKilled(std::span<const LogLine> sorted)
+    {
+        std::vector<std::string> findings;
+        std::set<std::string, std::less<>> running;
+        for (const LogLine& line : sorted) {
+            if (line.m_event == "started" && !running.insert(line.m_source).second)
+                findings.push_back(fmt::format(
+                    "{} was killed some time before it started again at {}", line.m_source, clockTime(line.m_time)));
+            else if (line.m_event == "stopping")
+                running.erase(line.m_source);
+            else
+                running.insert(line.m_source);
+        }
+        return findings;
+    }
+
+} // namespace
+
+FlowStory tellFlowStory(std::string_view flow, std::span<const LogLine> lines)
+{
+    std::vector<LogLine> sorted { lines.begin(), lines.end() };
+    std::stable_sort(sorted.begin(), sorted.end(),
+        [](const LogLine& left, const LogLine& right) { return left.m_time < right.m_time; });
+    const Mentioned mentioned = mentionedBy(flow, sorted);
+    FlowStory story;
+    if (mentioned.m_sources.empty()) {
+        story.m_findings = findKilled(sorted);
+        story.m_findings.push_back(
+            "no VM says anything of this flow: its opening reached none of them, or its lines were left out");
+        return story;
+    }
+    for (const LogLine& line : sorted) {
+        const bool isNear = line.m_time >= mentioned.m_first - c_before && line.m_time <= mentioned.m_last + c_after;
+        const bool isOfBackend = line.m_flow.empty() && line.m_state != "ready" // as it always was
+            && mentioned.m_backends.contains(line.m_backend);
+        const bool isOfProcess = isProcessEvent(line.m_event) && mentioned.m_sources.contains(line.m_source);
+        if (line.m_flow == flow || (isNear && (isOfBackend || isOfProcess)))
+            story.m_lines.push_back(line);
+    }
+    for (const LogLine& line : story.m_lines) {
+        std::string finding = findingOf(line, flow);
+        if (!finding.empty())
+            story.m_findings.push_back(std::move(finding));
+    }
+    const bool wasTurnedAway = std::any_of(story.m_lines.begin(), story.m_lines.end(),
+        [&](const LogLine& line) { return line.m_flow == flow && line.m_event == "flow_turned_away"; });
+    if (!wasTurnedAway)
+        story.m_findings.push_back("no VM refused, dropped or reset it: what ended it happened at its backend server, "
+                                   "or on the way there");
+    return story;
+}
+
+} // namespace cuminrelay
