observe: log lines wait in a bounded buffer of whole lines, and none is lost unsaid

Cause: lines went through stdio to a descriptor that does not block; what a full pipe did not take was torn or vanished without a word, untested. An event was cut to 20 lines a second, less than the 64 openings a second of the design size. Change: NonBlockingSink keeps 64 KB of whole lines, says and counts how many it left out; 100 lines a second for each event; a withdrawn host is named. Measured: a closed output, none, and a reader that stops: NonBlockingSinkTest 4 of 4; at ten times the design load 100 lines a second are written and every other one is counted.

--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -18,6 +18,12 @@
         return s_clock;
     }
 
+    LogSink& standardError()
+    {
+        static StreamSink s_sink { *stderr };
+        return s_sink;
+    }
+
     void appendField(std::string& line, const LogField& field)
     {
         line += ',';
@@ -76,11 +82,11 @@
 }
 
 Log::Log(LogLevel minimum)
-    : Log(minimum, systemClock(), *stderr)
+    : Log(minimum, systemClock(), standardError())
 {
 }
 
-Log::Log(LogLevel minimum, const Clock& clock, std::FILE& output)
+Log::Log(LogLevel minimum, const Clock& clock, LogSink& output)
     : m_minimum(minimum)
     , m_clock(clock)
     , m_output(output)
@@ -122,7 +128,7 @@
     if (suppressed > 0)
         appendField(line, LogField { "suppressed", suppressed });
     line += "}\n";
-    std::fwrite(line.data(), 1, line.size(), &m_output);
+    m_output.write(line);
 }
 
 void Log::debug(std::string_view slice, std::string_view event, std::initializer_list<LogField> fields)
--- a/src/observe/Log.h
+++ b/src/observe/Log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "observe/LogSink.h"
 
 #include <array>
 #include <cstdint>
@@ -48,13 +49,13 @@
 class Log {
 public:
     /// How many lines an event may write a second.
-    static constexpr unsigned s_linesPerWindow = 20;
+    static constexpr unsigned s_linesPerWindow = 100;
 
     /// Writes to standard error.
     explicit Log(LogLevel minimum = LogLevel::Info);
 
     /// Writes to output, which must outlive the log as the clock must; the clock only bounds the rate.
-    Log(LogLevel minimum, const Clock& clock, std::FILE& output);
+    Log(LogLevel minimum, const Clock& clock, LogSink& output);
 
     void write(
         LogLevel level, std::string_view slice, std::string_view event, std::initializer_list<LogField> fields = {});
@@ -74,7 +75,7 @@
     std::mutex m_mutex;
     LogLevel m_minimum;
     const Clock& m_clock;
-    std::FILE& m_output;
+    LogSink& m_output;
     std::map<std::string, Budget, std::less<>> m_budgets;
 };
 
--- a/src/observe/LogTest.cpp
+++ b/src/observe/LogTest.cpp
@@ -15,7 +15,8 @@
     public:
         explicit RecordedLog(LogLevel minimum = LogLevel::Info)
             : m_output(std::tmpfile(), &std::fclose)
-            , m_log(minimum, m_clock, *m_output)
+            , m_sink(*m_output)
+            , m_log(minimum, m_clock, m_sink)
         {
         }
 
@@ -45,6 +46,7 @@
     private:
         ManualClock m_clock;
         std::unique_ptr<std::FILE, int (*)(std::FILE*)> m_output;
+        StreamSink m_sink;
         Log m_log;
     };
 
--- /dev/null
+++ b/src/observe/NonBlockingSinkTest.cpp
@@ -0,0 +1,146 @@
+#include "observe/NonBlockingSink.h"
+
+#include "observe/Log.h"
+
+#include <array>
+#include <boost/json/parse.hpp>
+#include <csignal>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <string>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr std::size_t c_capacity = 16'384;
+
+    /// A pipe whose reader reads when the test says so, and never waits.
+    class Pipe {
+    public:
+        Pipe() { EXPECT_EQ(pipe2(m_ends.data(), O_NONBLOCK), 0); }
+
+        ~Pipe()
+        {
+            closeReader();
+            close(m_ends[1]);
+        }
+
+        int writer() const { return m_ends[1]; }
+
+        void closeReader()
+        {
+            if (m_ends[0] >= 0)
+                close(std::exchange(m_ends[0], -1));
+        }
+
+        /// What has been written, at most so much.
+        std::string read(std::size_t most)
+        {
+            std::string bytes(most, '\0');
+            const ssize_t count = ::read(m_ends[0], bytes.data(), bytes.size());
+            bytes.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+            return bytes;
+        }
+
+    private:
+        std::array<int, 2> m_ends { -1, -1 };
+    };
+
+    /// Reads until nothing waits any more; each line must be JSON.
+    std::vector<boost::json::object> readAll(Pipe& pipe, NonBlockingSink& sink)
+    {
+        std::string text;
+        for (std::size_t before = std::string::npos; before != text.size();) {
+            before = text.size();
+            sink.flush();
+            text += pipe.read(65'536);
+        }
+        std::vector<boost::json::object> lines;
+        std::size_t begin = 0;
+        for (std::size_t end = text.find('\n'); end != std::string::npos; end = text.find('\n', begin)) {
+            if (end > begin)
+                lines.push_back(boost::json::parse(std::string_view { text }.substr(begin, end - begin)).as_object());
+            begin = end + 1;
+        }
+        return lines;
+    }
+
+    TEST(NonBlockingSinkTest, aReaderThatDoesNotReadLosesWholeLinesAndIsToldHowMany)
+    {
+        Pipe pipe;
+        NonBlockingSink sink { pipe.writer(), c_capacity };
+        ManualClock clock;
+        Log log { LogLevel::Info, clock, sink };
+        constexpr std::size_t events = 2'000;
+        for (std::size_t i = 0; i < events; ++i) { // each an event of its own, so that no budget leaves any out
+            log.info("test", "event_" + std::to_string(i), { { "padding", std::string(100, 'x') } });
+            sink.flush();
+        }
+        EXPECT_GT(sink.lost(), 0u);
+        // What has come through up to here may end in the midst of a line; the rest follows.
+        const std::vector<boost::json::object> lines = readAll(pipe, sink);
+        std::size_t whole = 0;
+        std::int64_t said = 0;
+        for (const boost::json::object& line : lines) {
+            if (line.at("event") == "log_lines_lost")
+                said += line.at("lines").as_int64();
+            else
+                ++whole;
+        }
+        EXPECT_EQ(whole + sink.lost(), events);
+        EXPECT_EQ(said, static_cast<std::int64_t>(sink.lost()));
+    }
+
+    TEST(NonBlockingSinkTest, aClosedOutputCostsLinesOnly)
+    {
+        std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler): ignoring installs no handler
+        Pipe pipe;
+        NonBlockingSink sink { pipe.writer(), c_capacity };
+        pipe.closeReader();
+        sink.write("{}\n");
+        sink.flush();
+        for (int i = 0; i < 10; ++i)
+            sink.write("{}\n");
+        sink.flush();
+        EXPECT_EQ(sink.lost(), 10u);
+    }
+
+    TEST(NonBlockingSinkTest, aDescriptorThatIsNoneCostsLinesOnly)
+    {
+        NonBlockingSink sink { -1, c_capacity };
+        sink.write("{}\n");
+        sink.flush();
+        EXPECT_EQ(sink.lost(), 1u);
+    }
+
+    // Ten times the load that a VM is designed for.
+    TEST(NonBlockingSinkTest, tenTimesTheLoadIsBoundedAndSaysWhatItLeftOut)
+    {
+        Pipe pipe;
+        NonBlockingSink sink { pipe.writer(), 4'000'000 };
+        ManualClock clock;
+        Log log { LogLevel::Info, clock, sink };
+        constexpr unsigned openingsPerSecond = 640;
+        constexpr unsigned secondsPlayed = 5;
+        for (unsigned i = 0; i < openingsPerSecond * secondsPlayed; ++i) {
+            log.info("affinity", "flow_placed", { { "flow", i } });
+            clock.advance(std::chrono::microseconds { 1'000'000 / openingsPerSecond });
+        }
+        clock.advance(std::chrono::seconds { 1 });
+        log.info("affinity", "flow_placed", {});
+        std::size_t lines = 0;
+        std::int64_t leftOut = 0;
+        for (const boost::json::object& line : readAll(pipe, sink)) {
+            ++lines;
+            if (line.contains("suppressed"))
+                leftOut += line.at("suppressed").as_int64();
+        }
+        EXPECT_LE(lines, (secondsPlayed + 1) * Log::s_linesPerWindow + 1);
+        EXPECT_EQ(static_cast<std::int64_t>(lines) + leftOut, openingsPerSecond * secondsPlayed + 1);
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -185,11 +185,12 @@
         chooseReader(now);
         tellNews(now);
         tellLoad(now);
-        std::fflush(stdout);
+        flushLog();
         if (m_departure && m_departure->mayEnd(m_readiness.refusals(), now))
             break;
     }
     m_parts.m_log.info("relay", "stopped", { { "tracked_flows", m_router.trackedFlows() } });
+    flushLog();
     m_parts.m_context.stop();
 }
 
@@ -386,6 +387,15 @@
             { "backends", m_router.backends().size() } });
 }
 
+void RelayProcess::flushLog()
+{
+    m_parts.m_logOutput.flush();
+    const std::uint64_t lost = m_parts.m_logOutput.lost();
+    if (lost > m_countedLost)
+        m_parts.m_metrics.counter("cuminrelay_log_lines_lost_total").add(lost - m_countedLost);
+    m_countedLost = lost;
+}
+
 void RelayProcess::backendsListed(const BackendList& list)
 {
     if (!m_book.take(list))
@@ -406,6 +416,11 @@
     m_hasNews = true;
     const Instant now = m_parts.m_clock.now();
     for (const BackendChange& change : changes.m_changes) {
+        const BackendToken token = tokenOf(change.m_identity);
+        const KnownBackend* const known = std::as_const(m_router).backends().find(token);
+        const std::string name = change.m_backend ? change.m_backend->m_server.m_name
+            : known                               ? known->m_announced.m_server.m_name
+                                                  : std::string {};
         if (change.m_backend)
             m_router.backends().announce(*change.m_backend, now);
         else
@@ -414,8 +429,7 @@
             : change.m_backend->m_server.m_draining      ? "draining"
                                                          : "ready";
         m_parts.m_log.info("discovery", "backend_changed",
-            { { "backend", change.m_backend ? std::string_view { change.m_backend->m_server.m_name } : "" },
-                { "token", tokenOf(change.m_identity).m_value }, { "state", state },
+            { { "backend", name }, { "token", token.m_value }, { "state", state },
                 { "revision", changes.m_revision.m_number } });
     }
 }
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -10,6 +10,7 @@
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 #include "observe/MetricsServer.h"
+#include "observe/NonBlockingSink.h"
 #include "packets/PacketFrontEnd.h"
 #include "relay/BackendInquiry.h"
 #include "relay/Departure.h"
@@ -52,6 +53,7 @@
     const Clock& m_clock;
     Metrics& m_metrics;
     Log& m_log;
+    NonBlockingSink& m_logOutput; ///< of m_log
 };
 
 /// The process on an entry VM where packets carry their flow's backend server: one thread, and on it one task each for
@@ -92,6 +94,7 @@
     void reload();
     void noteRan(Instant now);
     void updateReadiness();
+    void flushLog();
 
     /// Some 100 bytes each.
     static constexpr std::size_t s_trackedFlows = 100'000;
@@ -120,6 +123,7 @@
     TellingSchedule m_telling { s_exchangeBytesPerSecond };
     bool m_hasNews = false; ///< not yet told to the own zone
     bool m_isFetching = false;
+    std::uint64_t m_countedLost = 0; ///< log lines, as the counter has them
     alignas(8) std::array<std::byte, c_loadMessageBytes> m_sendRoom {};
     alignas(8) std::array<std::byte, c_loadMessageBytes> m_receiveRoom {};
 };
