--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -20,8 +20,8 @@
 
     LogSink& standardError()
     {
-        static StreamSink s_sink { *stderr };
-        return s_sink;
+        static StreamSink sink { *stderr };
+        return sink;
     }
 
     void appendField(std::string& line, const LogField& field)
--- a/src/trace/FlowStory.cpp
+++ b/src/trace/FlowStory.cpp
@@ -98,7 +98,7 @@
     FlowStory story;
     if (mentioned.m_sources.empty()) {
         story.m_findings = findKilled(sorted);
-        story.m_findings.push_back(
+        story.m_findings.emplace_back(
             "no VM says anything of this flow: its opening reached none of them, or its lines were left out");
         return story;
     }
@@ -118,8 +118,9 @@
     const bool wasTurnedAway = std::any_of(story.m_lines.begin(), story.m_lines.end(),
         [&](const LogLine& line) { return line.m_flow == flow && line.m_event == "flow_turned_away"; });
     if (!wasTurnedAway)
-        story.m_findings.push_back("no VM refused, dropped or reset it: what ended it happened at its backend server, "
-                                   "or on the way there");
+        story.m_findings.emplace_back(
+            "no VM refused, dropped or reset it: what ended it happened at its backend server, "
+            "or on the way there");
     return story;
 }
 
--- a/src/trace/LogLine.cpp
+++ b/src/trace/LogLine.cpp
@@ -1,5 +1,6 @@
 #include "trace/LogLine.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -45,11 +46,11 @@
 
     std::string detailsOf(const boost::json::object& line)
     {
-        constexpr std::array<std::string_view, 4> c_shownElsewhere { "time", "level", "slice", "event" };
+        constexpr std::array<std::string_view, 4> shownElsewhere { "time", "level", "slice", "event" };
         std::string details;
         for (const auto& [name, value] : line) {
-            if (std::find(c_shownElsewhere.begin(), c_shownElsewhere.end(), std::string_view { name })
-                != c_shownElsewhere.end())
+            if (std::find(shownElsewhere.begin(), shownElsewhere.end(), std::string_view { name })
+                != shownElsewhere.end())
                 continue;
             const std::string text
                 = value.is_string() ? std::string { value.get_string() } : boost::json::serialize(value);
