discovery: a watch that hears nothing is renewed after 2 s

Ruled out: other VMs (they followed vm-3, which thought itself in contact); with several zones another zone's reader would have told within 1 s, and where the far end is gone TCP keep-alive notices after 3 s: here it answered. Change: watches wait 2 s and get 1 s of grace.

--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -17,10 +17,10 @@
     constexpr Duration c_readTimeout = std::chrono::milliseconds { 1'000 };
 
     /// A watch that went silent is noticed after this at the latest.
-    constexpr Duration c_longestWait = std::chrono::seconds { 8 };
+    constexpr Duration c_longestWait = std::chrono::seconds { 2 };
 
     /// The store answers a watch that has waited in milliseconds; a slow one gets this much more.
-    constexpr Duration c_waitGrace = std::chrono::milliseconds { 1'500 };
+    constexpr Duration c_waitGrace = std::chrono::milliseconds { 1'000 };
 
     /// Changes come in groups. What comes within this after a change is taken with one call more, not with one for
     /// each.
--- /dev/null
+++ b/src/discovery/StoreWatchTest.cpp
@@ -0,0 +1,123 @@
+#include "discovery/Watches.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace cuminrelay {
+namespace {
+
+    namespace asio = boost::asio;
+
+    /// Within this an accepted configuration has to be in force, also when a connection went silent.
+    constexpr Duration c_inForceBound = std::chrono::seconds { 3 };
+
+    /// A store that lists nothing and whose watches fail as the test says; it notes how long each may take.
+    class NotingDiscovery final : public Discovery {
+    public:
+        NotingDiscovery(asio::io_context& context, const Clock& clock)
+            : m_context(context)
+            , m_clock(clock)
+        {
+        }
+
+        asio::awaitable<Outcome<BackendList>> listBackends(Deadline) override
+        {
+            ++m_lists;
+            co_return BackendList { {}, 0, { 5 } };
+        }
+
+        asio::awaitable<Outcome<BackendChanges>> watchBackends(
+            StoreRevision known, Deadline waitUntil, Deadline deadline) override
+        {
+            m_known.push_back(known);
+            m_waits.push_back(waitUntil - m_clock.now());
+            m_patience.push_back(deadline - m_clock.now());
+            if (m_failures.empty()) {
+                m_context.stop();
+                asio::steady_timer never { m_context, asio::steady_timer::time_point::max() };
+                co_await never.async_wait(asio::use_awaitable);
+            }
+            const ErrorKind kind = m_failures.back();
+            m_failures.pop_back();
+            co_return Error { kind, "prepared" };
+        }
+
+        asio::awaitable<Outcome<DeclarationState>> readDeclarations(Deadline) override
+        {
+            co_return DeclarationState {};
+        }
+        asio::awaitable<Outcome<DeclarationState>> watchDeclarations(StoreRevision, Deadline, Deadline) override
+        {
+            co_return DeclarationState {};
+        }
+
+        std::vector<ErrorKind> m_failures; ///< of the next watches, the last one first
+        unsigned m_lists = 0;
+        std::vector<StoreRevision> m_known;
+        std::vector<Duration> m_waits;
+        std::vector<Duration> m_patience;
+
+    private:
+        asio::io_context& m_context;
+        const Clock& m_clock;
+    };
+
+    class SilentListener final : public DiscoveryListener {
+    public:
+        void backendsListed(const BackendList&) override { }
+        void backendsChanged(const BackendChanges&) override { }
+        void declared(const ServiceDeclarations&, StoreRevision) override { }
+    };
+
+    class StoreWatchTest : public testing::Test {
+    protected:
+        /// Runs the watch until a call finds nothing prepared.
+        void run()
+        {
+            m_watch.setReading(true);
+            asio::co_spawn(m_context, m_watch.run(), asio::detached);
+            m_context.run();
+        }
+
+        asio::io_context m_context;
+        ManualClock m_clock;
+        Metrics m_metrics;
+        Log m_log { LogLevel::Error };
+        SilentListener m_listener;
+        NotingDiscovery m_discovery { m_context, m_clock };
+        BackendsWatch m_watch { m_discovery, m_listener, { m_clock, m_metrics, m_log }, 1 };
+    };
+
+    // A connection that went silent delivers nothing and fails nothing: only the watch's own patience ends it.
+    TEST_F(StoreWatchTest, aWatchThatHearsNothingIsGivenUpWithinTheBoundOfAConfiguration)
+    {
+        run();
+        ASSERT_EQ(m_discovery.m_patience.size(), 1u);
+        EXPECT_LE(m_discovery.m_patience[0], c_inForceBound);
+        EXPECT_GT(m_discovery.m_waits[0], Duration::zero());
+    }
+
+    TEST_F(StoreWatchTest, afterAFailureTheNextWatchWaitsForNothing)
+    {
+        m_discovery.m_failures = { ErrorKind::Unavailable };
+        run();
+        ASSERT_EQ(m_discovery.m_waits.size(), 2u);
+        EXPECT_EQ(m_discovery.m_waits[1], Duration::zero());
+        EXPECT_EQ(m_discovery.m_known[1].m_number, 5u);
+        EXPECT_EQ(m_discovery.m_lists, 1u);
+    }
+
+    TEST_F(StoreWatchTest, whenTheHistoryIsGoneAllIsReadAgain)
+    {
+        m_discovery.m_failures = { ErrorKind::Stale };
+        run();
+        EXPECT_EQ(m_discovery.m_lists, 2u);
+    }
+
+} // namespace
+} // namespace cuminrelay
