--- a/src/programs/trace.cpp
+++ b/src/programs/trace.cpp
@@ -4,9 +4,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/program_options.hpp>
-#include <chrono>
 #include <filesystem>
-#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <fmt/ostream.h>
 #include <fstream>
@@ -49,16 +47,10 @@
         return boost::outcome_v2::success();
     }
 
-    std::string timeText(const LogLine& line)
-    {
-        const std::int64_t millis = line.m_time.time_since_epoch().count() % 1'000;
-        return fmt::format("{:%H:%M:%S}.{:03}", fmt::gmtime(std::chrono::system_clock::to_time_t(line.m_time)), millis);
-    }
-
     void printTable(const FlowStory& story)
     {
         for (const LogLine& line : story.m_lines)
-            fmt::print("{}  {:<24} {:<18} {}\n", timeText(line), line.m_source, line.m_event, line.m_details);
+            fmt::print("{}  {:<24} {:<18} {}\n", timeText(line.m_time), line.m_source, line.m_event, line.m_details);
         for (const std::string& finding : story.m_findings)
             fmt::print("- {}\n", finding);
     }
@@ -67,7 +59,7 @@
     {
         boost::json::array lines;
         for (const LogLine& line : story.m_lines)
-            lines.push_back({ { "time", timeText(line) }, { "source", line.m_source }, { "event", line.m_event },
+            lines.push_back({ { "time", timeText(line.m_time) }, { "source", line.m_source }, { "event", line.m_event },
                 { "details", line.m_details } });
         boost::json::array findings;
         for (const std::string& finding : story.m_findings)
--- a/src/trace/FlowStory.cpp
+++ b/src/trace/FlowStory.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <set>
 
@@ -10,8 +9,6 @@
 
 namespace {
 
-    using TimePoint = std::chrono::sys_time<std::chrono::milliseconds>;
-
     /// What bears on a flow may have happened this long before its first line, or after its last.
     constexpr std::chrono::seconds c_before { 10 };
     constexpr std::chrono::seconds c_after { 5 };
@@ -28,8 +25,8 @@
     struct Mentioned {
         std::set<std::string, std::less<>> m_sources;
         std::set<std::string, std::less<>> m_backends;
-        TimePoint m_first = TimePoint::max();
-        TimePoint m_last = TimePoint::min();
+        LogTime m_first = LogTime::max();
+        LogTime m_last = LogTime::min();
     };
 
     Mentioned mentionedBy(std::string_view flow, std::span<const LogLine> lines)
@@ -47,16 +44,10 @@
         return mentioned;
     }
 
-    std::string clockTime(TimePoint time)
-    {
-        const std::int64_t millis = time.time_since_epoch().count() % 1'000;
-        return fmt::format("{:%H:%M:%S}.{:03}", fmt::gmtime(std::chrono::system_clock::to_time_t(time)), millis);
-    }
-
     /// What a line says of why the flow went as it did; empty when it says nothing of that.
     std::string findingOf(const LogLine& line, std::string_view flow)
     {
-        const std::string where = fmt::format("{} at {}", line.m_source, clockTime(line.m_time));
+        const std::string where = fmt::format("{} at {}", line.m_source, timeText(line.m_time));
         if (line.m_event == "flow_placed" && line.m_flow == flow)
             return fmt::format("{} sent the opening to {} ({})", where, line.m_backend, line.m_cause);
         if (line.m_event == "flow_turned_away" && line.m_flow == flow)
@@ -78,7 +69,7 @@
         for (const LogLine& line : sorted) {
             if (line.m_event == "started" && !running.insert(line.m_source).second)
                 findings.push_back(fmt::format(
-                    "{} was killed some time before it started again at {}", line.m_source, clockTime(line.m_time)));
+                    "{} was killed some time before it started again at {}", line.m_source, timeText(line.m_time)));
             else if (line.m_event == "stopping")
                 running.erase(line.m_source);
             else
--- a/src/trace/LogLine.cpp
+++ b/src/trace/LogLine.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <ctime>
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 namespace cuminrelay {
@@ -33,15 +34,14 @@
     }
 
     /// Reads "2026-12-04T17:05:04.123Z".
-    std::optional<std::chrono::sys_time<Milliseconds>> parseTime(const std::string& text)
+    std::optional<LogTime> parseTime(const std::string& text)
     {
         std::tm parts {};
         const char* const rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S", &parts);
         if (!rest || *rest != '.')
             return std::nullopt;
         const long millis = std::strtol(rest + 1, nullptr, 10);
-        return std::chrono::sys_time<Milliseconds> { std::chrono::seconds { timegm(&parts) }
-            + Milliseconds { millis } };
+        return LogTime { std::chrono::seconds { timegm(&parts) } + Milliseconds { millis } };
     }
 
     std::string detailsOf(const boost::json::object& line)
@@ -71,7 +71,7 @@
     if (failure || !value.is_object())
         return Error { ErrorKind::InvalidInput, "no JSON object" };
     const boost::json::object& object = value.get_object();
-    const std::optional<std::chrono::sys_time<Milliseconds>> time = parseTime(textOf(object, "time"));
+    const std::optional<LogTime> time = parseTime(textOf(object, "time"));
     LogLine line;
     line.m_event = textOf(object, "event");
     if (!time || line.m_event.empty())
@@ -88,4 +88,10 @@
     return line;
 }
 
+std::string timeText(LogTime time)
+{
+    const std::int64_t millis = time.time_since_epoch().count() % 1'000;
+    return fmt::format("{:%H:%M:%S}.{:03}", fmt::gmtime(std::chrono::system_clock::to_time_t(time)), millis);
+}
+
 } // namespace cuminrelay
--- a/src/trace/LogLine.h
+++ b/src/trace/LogLine.h
@@ -9,10 +9,12 @@
 
 namespace cuminrelay {
 
+using LogTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
 /// One line of a process's log, as far as the story of a flow needs it.
 struct LogLine {
     std::string m_source; ///< which VM wrote it: the name before the JSON object, or else the file's
-    std::chrono::sys_time<std::chrono::milliseconds> m_time {}; ///< by that VM's time of day
+    LogTime m_time {}; ///< by that VM's time of day
     std::string m_event;
     std::string m_flow; ///< "caller>service"; empty when it is about no flow
     std::string m_backend; ///< empty when it names none
@@ -27,4 +29,7 @@
 /// name the source by its last word. Errors: InvalidInput for what is no line of ours.
 Outcome<LogLine> parseLogLine(std::string_view text, std::string_view fileName);
 
+/// "17:05:04.123".
+std::string timeText(LogTime time);
+
 } // namespace cuminrelay
