exchange: a VM is taken for silent by how often it can tell

Cause: within the budget of load messages a VM of a zone of 15 to 24 is told by each other one every 0.45 to 0.72 s, but was taken for silent after 0.6 s: readers were taken over from without need, and the load of peers was forgotten between two tellings. Change: silence is two rounds of telling, at least 0.6 s: unchanged up to 9 VMs a zone, 1.3 s at 20, 1.4 s at 24.

--- a/src/affinity/CarriedRouter.cpp
+++ b/src/affinity/CarriedRouter.cpp
@@ -13,9 +13,6 @@
 
     constexpr Duration c_sweepInterval = std::chrono::milliseconds { 500 };
 
-    /// Other VMs tell their load several times within this.
-    constexpr Duration c_peerSilence = std::chrono::milliseconds { 600 };
-
     /// A copy that comes sooner was duplicated on the way and says nothing of the backend server.
     constexpr Duration c_earliestCopy = std::chrono::milliseconds { 150 };
 
@@ -292,12 +289,13 @@
     return true;
 }
 
-void CarriedRouter::notePeerLoad(Endpoint peer, std::span<const BackendLoadReport> reports, Instant now)
+void CarriedRouter::notePeerLoad(
+    Endpoint peer, std::span<const BackendLoadReport> reports, Instant now, Duration silence)
 {
     PeerReports& known = m_peers[peer];
     forgetPeer(known);
     known.m_reports.assign(reports.begin(), reports.end());
-    known.m_staleAt = now + c_peerSilence;
+    known.m_staleAt = now + silence;
     for (BackendLoadReport& report : known.m_reports) {
         KnownBackend* const backend = m_backends.find(report.m_backend);
         if (!backend) {
--- a/src/affinity/CarriedRouter.h
+++ b/src/affinity/CarriedRouter.h
@@ -32,6 +32,9 @@
     friend constexpr bool operator==(const BackendLoadReport&, const BackendLoadReport&) = default;
 };
 
+/// Other VMs of a small zone tell their load several times within this.
+inline constexpr Duration c_peerSilence = std::chrono::milliseconds { 600 };
+
 /// Decides, for one entry VM, what becomes of each packet when the flow's packets carry the token of its backend
 /// server. Any VM that knows the backend servers can serve any packet, so that nothing is handed over when VMs come and
 /// go and no flow is copied. What is kept of flows only helps to place new ones and to notice backend servers that
@@ -58,8 +61,10 @@
     /// Whether a service that is not known here certainly is not declared. Until then nothing is refused for that.
     void setDeclarationsCurrent(bool current) { m_declarationsCurrent = current; }
 
-    /// Takes what another VM tells of its flows. Replaces what it told before.
-    void notePeerLoad(Endpoint peer, std::span<const BackendLoadReport> reports, Instant now);
+    /// Takes what another VM tells of its flows. Replaces what it told before; forgotten when it falls silent for so
+    /// long.
+    void notePeerLoad(
+        Endpoint peer, std::span<const BackendLoadReport> reports, Instant now, Duration silence = c_peerSilence);
 
     /// Another VM finds these dead. They are asked before this VM believes it. What a VM of another zone says counts
     /// only for backend servers of that zone, because between zones there may be a cut.
--- a/src/bench/CarriedDesign.cpp
+++ b/src/bench/CarriedDesign.cpp
@@ -162,7 +162,7 @@
 void CarriedDesign::hear(Vm& vm, Endpoint teller, const LoadMessage& message, Instant now)
 {
     vm.m_peers->noteMessage(teller, message, now);
-    vm.m_router->notePeerLoad(teller, message.m_loads, now);
+    vm.m_router->notePeerLoad(teller, message.m_loads, now, vm.m_peers->silence());
 }
 
 void CarriedDesign::noteRan(Vm& vm, Instant now)
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -20,9 +20,12 @@
     /// in turn.
     constexpr Duration c_peerMemory = std::chrono::seconds { 15 };
 
-    /// A reader that was not heard from for this long has others take its place. Every VM of a zone of 24 is told by
-    /// every other one several times within it.
-    constexpr Duration c_readerSilence = std::chrono::milliseconds { 600 };
+    /// A VM of the zone that was not heard from for this long is taken for silent, in zones where everybody is told at
+    /// least twice within it.
+    constexpr Duration c_leastSilence = std::chrono::milliseconds { 600 };
+
+    /// How often a busy VM tells others within its budget of bytes.
+    constexpr Duration c_tellingInterval = std::chrono::milliseconds { 90 };
 
     /// How much later each further VM tries while nobody of the zone is in contact with the store.
     constexpr Duration c_nextReader = std::chrono::milliseconds { 700 };
@@ -133,13 +136,20 @@
         m_peers.begin(), m_peers.end(), [this](const auto& entry) { return entry.second.m_zone == m_zone; }));
 }
 
+Duration ExchangePeers::silence() const
+{
+    const std::size_t tellings = (nearCount() + c_nearFanout - 1) / c_nearFanout;
+    return std::max(c_leastSilence, 2 * static_cast<std::int64_t>(tellings) * c_tellingInterval);
+}
+
 bool ExchangePeers::shouldRead(Instant now)
 {
     const std::uint64_t own = rankOf(m_self);
+    const Duration longestSilence = silence();
     unsigned higherRanked = 0;
     bool isReadByHigher = false;
     for (const auto& [peer, known] : m_peers) {
-        if (known.m_zone != m_zone || now - known.m_heardAt >= c_readerSilence || rankOf(peer) < own)
+        if (known.m_zone != m_zone || now - known.m_heardAt >= longestSilence || rankOf(peer) < own)
             continue;
         ++higherRanked;
         isReadByHigher = isReadByHigher || known.m_isReading;
@@ -155,18 +165,20 @@
 
 bool ExchangePeers::hearsReader(Instant now) const
 {
+    const Duration longestSilence = silence();
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
         const Known& known = entry.second;
-        return known.m_zone == m_zone && known.m_isReading && now - known.m_heardAt < c_readerSilence;
+        return known.m_zone == m_zone && known.m_isReading && now - known.m_heardAt < longestSilence;
     });
 }
 
 std::optional<Endpoint> ExchangePeers::newerPeer(const KnownState& own, Instant now)
 {
+    const Duration longestSilence = silence();
     std::optional<Endpoint> far;
     std::vector<Endpoint> near;
     for (const auto& [peer, known] : m_peers) {
-        if (now - known.m_heardAt >= c_readerSilence || !isNewer(known.m_state, own))
+        if (now - known.m_heardAt >= longestSilence || !isNewer(known.m_state, own))
             continue;
         if (known.m_zone == m_zone)
             near.push_back(peer);
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -31,6 +31,10 @@
     /// How many there are of them.
     std::size_t nearCount() const;
 
+    /// After how long without a word a VM of the own zone is taken for silent: longer in a large zone, where each VM is
+    /// told more seldom.
+    Duration silence() const;
+
     /// Whether this VM is to follow the store for its zone. One VM of each zone does, the one that ranks highest among
     /// those that are in contact with the store; the others learn what is new from it. When it falls silent the next
     /// one takes over at once. When it loses contact the others try, too, one after the other, so that an outage of the
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -163,7 +163,7 @@
     }
     const std::size_t before = m_peers.nearCount();
     m_peers.noteMessage(peer, message.value(), now);
-    m_router.notePeerLoad(peer, message.value().m_loads, now);
+    m_router.notePeerLoad(peer, message.value().m_loads, now, m_peers.silence());
     m_router.noteDeadHints(message.value().m_dead, message.value().m_zone, now);
     if (m_peers.nearCount() != before)
         m_parts.m_log.info("exchange", "peers_changed",
