entry: take all missed configuration versions in one call

Change: installConfigurations carries every version that is missing, oldest first; each is still installed, because flows may be based on it. Ruled out: skipping to the newest version, which would lose the tables that flows of other VMs were placed under. The package test says what cuminrelayctl printed when it fails again.

--- a/packaging/PackageTest.sh
+++ b/packaging/PackageTest.sh
@@ -32,5 +32,9 @@
     "$root/usr/bin/cuminrelay-control" --check --config "$samples/control.json" >/dev/null
     "$root/usr/bin/cuminrelayctl" check -f "$samples/declarations.json" --config "$samples/ctl.json" >/dev/null
 done
-"$root/usr/bin/cuminrelayctl" --version | grep -q "cuminrelayctl [0-9]" || fail "no version"
+version=$("$root/usr/bin/cuminrelayctl" --version 2>&1) || fail "cuminrelayctl --version ended with $?: $version"
+case $version in
+"cuminrelayctl "[0-9]*) ;;
+*) fail "cuminrelayctl --version said: $version" ;;
+esac
 echo "all as expected"
--- a/src/bench/ChangeExperiment.cpp
+++ b/src/bench/ChangeExperiment.cpp
@@ -425,25 +425,29 @@
     });
 }
 
-/// An entry process takes the kept versions one after the other.
+/// An entry process takes, in one call, all kept versions that it is behind, oldest first.
 void ChangeExperiment::installNext(VmIndex vm)
 {
     Vm& entry = m_vms[vm];
-    const SharedConfiguration next = entry.m_control->configuration().next(entry.m_inForce->m_version);
-    if (!next || entry.m_isInstalling)
+    if (entry.m_isInstalling)
+        return;
+    const std::vector<SharedConfiguration> newer = entry.m_control->configuration().after(entry.m_inForce->m_version);
+    if (newer.empty())
         return;
     entry.m_isInstalling = true;
     Duration delay = c_installTime;
     if (entry.m_isOwning && m_timeline.now() < m_unevenUntil)
         delay = Duration { static_cast<std::int64_t>(m_random.below(c_longestInstallMicroseconds)) };
-    m_timeline.after(delay, [this, vm, next, incarnation = entry.m_incarnation] {
+    m_timeline.after(delay, [this, vm, newer, incarnation = entry.m_incarnation] {
         Vm& installed = m_vms[vm];
         if (installed.m_incarnation != incarnation)
             return;
         installed.m_isInstalling = false;
-        install(vm, next);
-        if (!runs(vm))
-            return;
+        for (const SharedConfiguration& next : newer) {
+            install(vm, next);
+            if (!runs(vm))
+                return;
+        }
         noteEntryStatus(vm);
         installNext(vm);
     });
--- a/src/configuration/ConfigurationHolder.cpp
+++ b/src/configuration/ConfigurationHolder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 #include <utility>
 
 namespace cuminrelay {
@@ -50,6 +51,14 @@
     return found != m_kept.end() ? *found : nullptr;
 }
 
+std::vector<SharedConfiguration> ConfigurationHolder::after(ConfigVersion known) const
+{
+    std::vector<SharedConfiguration> newer;
+    std::ranges::copy_if(m_kept, std::back_inserter(newer),
+        [known](const SharedConfiguration& kept) { return kept->m_version > known; });
+    return newer;
+}
+
 SharedConfiguration ConfigurationHolder::find(ConfigVersion version) const
 {
     const auto found = std::ranges::find_if(
--- a/src/configuration/ConfigurationHolder.h
+++ b/src/configuration/ConfigurationHolder.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <memory>
+#include <vector>
 
 namespace cuminrelay {
 
@@ -37,6 +38,9 @@
     /// it is not behind.
     SharedConfiguration next(ConfigVersion known) const;
 
+    /// All that a process that holds the given version should take, oldest first.
+    std::vector<SharedConfiguration> after(ConfigVersion known) const;
+
 private:
     static constexpr std::size_t s_keptVersions = 64;
     static constexpr std::size_t s_keptBackendServers = 20'000;
--- a/src/configuration/ConfigurationHolderTest.cpp
+++ b/src/configuration/ConfigurationHolderTest.cpp
@@ -46,6 +46,18 @@
         EXPECT_EQ(holder.next({ 9 }), nullptr);
     }
 
+    TEST(ConfigurationHolder, whoIsBehindTakesAllThatItMissesAtOnce)
+    {
+        ConfigurationHolder holder;
+        for (const std::uint64_t version : { 3, 8, 9 })
+            ASSERT_TRUE(holder.offer(versionWithZone(version, "a")).has_value());
+        const std::vector<SharedConfiguration> newer = holder.after({ 3 });
+        ASSERT_EQ(newer.size(), 2U);
+        EXPECT_EQ(newer[0]->m_version.m_number, 8U);
+        EXPECT_EQ(newer[1]->m_version.m_number, 9U);
+        EXPECT_TRUE(holder.after({ 9 }).empty());
+    }
+
     TEST(ConfigurationHolder, keptVersionsAreBounded)
     {
         constexpr std::uint64_t offered = 200;
--- a/src/control/ControlRpcTest.cpp
+++ b/src/control/ControlRpcTest.cpp
@@ -68,13 +68,15 @@
         {
         }
 
-        kj::Promise<void> installConfiguration(InstallConfigurationContext context) override
+        kj::Promise<void> installConfigurations(InstallConfigurationsContext context) override
         {
             m_state.change([&](FakeEntryState& state) {
                 ++state.m_installs;
-                Outcome<Configuration> made = applyUpdate(state.m_configuration, context.getParams().getUpdate());
-                if (made && made.value().m_version > state.m_configuration.m_version)
-                    state.m_configuration = std::move(made).value();
+                for (const wire::ConfigurationUpdate::Reader update : context.getParams().getUpdates()) {
+                    Outcome<Configuration> made = applyUpdate(state.m_configuration, update);
+                    if (made && made.value().m_version > state.m_configuration.m_version)
+                        state.m_configuration = std::move(made).value();
+                }
                 state.m_status.m_figures.m_configVersion = state.m_configuration.m_version;
                 context.getResults().setVersion(state.m_configuration.m_version.m_number);
             });
--- a/src/control/EntryTask.cpp
+++ b/src/control/EntryTask.cpp
@@ -68,7 +68,7 @@
     while (true) {
         const std::uint64_t seen = m_hub.entryWork().revision();
         askStatus(entry, given, scope);
-        const bool installed = installConfiguration(entry, given, scope);
+        const bool installed = installConfigurations(entry, given, scope);
         installMembers(entry, given, scope);
         applyReports(entry, scope);
         if (installed)
@@ -95,19 +95,28 @@
         MemberFigures { given.m_configVersion, status.getFlows(), status.getExceptions() } });
 }
 
-bool EntryTask::installConfiguration(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope)
+bool EntryTask::installConfigurations(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope)
 {
-    // An entry process that starts takes the kept versions one after the other: flows may be based on earlier ones.
+    // An entry process takes each of the kept versions: flows may be based on earlier ones. It takes all that it is
+    // behind in one call, so that the newest does not wait for a call for each.
     const ConfigurationHolder& holder = m_hub.state().configuration();
-    const SharedConfiguration target = holder.next(given.m_configVersion);
-    if (!target)
+    const std::vector<SharedConfiguration> targets = holder.after(given.m_configVersion);
+    if (targets.empty())
         return false;
-    const SharedConfiguration base = holder.find(given.m_configVersion);
-    capnp::Request<wire::EntryControl::InstallConfigurationParams, wire::EntryControl::InstallConfigurationResults>
-        request = entry.installConfigurationRequest();
-    writeUpdate(base ? *base : Configuration {}, *target, request.initUpdate());
-    kj::Promise<capnp::Response<wire::EntryControl::InstallConfigurationResults>> sent = request.send();
-    const capnp::Response<wire::EntryControl::InstallConfigurationResults> response
+    SharedConfiguration base = holder.find(given.m_configVersion);
+    if (!base)
+        base = std::make_shared<const Configuration>();
+    capnp::Request<wire::EntryControl::InstallConfigurationsParams, wire::EntryControl::InstallConfigurationsResults>
+        request = entry.installConfigurationsRequest();
+    capnp::List<wire::ConfigurationUpdate>::Builder updates
+        = request.initUpdates(static_cast<unsigned>(targets.size()));
+    for (unsigned i = 0; i < updates.size(); ++i) {
+        writeUpdate(*base, *targets[i], updates[i]);
+        base = targets[i];
+    }
+    const SharedConfiguration& target = targets.back();
+    kj::Promise<capnp::Response<wire::EntryControl::InstallConfigurationsResults>> sent = request.send();
+    const capnp::Response<wire::EntryControl::InstallConfigurationsResults> response
         = m_hub.within(c_callTimeout, kj::mv(sent)).wait(scope);
     const ConfigVersion inForce { response.getVersion() };
     if (inForce >= target->m_version)
--- a/src/control/EntryTask.h
+++ b/src/control/EntryTask.h
@@ -28,7 +28,7 @@
 
     void serveConnection(kj::WaitScope& scope);
     void askStatus(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope);
-    bool installConfiguration(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope);
+    bool installConfigurations(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope);
     void installMembers(wire::EntryControl::Client& entry, Given& given, kj::WaitScope& scope);
     void applyReports(wire::EntryControl::Client& entry, kj::WaitScope& scope);
 
--- a/src/entry/Entry.capnp
+++ b/src/entry/Entry.capnp
@@ -26,7 +26,7 @@
 
 # Spoken by the control process to the entry process of the same VM.
 interface EntryControl {
-  installConfiguration @0 (update :Configuration.ConfigurationUpdate) -> (version :UInt64);
+  installConfigurations @0 (updates :List(Configuration.ConfigurationUpdate)) -> (version :UInt64); # oldest first
   installMembers @1 (members :List(Members.Member)) -> ();
   applyReports @2 (reports :List(Backends.BackendReport)) -> ();
   status @3 () -> (status :EntryStatus);
--- a/src/entry/Entry.capnp.cc
+++ b/src/entry/Entry.capnp.cc
@@ -282,7 +282,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
      79,   5, 155,  19,  44, 221, 110, 205,
      53, 246, 132, 156,  22, 244,  57, 242,
-    113,   0,   0,   0, 170,   0,   0,   0,
+    113,   0,   0,   0, 178,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -313,7 +313,7 @@
      45,   0,   0,   0,   7,   0,   0,   0,
     105, 110, 115, 116,  97, 108, 108,  67,
     111, 110, 102, 105, 103, 117, 114,  97,
-    116, 105, 111, 110,   0,   0,   0,   0,
+    116, 105, 111, 110, 115,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     105, 110, 115, 116,  97, 108, 108,  77,
     101, 109,  98, 101, 114, 115,   0,   0,
@@ -343,14 +343,14 @@
   8, 4, nullptr, nullptr, nullptr, { &s_967b0cc16ddbbc33, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<36> b_cd6edd2c139b054f = {
+static const ::capnp::_::AlignedData<40> b_cd6edd2c139b054f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      79,   5, 155,  19,  44, 221, 110, 205,
      31,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 218,   1,   0,   0,
+     21,   0,   0,   0, 226,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      41,   0,   0,   0,  63,   0,   0,   0,
@@ -362,22 +362,26 @@
     111, 110, 116, 114, 111, 108,  46, 105,
     110, 115, 116,  97, 108, 108,  67, 111,
     110, 102, 105, 103, 117, 114,  97, 116,
-    105, 111, 110,  36,  80,  97, 114,  97,
-    109, 115,   0,   0,   0,   0,   0,   0,
+    105, 111, 110, 115,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  58,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       8,   0,   0,   0,   3,   0,   1,   0,
-     20,   0,   0,   0,   2,   0,   1,   0,
-    117, 112, 100,  97, 116, 101,   0,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    117, 112, 100,  97, 116, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     195,  18, 222, 209, 103, 102,  46, 151,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -389,7 +393,7 @@
 static const uint16_t m_cd6edd2c139b054f[] = {0};
 static const uint16_t i_cd6edd2c139b054f[] = {0};
 const ::capnp::_::RawSchema s_cd6edd2c139b054f = {
-  0xcd6edd2c139b054f, b_cd6edd2c139b054f.words, 36, d_cd6edd2c139b054f, m_cd6edd2c139b054f,
+  0xcd6edd2c139b054f, b_cd6edd2c139b054f.words, 40, d_cd6edd2c139b054f, m_cd6edd2c139b054f,
   1, 1, i_cd6edd2c139b054f, nullptr, nullptr, { &s_cd6edd2c139b054f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -400,7 +404,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 226,   1,   0,   0,
+     21,   0,   0,   0, 234,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      41,   0,   0,   0,  63,   0,   0,   0,
@@ -412,8 +416,8 @@
     111, 110, 116, 114, 111, 108,  46, 105,
     110, 115, 116,  97, 108, 108,  67, 111,
     110, 102, 105, 103, 117, 114,  97, 116,
-    105, 111, 110,  36,  82, 101, 115, 117,
-    108, 116, 115,   0,   0,   0,   0,   0,
+    105, 111, 110, 115,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -702,14 +706,14 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-::capnp::Request< ::cuminrelay::wire::EntryControl::InstallConfigurationParams,  ::cuminrelay::wire::EntryControl::InstallConfigurationResults>
-EntryControl::Client::installConfigurationRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::cuminrelay::wire::EntryControl::InstallConfigurationParams,  ::cuminrelay::wire::EntryControl::InstallConfigurationResults>(
+::capnp::Request< ::cuminrelay::wire::EntryControl::InstallConfigurationsParams,  ::cuminrelay::wire::EntryControl::InstallConfigurationsResults>
+EntryControl::Client::installConfigurationsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::cuminrelay::wire::EntryControl::InstallConfigurationsParams,  ::cuminrelay::wire::EntryControl::InstallConfigurationsResults>(
       0x967b0cc16ddbbc33ull, 0, sizeHint);
 }
-::kj::Promise<void> EntryControl::Server::installConfiguration(InstallConfigurationContext) {
+::kj::Promise<void> EntryControl::Server::installConfigurations(InstallConfigurationsContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "entry/Entry.capnp:EntryControl", "installConfiguration",
+      "entry/Entry.capnp:EntryControl", "installConfigurations",
       0x967b0cc16ddbbc33ull, 0);
 }
 ::capnp::Request< ::cuminrelay::wire::EntryControl::InstallMembersParams,  ::cuminrelay::wire::EntryControl::InstallMembersResults>
@@ -758,8 +762,8 @@
   switch (methodId) {
     case 0:
       return {
-        installConfiguration(::capnp::Capability::Server::internalGetTypedContext<
-             ::cuminrelay::wire::EntryControl::InstallConfigurationParams,  ::cuminrelay::wire::EntryControl::InstallConfigurationResults>(context)),
+        installConfigurations(::capnp::Capability::Server::internalGetTypedContext<
+             ::cuminrelay::wire::EntryControl::InstallConfigurationsParams,  ::cuminrelay::wire::EntryControl::InstallConfigurationsResults>(context)),
         false
       };
     case 1:
@@ -795,20 +799,20 @@
 constexpr ::capnp::_::RawSchema const* EntryControl::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// EntryControl::InstallConfigurationParams
-constexpr uint16_t EntryControl::InstallConfigurationParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t EntryControl::InstallConfigurationParams::_capnpPrivate::pointerCount;
+// EntryControl::InstallConfigurationsParams
+constexpr uint16_t EntryControl::InstallConfigurationsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryControl::InstallConfigurationsParams::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind EntryControl::InstallConfigurationParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* EntryControl::InstallConfigurationParams::_capnpPrivate::schema;
+constexpr ::capnp::Kind EntryControl::InstallConfigurationsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryControl::InstallConfigurationsParams::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// EntryControl::InstallConfigurationResults
-constexpr uint16_t EntryControl::InstallConfigurationResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t EntryControl::InstallConfigurationResults::_capnpPrivate::pointerCount;
+// EntryControl::InstallConfigurationsResults
+constexpr uint16_t EntryControl::InstallConfigurationsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryControl::InstallConfigurationsResults::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind EntryControl::InstallConfigurationResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* EntryControl::InstallConfigurationResults::_capnpPrivate::schema;
+constexpr ::capnp::Kind EntryControl::InstallConfigurationsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryControl::InstallConfigurationsResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // EntryControl::InstallMembersParams
--- a/src/entry/Entry.capnp.h
+++ b/src/entry/Entry.capnp.h
@@ -79,8 +79,8 @@
   class Server;
 #endif  // !CAPNP_LITE
 
-  struct InstallConfigurationParams;
-  struct InstallConfigurationResults;
+  struct InstallConfigurationsParams;
+  struct InstallConfigurationsResults;
   struct InstallMembersParams;
   struct InstallMembersResults;
   struct ApplyReportsParams;
@@ -96,8 +96,8 @@
   #endif  // !CAPNP_LITE
 };
 
-struct EntryControl::InstallConfigurationParams {
-  InstallConfigurationParams() = delete;
+struct EntryControl::InstallConfigurationsParams {
+  InstallConfigurationsParams() = delete;
 
   class Reader;
   class Builder;
@@ -111,8 +111,8 @@
   };
 };
 
-struct EntryControl::InstallConfigurationResults {
-  InstallConfigurationResults() = delete;
+struct EntryControl::InstallConfigurationsResults {
+  InstallConfigurationsResults() = delete;
 
   class Reader;
   class Builder;
@@ -454,7 +454,7 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::cuminrelay::wire::EntryControl::InstallConfigurationParams,  ::cuminrelay::wire::EntryControl::InstallConfigurationResults> installConfigurationRequest(
+  ::capnp::Request< ::cuminrelay::wire::EntryControl::InstallConfigurationsParams,  ::cuminrelay::wire::EntryControl::InstallConfigurationsResults> installConfigurationsRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::cuminrelay::wire::EntryControl::InstallMembersParams,  ::cuminrelay::wire::EntryControl::InstallMembersResults> installMembersRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
@@ -478,10 +478,10 @@
       override;
 
 protected:
-  typedef  ::cuminrelay::wire::EntryControl::InstallConfigurationParams InstallConfigurationParams;
-  typedef  ::cuminrelay::wire::EntryControl::InstallConfigurationResults InstallConfigurationResults;
-  typedef ::capnp::CallContext<InstallConfigurationParams, InstallConfigurationResults> InstallConfigurationContext;
-  virtual ::kj::Promise<void> installConfiguration(InstallConfigurationContext context);
+  typedef  ::cuminrelay::wire::EntryControl::InstallConfigurationsParams InstallConfigurationsParams;
+  typedef  ::cuminrelay::wire::EntryControl::InstallConfigurationsResults InstallConfigurationsResults;
+  typedef ::capnp::CallContext<InstallConfigurationsParams, InstallConfigurationsResults> InstallConfigurationsContext;
+  virtual ::kj::Promise<void> installConfigurations(InstallConfigurationsContext context);
   typedef  ::cuminrelay::wire::EntryControl::InstallMembersParams InstallMembersParams;
   typedef  ::cuminrelay::wire::EntryControl::InstallMembersResults InstallMembersResults;
   typedef ::capnp::CallContext<InstallMembersParams, InstallMembersResults> InstallMembersContext;
@@ -506,9 +506,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::InstallConfigurationParams::Reader {
+class EntryControl::InstallConfigurationsParams::Reader {
 public:
-  typedef InstallConfigurationParams Reads;
+  typedef InstallConfigurationsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -523,8 +523,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdate() const;
-  inline  ::cuminrelay::wire::ConfigurationUpdate::Reader getUpdate() const;
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -538,9 +538,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::InstallConfigurationParams::Builder {
+class EntryControl::InstallConfigurationsParams::Builder {
 public:
-  typedef InstallConfigurationParams Builds;
+  typedef InstallConfigurationsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -554,12 +554,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdate();
-  inline  ::cuminrelay::wire::ConfigurationUpdate::Builder getUpdate();
-  inline void setUpdate( ::cuminrelay::wire::ConfigurationUpdate::Reader value);
-  inline  ::cuminrelay::wire::ConfigurationUpdate::Builder initUpdate();
-  inline void adoptUpdate(::capnp::Orphan< ::cuminrelay::wire::ConfigurationUpdate>&& value);
-  inline ::capnp::Orphan< ::cuminrelay::wire::ConfigurationUpdate> disownUpdate();
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -571,15 +571,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::InstallConfigurationParams::Pipeline {
+class EntryControl::InstallConfigurationsParams::Pipeline {
 public:
-  typedef InstallConfigurationParams Pipelines;
+  typedef InstallConfigurationsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cuminrelay::wire::ConfigurationUpdate::Pipeline getUpdate();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -588,9 +587,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::InstallConfigurationResults::Reader {
+class EntryControl::InstallConfigurationsResults::Reader {
 public:
-  typedef InstallConfigurationResults Reads;
+  typedef InstallConfigurationsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -619,9 +618,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::InstallConfigurationResults::Builder {
+class EntryControl::InstallConfigurationsResults::Builder {
 public:
-  typedef InstallConfigurationResults Builds;
+  typedef InstallConfigurationsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -648,9 +647,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::InstallConfigurationResults::Pipeline {
+class EntryControl::InstallConfigurationsResults::Pipeline {
 public:
-  typedef InstallConfigurationResults Pipelines;
+  typedef InstallConfigurationsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1375,55 +1374,50 @@
 }
 
 #endif  // !CAPNP_LITE
-inline bool EntryControl::InstallConfigurationParams::Reader::hasUpdate() const {
+inline bool EntryControl::InstallConfigurationsParams::Reader::hasUpdates() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryControl::InstallConfigurationParams::Builder::hasUpdate() {
+inline bool EntryControl::InstallConfigurationsParams::Builder::hasUpdates() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cuminrelay::wire::ConfigurationUpdate::Reader EntryControl::InstallConfigurationParams::Reader::getUpdate() const {
-  return ::capnp::_::PointerHelpers< ::cuminrelay::wire::ConfigurationUpdate>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>::Reader EntryControl::InstallConfigurationsParams::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cuminrelay::wire::ConfigurationUpdate::Builder EntryControl::InstallConfigurationParams::Builder::getUpdate() {
-  return ::capnp::_::PointerHelpers< ::cuminrelay::wire::ConfigurationUpdate>::get(_builder.getPointerField(
+inline  ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>::Builder EntryControl::InstallConfigurationsParams::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::cuminrelay::wire::ConfigurationUpdate::Pipeline EntryControl::InstallConfigurationParams::Pipeline::getUpdate() {
-  return  ::cuminrelay::wire::ConfigurationUpdate::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void EntryControl::InstallConfigurationParams::Builder::setUpdate( ::cuminrelay::wire::ConfigurationUpdate::Reader value) {
-  ::capnp::_::PointerHelpers< ::cuminrelay::wire::ConfigurationUpdate>::set(_builder.getPointerField(
+inline void EntryControl::InstallConfigurationsParams::Builder::setUpdates( ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cuminrelay::wire::ConfigurationUpdate::Builder EntryControl::InstallConfigurationParams::Builder::initUpdate() {
-  return ::capnp::_::PointerHelpers< ::cuminrelay::wire::ConfigurationUpdate>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>::Builder EntryControl::InstallConfigurationsParams::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EntryControl::InstallConfigurationParams::Builder::adoptUpdate(
-    ::capnp::Orphan< ::cuminrelay::wire::ConfigurationUpdate>&& value) {
-  ::capnp::_::PointerHelpers< ::cuminrelay::wire::ConfigurationUpdate>::adopt(_builder.getPointerField(
+inline void EntryControl::InstallConfigurationsParams::Builder::adoptUpdates(
+    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cuminrelay::wire::ConfigurationUpdate> EntryControl::InstallConfigurationParams::Builder::disownUpdate() {
-  return ::capnp::_::PointerHelpers< ::cuminrelay::wire::ConfigurationUpdate>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>> EntryControl::InstallConfigurationsParams::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ConfigurationUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t EntryControl::InstallConfigurationResults::Reader::getVersion() const {
+inline  ::uint64_t EntryControl::InstallConfigurationsResults::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EntryControl::InstallConfigurationResults::Builder::getVersion() {
+inline  ::uint64_t EntryControl::InstallConfigurationsResults::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EntryControl::InstallConfigurationResults::Builder::setVersion( ::uint64_t value) {
+inline void EntryControl::InstallConfigurationsResults::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
--- a/src/entry/EntryControlServer.cpp
+++ b/src/entry/EntryControlServer.cpp
@@ -51,20 +51,29 @@
 {
 }
 
-kj::Promise<void> EntryControlServer::installConfiguration(InstallConfigurationContext context)
+kj::Promise<void> EntryControlServer::installConfigurations(InstallConfigurationsContext context)
+{
+    kj::Promise<ConfigVersion> installed
+        = m_packets.call([](PacketPath& path) { return path.status().m_configVersion; });
+    for (const wire::ConfigurationUpdate::Reader update : context.getParams().getUpdates()) {
+        const SharedConfiguration configuration = takeUpdate(update);
+        if (!configuration)
+            break; // the ones after it are based on it
+        installed = installed.then([this, configuration](ConfigVersion) { return install(configuration); });
+    }
+    return installed.then(
+        [context](ConfigVersion version) mutable { context.getResults().setVersion(version.m_number); });
+}
+
+kj::Promise<ConfigVersion> EntryControlServer::install(SharedConfiguration configuration)
 {
-    const SharedConfiguration configuration = takeUpdate(context.getParams().getUpdate());
-    if (!configuration)
-        return m_packets.call([](PacketPath& path) { return path.status().m_configVersion; })
-            .then([context](ConfigVersion version) mutable { context.getResults().setVersion(version.m_number); });
     return m_packets.call([](PacketPath& path) { return path.tables(); })
         .then([this, configuration](const std::shared_ptr<const ServiceTables>& previous) {
             // Tables are built here, so that packets need not wait for them.
             auto tables = std::make_shared<const ServiceTables>(*configuration, previous.get());
             return m_packets.call(
                 [configuration, tables](PacketPath& path) { return path.install(tables, *configuration); });
-        })
-        .then([context](ConfigVersion version) mutable { context.getResults().setVersion(version.m_number); });
+        });
 }
 
 SharedConfiguration EntryControlServer::takeUpdate(wire::ConfigurationUpdate::Reader update)
--- a/src/entry/EntryControlServer.h
+++ b/src/entry/EntryControlServer.h
@@ -30,7 +30,7 @@
 
     /// Answers with the version in force. An update that cannot be applied, because its base is not held, is old or
     /// malformed, changes nothing: the answer tells the caller which base is held.
-    kj::Promise<void> installConfiguration(InstallConfigurationContext context) override;
+    kj::Promise<void> installConfigurations(InstallConfigurationsContext context) override;
     kj::Promise<void> installMembers(InstallMembersContext context) override;
     kj::Promise<void> applyReports(ApplyReportsContext context) override;
     kj::Promise<void> status(StatusContext context) override;
@@ -38,6 +38,9 @@
 private:
     /// The configuration that an update makes, when it is one to install; refusals are counted.
     SharedConfiguration takeUpdate(wire::ConfigurationUpdate::Reader update);
+
+    /// Builds its tables and puts it in force; the version that is in force then.
+    kj::Promise<ConfigVersion> install(SharedConfiguration configuration);
     void countRefusal(std::string_view reason, const Error& error);
 
     PacketThread& m_packets;
--- a/src/entry/EntryProcessTest.cpp
+++ b/src/entry/EntryProcessTest.cpp
@@ -111,8 +111,19 @@
         /// Installs the target as an update of the base; returns the version that is in force then.
         std::uint64_t install(const Configuration& base, const Configuration& target)
         {
-            auto request = m_entry.installConfigurationRequest();
-            writeUpdate(base, target, request.initUpdate());
+            return installAll(base, std::span { &target, 1 });
+        }
+
+        /// Installs targets, each an update of the one before, in one call.
+        std::uint64_t installAll(const Configuration& base, std::span<const Configuration> targets)
+        {
+            auto request = m_entry.installConfigurationsRequest();
+            auto updates = request.initUpdates(static_cast<unsigned>(targets.size()));
+            const Configuration* previous = &base;
+            for (unsigned i = 0; i < updates.size(); ++i) {
+                writeUpdate(*previous, targets[i], updates[i]);
+                previous = &targets[i];
+            }
             return request.send().wait(m_client.getWaitScope()).getVersion();
         }
 
@@ -248,6 +259,17 @@
         EXPECT_EQ(control.status().getStatus().getConfigVersion(), 6U);
     }
 
+    TEST_F(EntryProcessTest, severalVersionsComeInForceInOneCallUpToTheFirstThatDoesNotFit)
+    {
+        RunningEntry entry { "entry-1", localEndpoint(m_fabric) };
+        ControlClient control { entry.process().entryRpc() };
+        EXPECT_EQ(control.installAll({}, std::array { configuration(2), configuration(5), configuration(6) }), 6U);
+        EXPECT_EQ(
+            control.installAll(configuration(6), std::array { configuration(7), configuration(4), configuration(9) }),
+            7U);
+        EXPECT_EQ(control.counter("cuminrelay_refusals_total", "configuration_stale"), 1U);
+    }
+
     TEST_F(EntryProcessTest, configurationOutlivesAControlProcess)
     {
         RunningEntry entry { "entry-1", localEndpoint(m_fabric) };
