control: reports of a prober that comes back count again

Cause: a control process that does not know its entry process yet tells peers its reports while it counts as unreachable; the next change of the members made them forget these, and they are told again only after 5 s (in the test: never). This is the failure of aReportOfOneProberReachesTheOtherEntryProcess that was seen once. Change: reports of a prober that is unreachable do not count until it is back, instead of being forgotten; those of unknown probers are forgotten as before. Measured: aReportToldBeforeItsProberWasReachableCountsOnceItIs failed, passes.

--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -203,12 +203,15 @@
     if (view.m_epoch == m_seenEpoch)
         return;
     m_seenEpoch = view.m_epoch;
+    std::vector<Endpoint> known;
     std::vector<Endpoint> reachable;
     for (const Member& member : view.m_members) {
+        known.push_back(member.m_peers);
         if (member.m_state != MemberState::Unreachable)
             reachable.push_back(member.m_peers);
     }
-    m_reports.retainProbers(reachable);
+    m_reports.retainProbers(known);
+    m_reports.setReachable(reachable);
     m_changes.m_entry = true;
     m_changes.m_peers = true;
     m_changes.m_roles = true;
--- a/src/control/ControlStateTest.cpp
+++ b/src/control/ControlStateTest.cpp
@@ -134,6 +134,22 @@
         EXPECT_EQ(state.takeReportsForEntry(c_start).size(), 2U);
     }
 
+    TEST(ControlState, aReportToldBeforeItsProberWasReachableCountsOnceItIs)
+    {
+        ControlState state = startedState();
+        Member prober = memberOf(2, "a");
+        prober.m_state = MemberState::Unreachable; // its entry process is not known to it yet
+        Heartbeat told = heartbeatOf(prober, 1);
+        told.m_reports = { BackendReport { { 9, 80 }, BackendHealth::Unhealthy, false, 0, 0, 0, c_start } };
+        state.applyHeartbeat(told, c_start);
+        state.applyHeartbeat(heartbeatOf(memberOf(3, "a"), 1), c_start);
+        state.forgetEntryReports();
+        EXPECT_TRUE(state.takeReportsForEntry(c_start).empty());
+        prober.m_state = MemberState::Active;
+        state.applyHeartbeat(heartbeatOf(prober, 2), c_start);
+        EXPECT_EQ(state.takeReportsForEntry(c_start).size(), 1U);
+    }
+
     TEST(ControlState, aReaderTellsItsZoneOfMembersThatChanged)
     {
         ControlState state = startedState();
--- a/src/control/ReportBook.cpp
+++ b/src/control/ReportBook.cpp
@@ -65,9 +65,9 @@
     return high - low >= std::max(c_noticeableConnections, high / c_noticeableDivisor);
 }
 
-void ReportBook::retainProbers(std::span<const Endpoint> probers)
+void ReportBook::retainProbers(std::span<const Endpoint> known)
 {
-    const std::set<Endpoint> kept { probers.begin(), probers.end() };
+    const std::set<Endpoint> kept { known.begin(), known.end() };
     for (auto& [backend, entry] : m_entries) {
         const std::size_t removed = std::erase_if(
             entry.m_byProber, [&](const auto& held) { return held.first != m_self && !kept.contains(held.first); });
@@ -75,6 +75,18 @@
     }
 }
 
+void ReportBook::setReachable(std::span<const Endpoint> probers)
+{
+    const std::set<Endpoint> reachable { probers.begin(), probers.end() };
+    for (auto& [backend, entry] : m_entries) {
+        for (auto& [prober, held] : entry.m_byProber) {
+            const bool counts = prober == m_self || reachable.contains(prober);
+            entry.m_changed |= counts != held.m_counts;
+            held.m_counts = counts;
+        }
+    }
+}
+
 void ReportBook::retainBackends(std::span<const Endpoint> backends)
 {
     const std::set<Endpoint> kept { backends.begin(), backends.end() };
@@ -87,7 +99,7 @@
     BackendReport merged;
     bool any = false;
     for (const auto& [prober, held] : entry.m_byProber) {
-        if (now >= held.m_expiresAt)
+        if (!held.m_counts || now >= held.m_expiresAt)
             continue;
         const BackendHealth health = any ? better(merged.m_health, held.m_report.m_health) : held.m_report.m_health;
         const bool heldAnswered = held.m_report.m_health == BackendHealth::Healthy;
--- a/src/control/ReportBook.h
+++ b/src/control/ReportBook.h
@@ -30,8 +30,11 @@
     /// one.
     bool apply(Endpoint prober, const BackendReport& report, Instant now);
 
-    /// Forgets the reports of probers that are not in the list; this VM's own stay.
-    void retainProbers(std::span<const Endpoint> probers);
+    /// Forgets the reports of probers that are not known; this VM's own stay.
+    void retainProbers(std::span<const Endpoint> known);
+
+    /// Says which probers are reachable. Reports of others do not count until they are, or until they report again.
+    void setReachable(std::span<const Endpoint> probers);
 
     /// Forgets backend servers that are not in the list.
     void retainBackends(std::span<const Endpoint> backends);
@@ -52,6 +55,7 @@
     struct Held {
         BackendReport m_report;
         Deadline m_expiresAt {};
+        bool m_counts = true; ///< its prober is reachable
     };
 
     /// An own report as it was last worth telling.
--- a/src/control/ReportBookTest.cpp
+++ b/src/control/ReportBookTest.cpp
@@ -1,5 +1,6 @@
 #include "control/ReportBook.h"
 
+#include <array>
 #include <gtest/gtest.h>
 
 namespace cuminrelay {
@@ -49,6 +50,20 @@
         EXPECT_TRUE(book.all(c_start + ReportBook::s_expiry).empty());
     }
 
+    TEST(ReportBook, reportsOfAProberThatIsAwayCountAgainWhenItIsBack)
+    {
+        ReportBook book { c_self };
+        book.apply(c_self, reportAt(c_start, BackendHealth::Unhealthy), c_start);
+        book.apply(c_peer, reportAt(c_start, BackendHealth::Healthy), c_start);
+        (void)book.takeChanged(c_start);
+        book.setReachable({});
+        ASSERT_EQ(book.takeChanged(c_start).size(), 1U);
+        EXPECT_EQ(book.all(c_start)[0].m_health, BackendHealth::Unhealthy);
+        book.setReachable(std::array { c_peer });
+        ASSERT_EQ(book.takeChanged(c_start).size(), 1U);
+        EXPECT_EQ(book.all(c_start)[0].m_health, BackendHealth::Healthy);
+    }
+
     TEST(ReportBook, changedReportsAreTakenOnceAndAgainAfterARestart)
     {
         ReportBook book { c_self };
