exchange: an idle reader of a large zone is not taken for silent; who starts listens first

Cause: VMs with nothing new tell others every 200 ms, three of their zone at a time; in a zone of 15 each is told every second, but 0.9 s without a word count as silence (set for the 90 ms of busy VMs). So most VMs of a grown zone followed the store by turns before the traffic, and each start began two watches. Ruled out: a longer silence (delays the takeover from a dead reader). Tests: anIdleReaderOfALargeZoneIsNotTakenForSilent and aVmThatStartsLeavesTheStoreToTheReaderOfItsZone failed before.

--- a/src/bench/CarriedDesign.cpp
+++ b/src/bench/CarriedDesign.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    constexpr std::uint64_t c_exchangeBytesPerSecond = 16'000;
-    constexpr std::size_t c_datagramHeaderBytes = 28;
     constexpr Duration c_backlog = std::chrono::milliseconds { 50 };
 
     BackendIdentity identityOf(Endpoint tunnel)
@@ -150,7 +148,7 @@
     message.m_peers = vm.m_peers->somePeers(now);
     const std::vector<Endpoint> targets = vm.m_peers->nextTargets(now);
     const std::size_t bytes = targets.size() * bytesOf(message);
-    vm.m_telling->noteTold(message.m_loads, {}, bytes, now);
+    vm.m_telling->noteTold(message.m_loads, {}, bytes, now, vm.m_peers->repeatAt(now));
     m_controlBytes += bytes;
     for (const Endpoint target : targets) {
         const VmIndex peer = m_network.vmAt(target);
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -24,9 +24,16 @@
     /// least twice within it.
     constexpr Duration c_leastSilence = std::chrono::milliseconds { 600 };
 
+    /// An unchanged load is told again after this, or earlier in a large zone; others forget it after three times as
+    /// long.
+    constexpr Duration c_longestRepeat = std::chrono::milliseconds { 200 };
+
     /// How often a busy VM tells others within its budget of bytes.
     constexpr Duration c_tellingInterval = std::chrono::milliseconds { 90 };
 
+    /// How long a VM that has started listens for somebody of its zone who follows the store.
+    constexpr Duration c_firstListening = std::chrono::milliseconds { 600 };
+
     /// How much later each further VM tries while nobody of the zone is in contact with the store.
     constexpr Duration c_nextReader = std::chrono::milliseconds { 700 };
 
@@ -136,14 +143,25 @@
         m_peers.begin(), m_peers.end(), [this](const auto& entry) { return entry.second.m_zone == m_zone; }));
 }
 
+std::int64_t ExchangePeers::tellingsOfARound() const
+{
+    return static_cast<std::int64_t>((nearCount() + c_nearFanout - 1) / c_nearFanout);
+}
+
 Duration ExchangePeers::silence() const
 {
-    const std::size_t tellings = (nearCount() + c_nearFanout - 1) / c_nearFanout;
-    return std::max(c_leastSilence, 2 * static_cast<std::int64_t>(tellings) * c_tellingInterval);
+    return std::max(c_leastSilence, 2 * tellingsOfARound() * c_tellingInterval);
+}
+
+Deadline ExchangePeers::repeatAt(Instant now) const
+{
+    return now + std::min(c_longestRepeat, silence() / std::max<std::int64_t>(1, 2 * tellingsOfARound()));
 }
 
 bool ExchangePeers::shouldRead(Instant now)
 {
+    if (m_listensUntil == Deadline {})
+        m_listensUntil = now + c_firstListening;
     const std::uint64_t own = rankOf(m_self);
     const Duration longestSilence = silence();
     unsigned higherRanked = 0;
@@ -156,7 +174,7 @@
     }
     if (isReadByHigher || hearsReader(now))
         m_readerlessSince = now;
-    if (isReadByHigher)
+    if (isReadByHigher || now < m_listensUntil)
         return false;
     if (m_readerlessSince == Instant {})
         m_readerlessSince = now;
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -35,8 +35,12 @@
     /// told more seldom.
     Duration silence() const;
 
+    /// When to tell others again although nothing has changed, so that none of the own zone takes this VM for silent.
+    Deadline repeatAt(Instant now) const;
+
     /// Whether this VM is to follow the store for its zone. One VM of each zone does, the one that ranks highest among
-    /// those that are in contact with the store; the others learn what is new from it. When it falls silent the next
+    /// those that are in contact with the store; the others learn what is new from it. A VM that has just started
+    /// listens first whether somebody does. When the reader falls silent the next
     /// one takes over at once. When it loses contact the others try, too, one after the other, so that an outage of the
     /// store is not met by all of them while a store that refuses a few VMs is reached by others.
     bool shouldRead(Instant now);
@@ -64,6 +68,9 @@
     };
 
     void learn(const ExchangePeer& peer, Instant now);
+
+    /// How many tellings it takes until each VM of the own zone was told once.
+    std::int64_t tellingsOfARound() const;
     void appendInTurn(std::vector<Endpoint>& targets, bool near, std::size_t count);
 
     Endpoint m_self;
@@ -73,6 +80,7 @@
     Deadline m_seedsAt {};
     Deadline m_passOnAt {}; ///< when peers are passed on next
     Deadline m_passOnUntil {}; ///< with each message until then
+    Deadline m_listensUntil {}; ///< set when it is asked first; until then it does not follow the store by itself
     Instant m_readerlessSince {}; ///< since when nobody of the zone follows the store in contact; epoch: somebody does
     Instant m_behindSince {}; ///< since when only VMs of other zones know a newer state; epoch: not
     std::uint64_t m_asked = 0; ///< how often newerPeer named a VM of the own zone
--- a/src/exchange/ExchangePeersTest.cpp
+++ b/src/exchange/ExchangePeersTest.cpp
@@ -108,6 +108,38 @@
         }
     }
 
+    TEST(ExchangePeersTest, anIdleReaderOfALargeZoneIsNotTakenForSilent)
+    {
+        Fleet fleet { 15, 1 };
+        fleet.run(std::chrono::seconds { 5 });
+        for (int telling = 0; telling < 200; ++telling) {
+            const Duration interval = fleet.m_vms[0]->m_peers.repeatAt(fleet.m_now) - fleet.m_now;
+            fleet.run(interval, interval);
+            const std::ptrdiff_t trying
+                = std::count_if(fleet.m_vms.begin(), fleet.m_vms.end(), [](const auto& vm) { return vm->m_tries; });
+            ASSERT_EQ(trying, 1) << "telling " << telling;
+        }
+    }
+
+    TEST(ExchangePeersTest, aSmallZoneThatIsIdleTellsSeldom)
+    {
+        Fleet fleet { 3, 3 };
+        fleet.run(std::chrono::seconds { 5 });
+        EXPECT_EQ(fleet.m_vms[0]->m_peers.repeatAt(fleet.m_now), fleet.m_now + milliseconds { 200 });
+    }
+
+    TEST(ExchangePeersTest, aVmThatStartsLeavesTheStoreToTheReaderOfItsZone)
+    {
+        Fleet fleet { 15, 2 };
+        fleet.run(std::chrono::seconds { 5 });
+        Fleet::Vm& vm = *fleet.m_vms[fleet.readers(0).front() == 2 ? 4 : 2];
+        vm.m_peers = ExchangePeers { vm.m_self, vm.m_zone, std::vector<Endpoint> { { 1, c_port }, { 2, c_port } } };
+        for (int telling = 0; telling < 100; ++telling) {
+            fleet.run(milliseconds { 25 });
+            ASSERT_FALSE(vm.m_tries) << "telling " << telling;
+        }
+    }
+
     // A configuration has to be in force within 3 s: half of that is for noticing that the reader died.
     TEST(ExchangePeersTest, theNextOneTakesOverFromAReaderThatDies)
     {
--- a/src/exchange/TellingSchedule.cpp
+++ b/src/exchange/TellingSchedule.cpp
@@ -4,13 +4,6 @@
 
 namespace cuminrelay {
 
-namespace {
-
-    /// An unchanged load is told again after this; others forget it after three times as long.
-    constexpr Duration c_repeatInterval = std::chrono::milliseconds { 200 };
-
-} // namespace
-
 bool TellingSchedule::isDue(
     std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead, Instant now) const
 {
@@ -20,12 +13,12 @@
     return (hasChanged && m_pacer.mayStart(now)) || now >= m_repeatAt;
 }
 
-void TellingSchedule::noteTold(
-    std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead, std::size_t bytes, Instant now)
+void TellingSchedule::noteTold(std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead,
+    std::size_t bytes, Instant now, Deadline repeatAt)
 {
     m_loads.assign(loads.begin(), loads.end());
     m_dead.assign(dead.begin(), dead.end());
-    m_repeatAt = now + c_repeatInterval;
+    m_repeatAt = repeatAt;
     m_pacer.charge(bytes, now);
 }
 
--- a/src/exchange/TellingScheduleTest.cpp
+++ b/src/exchange/TellingScheduleTest.cpp
@@ -8,6 +8,7 @@
     using std::chrono::milliseconds;
 
     constexpr Instant c_start { std::chrono::seconds { 100 } };
+    constexpr Deadline c_repeatAt = c_start + milliseconds { 200 };
     constexpr std::uint64_t c_budget = 20'000; // bytes a second
 
     std::vector<BackendLoadReport> loadsOf(std::uint32_t requests)
@@ -19,15 +20,15 @@
     {
         TellingSchedule schedule { c_budget };
         EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start));
-        schedule.noteTold(loadsOf(1), {}, 1'000, c_start); // 50 ms of the budget
+        schedule.noteTold(loadsOf(1), {}, 1'000, c_start, c_repeatAt); // 50 ms of the budget
         EXPECT_FALSE(schedule.isDue(loadsOf(2), {}, c_start + milliseconds { 49 }));
         EXPECT_TRUE(schedule.isDue(loadsOf(2), {}, c_start + milliseconds { 50 }));
     }
 
-    TEST(TellingScheduleTest, whatHasNotChangedIsToldAgainSeldom)
+    TEST(TellingScheduleTest, whatHasNotChangedIsToldAgainWhenItIsDue)
     {
         TellingSchedule schedule { c_budget };
-        schedule.noteTold(loadsOf(1), {}, 100, c_start);
+        schedule.noteTold(loadsOf(1), {}, 100, c_start, c_repeatAt);
         EXPECT_FALSE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 199 }));
         EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 200 }));
     }
@@ -36,14 +37,14 @@
     TEST(TellingScheduleTest, aSpentBudgetDoesNotSilenceAVm)
     {
         TellingSchedule schedule { c_budget };
-        schedule.noteTold(loadsOf(1), {}, 1'000'000, c_start);
+        schedule.noteTold(loadsOf(1), {}, 1'000'000, c_start, c_repeatAt);
         EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 200 }));
     }
 
     TEST(TellingScheduleTest, aDeathWaitsForNoBudget)
     {
         TellingSchedule schedule { c_budget };
-        schedule.noteTold(loadsOf(1), {}, 1'000'000, c_start);
+        schedule.noteTold(loadsOf(1), {}, 1'000'000, c_start, c_repeatAt);
         const std::vector<BackendToken> dead { { 7 } };
         EXPECT_TRUE(schedule.isDue(loadsOf(1), dead, c_start));
     }
@@ -57,7 +58,7 @@
             const std::vector<BackendLoadReport> loads = loadsOf(++requests);
             if (!schedule.isDue(loads, {}, now))
                 continue;
-            schedule.noteTold(loads, {}, 1'700, now);
+            schedule.noteTold(loads, {}, 1'700, now, now + milliseconds { 200 });
             sent += 1'700;
         }
         EXPECT_LE(sent, 10 * c_budget + 1'700);
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -26,8 +26,6 @@
 
     constexpr std::chrono::milliseconds c_houseInterval { 25 };
 
-    constexpr std::size_t c_datagramHeaderBytes = 28; // IPv4 and UDP
-
     /// What waited while the process stood still has been received after this.
     constexpr Duration c_backlog = std::chrono::milliseconds { 50 };
 
@@ -262,7 +260,7 @@
     m_message.m_loads = std::move(loads);
     m_message.m_dead = std::move(dead);
     const std::size_t bytes = sendTo(m_peers.nextTargets(now), now);
-    m_telling.noteTold(m_message.m_loads, m_message.m_dead, bytes, now);
+    m_telling.noteTold(m_message.m_loads, m_message.m_dead, bytes, now, m_peers.repeatAt(now));
 }
 
 /// Sends the message; returns the bytes that this put on the link.
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -99,9 +99,6 @@
     /// Some 100 bytes each.
     static constexpr std::size_t s_trackedFlows = 100'000;
 
-    /// Of what a VM may spend for control, 20 KB a second, the most; the rest is for news.
-    static constexpr std::uint64_t s_exchangeBytesPerSecond = 16'000;
-
     RelaySettings m_settings;
     RelayParts m_parts;
     FlowLog m_flowLog;
@@ -120,7 +117,7 @@
     std::optional<Departure> m_departure;
     bool m_hasBackends = false; ///< the list was read at least once
     LoadMessage m_message; // reused by each telling
-    TellingSchedule m_telling { s_exchangeBytesPerSecond };
+    TellingSchedule m_telling { c_exchangeBytesPerSecond };
     bool m_hasNews = false; ///< not yet told to the own zone
     bool m_isFetching = false;
     std::uint64_t m_countedLost = 0; ///< log lines, as the counter has them
