discovery: a watch reads all once and follows only when it is asked to

Cause: a VM followed the store until it had a configuration, and began a watch of each kind between its first list and the decision who reads; on a grown site that is two calls a start, and two watches on each of 74 VMs until the first configuration is written. Change: StoreWatch lists at first and after lost history, and follows only while it is told to; whether the configuration is known plays no part any more. Test: allIsReadOnceAndNothingIsFollowedUnlessItIsAskedFor.

--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -48,7 +48,8 @@
 asio::awaitable<void> StoreWatch::run()
 {
     for (;;) {
-        co_await waitUntilReading();
+        if (m_hasAll)
+            co_await waitUntilReading();
         const Outcome<StoreRevision> taken = co_await takeNext();
         const bool hasChanged = taken && m_hasAll && taken.value() > m_revision;
         if (taken) {
--- a/src/discovery/StoreWatch.h
+++ b/src/discovery/StoreWatch.h
@@ -35,7 +35,8 @@
     /// Runs for as long as the process does.
     boost::asio::awaitable<void> run();
 
-    /// Whether to follow the store. While it does not, others tell what is new; a call that waits is not given up.
+    /// Whether to follow the store once all was read; at first it does not. While it does not, others tell what is
+    /// new; a call that waits is not given up.
     void setReading(bool reading);
 
     /// Others have told everything up to a revision.
@@ -64,7 +65,7 @@
     Backoff m_backoff;
     StoreRevision m_revision;
     bool m_hasAll = false;
-    bool m_isReading = true;
+    bool m_isReading = false;
     boost::asio::steady_timer* m_idle = nullptr; ///< set while the task waits for setReading
     bool m_isInContact = false;
     bool m_hasReported = false;
--- a/src/discovery/StoreWatchTest.cpp
+++ b/src/discovery/StoreWatchTest.cpp
@@ -102,6 +102,14 @@
         EXPECT_GT(m_discovery.m_waits[0], Duration::zero());
     }
 
+    TEST_F(StoreWatchTest, allIsReadOnceAndNothingIsFollowedUnlessItIsAskedFor)
+    {
+        asio::co_spawn(m_context, m_watch.run(), asio::detached);
+        m_context.poll();
+        EXPECT_EQ(m_discovery.m_lists, 1u);
+        EXPECT_TRUE(m_discovery.m_waits.empty());
+    }
+
     TEST_F(StoreWatchTest, afterAFailureTheNextWatchWaitsForNothing)
     {
         m_discovery.m_failures = { ErrorKind::Unavailable };
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -195,7 +195,7 @@
 /// Decides whether this VM follows the store, and asks another VM that knows more.
 void RelayProcess::chooseReader(Instant now)
 {
-    const bool isReading = !m_hasBackends || !m_router.isConfigured() || m_peers.shouldRead(now);
+    const bool isReading = m_peers.shouldRead(now);
     m_backendsWatch.setReading(isReading);
     m_declarationsWatch.setReading(isReading);
     m_router.setDeclarationsCurrent(m_declarationsWatch.isFollowing() || m_peers.hearsReader(now));
