exchange: who hears of a newcomer answers at once with the VMs of its zone

Cause: in a zone without seeds VMs heard of each other 3 s after their start (a seed tells one VM of another zone each time, in turn), and each followed the store for itself until then. Change: a VM that nobody had named before its first message gets an answer at once: the VMs of its zone that were heard from. Test: aZoneWithoutSeedsHearsOfItselfBeforeItReadsWithoutNeed failed before.

--- a/src/bench/CarriedDesign.cpp
+++ b/src/bench/CarriedDesign.cpp
@@ -160,6 +160,7 @@
 void CarriedDesign::hear(Vm& vm, Endpoint teller, const LoadMessage& message, Instant now)
 {
     vm.m_peers->noteMessage(teller, message, now);
+    (void)vm.m_peers->takeNewcomers(); // all are seeds of each other
     vm.m_router->notePeerLoad(teller, message.m_loads, now, vm.m_peers->silence());
 }
 
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminrelay {
 
@@ -74,7 +75,10 @@
         m_peers.erase(peer);
         return;
     }
-    Known& known = m_peers[peer];
+    const auto [found, isNewcomer] = m_peers.try_emplace(peer);
+    if (isNewcomer)
+        m_newcomers.push_back({ peer, message.m_zone });
+    Known& known = found->second;
     if (known.m_heardAt == Instant {})
         m_passOnAt = now;
     known.m_zone = message.m_zone;
@@ -94,6 +98,21 @@
     m_peers.try_emplace(peer.m_exchange, Known { peer.m_zone, Instant {}, now + c_peerMemory });
 }
 
+std::vector<ExchangePeer> ExchangePeers::takeNewcomers()
+{
+    return std::exchange(m_newcomers, {});
+}
+
+std::vector<ExchangePeer> ExchangePeers::peersOf(ZoneHash zone) const
+{
+    std::vector<ExchangePeer> peers;
+    for (const auto& [peer, known] : m_peers) {
+        if (known.m_zone == zone && known.m_heardAt != Instant {})
+            peers.push_back({ peer, known.m_zone });
+    }
+    return peers;
+}
+
 std::vector<Endpoint> ExchangePeers::nextTargets(Instant now)
 {
     std::erase_if(m_peers, [now](const auto& entry) { return now >= entry.second.m_forgetAt; });
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -22,6 +22,13 @@
     /// A message has come from another VM.
     void noteMessage(Endpoint peer, const LoadMessage& message, Instant now);
 
+    /// VMs that nobody had named before their first message, since the last call: each is to be told at once whom it
+    /// shares its zone with, because its turn may come late.
+    std::vector<ExchangePeer> takeNewcomers();
+
+    /// The VMs of a zone that were heard from.
+    std::vector<ExchangePeer> peersOf(ZoneHash zone) const;
+
     /// Whom to tell now: at most c_nearFanout of the own zone and one of another; from time to time seeds, too.
     std::vector<Endpoint> nextTargets(Instant now);
 
@@ -77,6 +84,7 @@
     ZoneHash m_zone;
     std::vector<Endpoint> m_seeds;
     std::map<Endpoint, Known> m_peers;
+    std::vector<ExchangePeer> m_newcomers;
     Deadline m_seedsAt {};
     Deadline m_passOnAt {}; ///< when peers are passed on next
     Deadline m_passOnUntil {}; ///< with each message until then
--- a/src/exchange/ExchangePeersTest.cpp
+++ b/src/exchange/ExchangePeersTest.cpp
@@ -73,7 +73,21 @@
             for (const Endpoint target : vm.m_peers.nextTargets(m_now)) {
                 Vm& other = *m_vms[target.m_address - 1];
                 if (other.m_isAlive && target != vm.m_self)
-                    other.m_peers.noteMessage(vm.m_self, message, m_now);
+                    tell(other, vm, message);
+            }
+        }
+
+        /// Delivers a message; who hears of a newcomer answers it.
+        void tell(Vm& receiver, const Vm& sender, const LoadMessage& message)
+        {
+            receiver.m_peers.noteMessage(sender.m_self, message, m_now);
+            for (const ExchangePeer& newcomer : receiver.m_peers.takeNewcomers()) {
+                LoadMessage greeting;
+                greeting.m_zone = receiver.m_zone;
+                greeting.m_isReading = receiver.m_isReading;
+                greeting.m_known = receiver.m_known;
+                greeting.m_peers = receiver.m_peers.peersOf(newcomer.m_zone);
+                tell(*m_vms[newcomer.m_exchange.m_address - 1], receiver, greeting);
             }
         }
     };
@@ -86,6 +100,15 @@
             EXPECT_EQ(vm->m_peers.size(), 17u);
     }
 
+    TEST(ExchangePeersTest, aZoneWithoutSeedsHearsOfItselfBeforeItReadsWithoutNeed)
+    {
+        Fleet fleet { 15, 5 }; // the seeds are in two of the zones
+        fleet.run(milliseconds { 600 }, milliseconds { 100 });
+        fleet.run(milliseconds { 500 }, milliseconds { 100 });
+        for (std::uint32_t zone = 0; zone < 5; ++zone)
+            EXPECT_LE(fleet.readers(zone).size(), 2u) << "zone " << zone;
+    }
+
     TEST(ExchangePeersTest, oneVmOfEachZoneFollowsTheStore)
     {
         Fleet fleet { 20, 2 };
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -161,6 +161,7 @@
     }
     const std::size_t before = m_peers.nearCount();
     m_peers.noteMessage(peer, message.value(), now);
+    greetNewcomers(now);
     m_router.notePeerLoad(peer, message.value().m_loads, now, m_peers.silence());
     m_router.noteDeadHints(message.value().m_dead, message.value().m_zone, now);
     if (m_peers.nearCount() != before)
@@ -243,7 +244,7 @@
     const bool hasNews = std::exchange(m_hasNews, false);
     if (!hasNews || !m_backendsWatch.isFollowing())
         return;
-    m_telling.noteSent(sendTo(m_peers.nearPeers(), now), now);
+    m_telling.noteSent(sendTo(m_peers.nearPeers(), m_peers.somePeers(now)), now);
 }
 
 void RelayProcess::tellLoad(Instant now)
@@ -259,17 +260,31 @@
         return;
     m_message.m_loads = std::move(loads);
     m_message.m_dead = std::move(dead);
-    const std::size_t bytes = sendTo(m_peers.nextTargets(now), now);
+    const std::size_t bytes = sendTo(m_peers.nextTargets(now), m_peers.somePeers(now));
     m_telling.noteTold(m_message.m_loads, m_message.m_dead, bytes, now, m_peers.repeatAt(now));
 }
 
+/// Tells VMs that nobody knew who else is in their zone.
+void RelayProcess::greetNewcomers(Instant now)
+{
+    for (const ExchangePeer& newcomer : m_peers.takeNewcomers()) {
+        const std::vector<ExchangePeer> peers = m_peers.peersOf(newcomer.m_zone);
+        for (std::size_t first = 0; first < peers.size(); first += c_mostPeers) {
+            const std::size_t count = std::min(c_mostPeers, peers.size() - first);
+            const std::size_t bytes
+                = sendTo(std::span { &newcomer.m_exchange, 1 }, std::span { peers }.subspan(first, count));
+            m_telling.noteSent(bytes, now);
+        }
+    }
+}
+
 /// Sends the message; returns the bytes that this put on the link.
-std::size_t RelayProcess::sendTo(std::span<const Endpoint> targets, Instant now)
+std::size_t RelayProcess::sendTo(std::span<const Endpoint> targets, std::span<const ExchangePeer> passedOn)
 {
     m_message.m_leaving = m_departure.has_value();
     m_message.m_isReading = !m_departure && m_backendsWatch.isFollowing() && m_declarationsWatch.isFollowing();
     m_message.m_known = m_book.state();
-    m_message.m_peers = m_peers.somePeers(now);
+    m_message.m_peers.assign(passedOn.begin(), passedOn.end());
     const std::span<const std::byte> encoded = encodeLoadMessage(m_message, m_sendRoom);
     for (const Endpoint target : targets) {
         boost::system::error_code failure;
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -88,7 +88,8 @@
     void chooseReader(Instant now);
     void tellLoad(Instant now);
     void tellNews(Instant now);
-    std::size_t sendTo(std::span<const Endpoint> targets, Instant now);
+    void greetNewcomers(Instant now);
+    std::size_t sendTo(std::span<const Endpoint> targets, std::span<const ExchangePeer> passedOn);
     void startProbes(Instant now);
     void beginLeaving();
     void reload();
