--- a/src/bench/CarriedDesign.cpp
+++ b/src/bench/CarriedDesign.cpp
@@ -43,9 +43,10 @@
     return announced;
 }
 
-CarriedDesign::CarriedDesign(
-    std::span<const Endpoint> addresses, std::span<const std::string> zones, FleetNetwork& network)
+CarriedDesign::CarriedDesign(std::span<const Endpoint> addresses, std::span<const std::string> zones,
+    FleetNetwork& network, std::unique_ptr<FlowPlacement> placement)
     : m_network(network)
+    , m_placement(std::move(placement))
 {
     for (std::size_t i = 0; i < addresses.size(); ++i) {
         Vm& vm = m_vms.emplace_back();
@@ -64,7 +65,7 @@
     }
     CarriedRouter::Options options;
     options.m_zone = vm.m_zone;
-    vm.m_router = std::make_unique<CarriedRouter>(std::move(options), m_placement, m_observer);
+    vm.m_router = std::make_unique<CarriedRouter>(std::move(options), *m_placement, m_observer);
     vm.m_peers = std::make_unique<ExchangePeers>(vm.m_address, hashZone(vm.m_zone), seeds);
     vm.m_pauses = PauseDetector {};
     vm.m_telling.emplace(c_exchangeBytesPerSecond);
--- a/src/bench/CarriedDesign.h
+++ b/src/bench/CarriedDesign.h
@@ -23,7 +23,8 @@
 class CarriedDesign final : public FleetDesign {
 public:
     /// addresses: the peers endpoint of each VM. zones: theirs, in turn. network must outlive the design.
-    CarriedDesign(std::span<const Endpoint> addresses, std::span<const std::string> zones, FleetNetwork& network);
+    CarriedDesign(std::span<const Endpoint> addresses, std::span<const std::string> zones, FleetNetwork& network,
+        std::unique_ptr<FlowPlacement> placement = std::make_unique<LeastWorkPlacement>());
 
     std::string_view name() const override { return "carried"; }
     void start(VmIndex vm, Instant now) override;
@@ -63,7 +64,7 @@
     static void hear(Vm& vm, Endpoint teller, const LoadMessage& message, Instant now);
 
     FleetNetwork& m_network;
-    LeastWorkPlacement m_placement;
+    std::unique_ptr<FlowPlacement> m_placement;
     SilentObserver m_observer;
     std::vector<Vm> m_vms;
     boost::unordered_flat_map<std::uint64_t, std::uint32_t> m_carried; ///< tokens, by flow hash
--- /dev/null
+++ b/src/bench/NaiveAffinityDesign.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "bench/BaselineDesigns.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cuminrelay {
+
+/// A forwarder without state beyond a memory of openings: a new flow goes to the backend server of the VM's zone that
+/// this VM sent the fewest openings to lately, later packets to the one that they carry. VMs do not talk.
+class NaiveAffinityDesign final : public LocalDesign {
+public:
+    /// zones: those of the VMs, in turn.
+    NaiveAffinityDesign(std::size_t vmCount, std::span<const std::string> zones);
+
+    std::string_view name() const override { return "naive-affinity"; }
+    void installConfiguration(VmIndex vm, const Configuration& configuration, Instant now) override;
+    FleetOutcome route(VmIndex vm, const PacketSummary& packet, Instant now) override;
+
+protected:
+    Endpoint choose(VmIndex vm, const PacketSummary& packet, FlowHash hash) override;
+
+private:
+    struct Opening {
+        Endpoint m_backend;
+        Instant m_at {};
+    };
+
+    std::size_t recentOpenings(VmIndex vm, Endpoint backend) const;
+
+    std::vector<std::string> m_zones; ///< by VM
+    std::map<Endpoint, std::string> m_backendZones;
+    std::vector<std::vector<Opening>> m_recent; ///< by VM
+    boost::unordered_flat_map<std::uint64_t, Endpoint> m_carried;
+    Instant m_now {};
+};
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/ReplayExperiment.cpp
@@ -0,0 +1,376 @@
+#include "bench/ReplayExperiment.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cuminrelay {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr std::uint32_t c_vmNetwork = 0x0a000000;
+    constexpr std::uint32_t c_callerNetwork = 0x64400000;
+    constexpr std::uint16_t c_peersPort = 4001;
+
+    constexpr Duration c_oneWay = milliseconds { 1 }; ///< caller to backend server
+    constexpr Duration c_tickInterval = milliseconds { 25 };
+
+    // The callers of a service of 15 backend servers: live feeds and short forms.
+    constexpr std::size_t c_feedCallers = 90;
+    constexpr double c_feedsPerSecond = 3; ///< of one caller while it does not wait
+    constexpr double c_shortPerSecond = 73;
+    constexpr double c_feedWorkSeconds = 0.019;
+    constexpr double c_shortWorkSeconds = 0.025;
+    constexpr double c_longFlowSeconds = 8;
+    constexpr Duration c_feedObjective = milliseconds { 120 };
+    constexpr Duration c_shortObjective = milliseconds { 150 };
+    constexpr Duration c_deadline = milliseconds { 800 };
+    constexpr std::uint16_t c_requestBytes = 900;
+    constexpr std::uint32_t c_answerBytes = 2'000;
+
+    // When callers repeat an opening, and data that nobody acknowledged.
+    constexpr std::array<Duration, 2> c_openingCopies { milliseconds { 200 }, milliseconds { 600 } };
+    constexpr Duration c_firstRepetition = milliseconds { 200 };
+
+    constexpr Duration c_patternBegins = seconds { 8 };
+    constexpr Duration c_crestLength = seconds { 5 };
+    constexpr std::size_t c_crestFactor = 3;
+    constexpr Duration c_darkness = seconds { 4 };
+    constexpr std::size_t c_darkDivisor = 7;
+    constexpr std::uint64_t c_stragglerDivisor = 50;
+    constexpr double c_stragglerFactor = 40;
+
+    constexpr Duration c_measuredFrom = seconds { 3 };
+    constexpr Duration c_window = seconds { 2 };
+    constexpr std::size_t c_leastOfWindow = 50; ///< requests
+
+    Duration secondsOf(double value)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { value });
+    }
+
+    double inSeconds(Duration duration)
+    {
+        return std::chrono::duration<double> { duration }.count();
+    }
+
+} // namespace
+
+std::string_view loadPatternName(LoadPattern pattern)
+{
+    static constexpr std::array<std::string_view, static_cast<std::size_t>(LoadPattern::Count)> s_names { "steady",
+        "crest", "stragglers", "silent-peers", "dark-hosts" };
+    return s_names[static_cast<std::size_t>(pattern)];
+}
+
+double ReplayResult::inObjective() const
+{
+    return m_requests ? 1 - static_cast<double>(m_late + m_failed) / static_cast<double>(m_requests) : 1;
+}
+
+ReplayExperiment::ReplayExperiment(ReplaySettings settings, const FlowExperiment::DesignFactory& makeDesign)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.m_seed)
+    , m_configuration(makeConfiguration(m_settings.m_profile))
+{
+    for (std::uint32_t i = 0; i < m_settings.m_profile.m_entryVms; ++i)
+        m_vms.push_back({ c_vmNetwork + i + 1, c_peersPort });
+    const std::string& service = m_settings.m_profile.m_services.front().m_name;
+    std::erase_if(m_configuration.m_backendServers, [&service](const BackendServer& server) {
+        return server.m_labels.at("app") != service || server.m_labels.at("tier") != "serving";
+    });
+    for (const BackendServer& server : m_configuration.m_backendServers) {
+        m_hosts.emplace(server.m_tunnel,
+            Host { BackendModel { server.m_tunnel, server.m_slots, server.m_connectionLimit }, false, 0 });
+    }
+    m_design = makeDesign(m_vms, *this);
+}
+
+ReplayResult ReplayExperiment::run()
+{
+    m_start = m_timeline.now();
+    startVms();
+    tickRepeatedly();
+    startCallers(c_feedCallers, m_settings.m_end);
+    shortArrivals();
+    const LoadPattern pattern = m_settings.m_pattern;
+    if (pattern == LoadPattern::Crest || pattern == LoadPattern::SilentPeers) {
+        m_timeline.at(m_start + c_patternBegins,
+            [this] { startCallers((c_crestFactor - 1) * c_feedCallers, m_start + c_patternBegins + c_crestLength); });
+    }
+    if (pattern == LoadPattern::DarkHosts) {
+        m_timeline.at(m_start + c_patternBegins, [this] { darken(true); });
+        m_timeline.at(m_start + c_patternBegins + c_darkness, [this] { darken(false); });
+    }
+    m_timeline.runUntil(m_settings.m_end);
+    return summary();
+}
+
+bool ReplayExperiment::reaches(VmIndex, VmIndex)
+{
+    return m_settings.m_pattern != LoadPattern::SilentPeers;
+}
+
+VmIndex ReplayExperiment::vmAt(Endpoint peers) const
+{
+    return peers.m_address - c_vmNetwork - 1;
+}
+
+void ReplayExperiment::startVms()
+{
+    for (VmIndex vm = 0; vm < m_vms.size(); ++vm) {
+        m_design->start(vm, m_timeline.now());
+        m_design->installConfiguration(vm, m_configuration, m_timeline.now());
+    }
+}
+
+void ReplayExperiment::tickRepeatedly()
+{
+    for (VmIndex vm = 0; vm < m_vms.size(); ++vm)
+        m_design->tick(vm, m_timeline.now());
+    m_timeline.after(c_tickInterval, [this] { tickRepeatedly(); });
+}
+
+bool ReplayExperiment::isCrest() const
+{
+    const bool hasCrest
+        = m_settings.m_pattern == LoadPattern::Crest || m_settings.m_pattern == LoadPattern::SilentPeers;
+    const Duration since = m_timeline.now() - m_start;
+    return hasCrest && since >= c_patternBegins && since < c_patternBegins + c_crestLength;
+}
+
+/// Short requests, each over a flow of its own, as a Poisson process.
+void ReplayExperiment::shortArrivals()
+{
+    const double rate = c_shortPerSecond * (isCrest() ? static_cast<double>(c_crestFactor) : 1);
+    m_timeline.after(secondsOf(m_random.exponentialSeconds(rate)), [this] {
+        ask(newFlow(false, {}));
+        shortArrivals();
+    });
+}
+
+/// Callers with one long flow after the other.
+void ReplayExperiment::startCallers(std::size_t count, Instant until)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        m_timeline.after(secondsOf(m_random.fraction()), [this, until] { ask(newFlow(true, until)); });
+    }
+}
+
+void ReplayExperiment::darken(bool dark)
+{
+    std::size_t index = 0;
+    for (auto& [endpoint, host] : m_hosts) {
+        if (index++ % c_darkDivisor != 0)
+            continue;
+        host.m_isDark = dark;
+        if (dark)
+            host = Host { BackendModel { endpoint, 2, 2'000 }, true, host.m_lost + 1 };
+    }
+}
+
+ReplayExperiment::FlowIndex ReplayExperiment::newFlow(bool isLong, Instant callerLeavesAt)
+{
+    const FlowIndex index = m_flows.size();
+    Flow& flow = m_flows.emplace_back();
+    flow.m_key.m_caller = { c_callerNetwork + static_cast<std::uint32_t>(index / 50'000),
+        static_cast<std::uint16_t>(1'024 + index % 50'000) };
+    flow.m_key.m_service = m_configuration.m_services.front().m_address;
+    flow.m_vm = m_random.below(m_vms.size());
+    flow.m_isLong = isLong;
+    if (isLong) {
+        const Duration life = secondsOf(m_random.exponentialSeconds(1 / c_longFlowSeconds));
+        flow.m_callerLeavesAt = callerLeavesAt;
+        flow.m_closesAt = std::min(callerLeavesAt, m_timeline.now() + life);
+    }
+    return index;
+}
+
+PacketSummary ReplayExperiment::packetOf(const Flow& flow, PacketKind kind, std::uint16_t payloadBytes) const
+{
+    PacketSummary packet;
+    packet.m_flow = flow.m_key;
+    packet.m_kind = kind;
+    packet.m_payloadBytes = payloadBytes;
+    packet.m_sequence = flow.m_sequence;
+    packet.m_acknowledgment = flow.m_acknowledgment;
+    return packet;
+}
+
+FleetOutcome ReplayExperiment::route(const Flow& flow, const PacketSummary& packet)
+{
+    return m_design->route(flow.m_vm, packet, m_timeline.now());
+}
+
+/// A caller has a request: over its flow, which it opens first.
+void ReplayExperiment::ask(FlowIndex index)
+{
+    Flow& flow = m_flows[index];
+    const std::uint64_t request = ++flow.m_request;
+    flow.m_waits = true;
+    flow.m_askedAt = m_timeline.now();
+    flow.m_isStraggler
+        = m_settings.m_pattern == LoadPattern::Stragglers && !flow.m_isLong && m_random.below(c_stragglerDivisor) == 0;
+    const double mean = flow.m_isLong ? c_feedWorkSeconds : c_shortWorkSeconds;
+    flow.m_workSeconds = flow.m_isStraggler ? mean * c_stragglerFactor : m_random.exponentialSeconds(1 / mean);
+    if (!flow.m_isStraggler)
+        m_timeline.after(c_deadline, [this, index, request] { giveUp(index, request); });
+    if (flow.m_isOpen) {
+        sendRequest(index, request, c_firstRepetition);
+        return;
+    }
+    open(index, 0);
+    std::uint8_t copy = 0;
+    for (const Duration delay : c_openingCopies) {
+        ++copy;
+        m_timeline.after(delay, [this, index, copy] {
+            if (!m_flows[index].m_isOpen && !m_flows[index].m_isDone)
+                open(index, copy);
+        });
+    }
+}
+
+void ReplayExperiment::open(FlowIndex index, std::uint8_t copy)
+{
+    PacketSummary packet = packetOf(m_flows[index], PacketKind::Opening, 0);
+    packet.m_copy = copy;
+    const FleetOutcome outcome = route(m_flows[index], packet);
+    const auto host = m_hosts.find(outcome.m_backend);
+    if (outcome.m_kind != VerdictKind::ToBackend || host == m_hosts.end() || host->second.m_isDark)
+        return;
+    m_timeline.after(2 * c_oneWay, [this, index] {
+        Flow& flow = m_flows[index];
+        if (flow.m_isOpen || flow.m_isDone)
+            return;
+        flow.m_isOpen = true;
+        ++flow.m_sequence;
+        sendRequest(index, flow.m_request, c_firstRepetition);
+    });
+}
+
+/// Sends the request's packet, and again until there is an answer.
+void ReplayExperiment::sendRequest(FlowIndex index, std::uint64_t request, Duration repeatAfter)
+{
+    const Flow& flow = m_flows[index];
+    if (flow.m_request != request || !flow.m_waits)
+        return;
+    const FleetOutcome outcome = route(flow, packetOf(flow, PacketKind::Midstream, c_requestBytes));
+    if (outcome.m_kind == VerdictKind::ToBackend) {
+        m_timeline.after(c_oneWay, [this, host = outcome.m_backend, index, request] {
+            takeRequest(host, { index, request });
+        });
+    }
+    m_timeline.after(
+        repeatAfter, [this, index, request, repeatAfter] { sendRequest(index, request, 2 * repeatAfter); });
+}
+
+void ReplayExperiment::takeRequest(Endpoint endpoint, Job job)
+{
+    const auto host = m_hosts.find(endpoint);
+    Flow& flow = m_flows[job.m_flow];
+    if (host == m_hosts.end() || host->second.m_isDark || flow.m_taken == job.m_request)
+        return;
+    flow.m_taken = job.m_request;
+    m_jobs.push_back(job);
+    host->second.m_model.enqueue(m_jobs.size() - 1);
+    startWork(endpoint);
+}
+
+void ReplayExperiment::startWork(Endpoint endpoint)
+{
+    Host& host = m_hosts.at(endpoint);
+    while (const std::optional<WorkIndex> work = host.m_model.startNext()) {
+        const Job job = m_jobs[*work];
+        const Duration duration = secondsOf(m_flows[job.m_flow].m_workSeconds);
+        m_timeline.after(duration, [this, endpoint, job, lost = host.m_lost] {
+            Host& done = m_hosts.at(endpoint);
+            if (done.m_lost != lost)
+                return;
+            done.m_model.finish();
+            m_timeline.after(c_oneWay, [this, job] { takeAnswer(job.m_flow, job.m_request); });
+            startWork(endpoint);
+        });
+    }
+}
+
+void ReplayExperiment::takeAnswer(FlowIndex index, std::uint64_t request)
+{
+    Flow& flow = m_flows[index];
+    if (flow.m_request != request || !flow.m_waits)
+        return;
+    flow.m_waits = false;
+    flow.m_sequence += c_requestBytes;
+    flow.m_acknowledgment += c_answerBytes;
+    const Duration objective = flow.m_isLong ? c_feedObjective : c_shortObjective;
+    if (!flow.m_isStraggler)
+        m_answered.push_back({ flow.m_askedAt, m_timeline.now() - flow.m_askedAt, objective });
+    (void)route(flow, packetOf(flow, PacketKind::Midstream, 0));
+    goOn(index);
+}
+
+void ReplayExperiment::giveUp(FlowIndex index, std::uint64_t request)
+{
+    Flow& flow = m_flows[index];
+    if (flow.m_request != request || !flow.m_waits)
+        return;
+    flow.m_waits = false;
+    m_answered.push_back({ flow.m_askedAt, Duration::max(), c_deadline });
+    flow.m_closesAt = std::min(flow.m_closesAt, m_timeline.now());
+    goOn(index);
+}
+
+/// What a caller does after a request: the next one after a pause, over a new flow when this one has ended.
+void ReplayExperiment::goOn(FlowIndex index)
+{
+    Flow& flow = m_flows[index];
+    const bool stays = flow.m_isLong && m_timeline.now() < flow.m_closesAt;
+    if (!stays) {
+        flow.m_isDone = true;
+        (void)route(flow, packetOf(flow, PacketKind::HalfClose, 0));
+    }
+    if (!flow.m_isLong || m_timeline.now() >= flow.m_callerLeavesAt)
+        return;
+    const Duration pause = secondsOf(m_random.exponentialSeconds(c_feedsPerSecond));
+    m_timeline.after(
+        pause, [this, index, stays] { ask(stays ? index : newFlow(true, m_flows[index].m_callerLeavesAt)); });
+}
+
+ReplayResult ReplayExperiment::summary() const
+{
+    struct Window {
+        std::size_t m_requests = 0;
+        std::size_t m_missed = 0;
+    };
+    ReplayResult result;
+    std::map<std::int64_t, Window> windows;
+    std::vector<double> taken;
+    for (const Answered& answered : m_answered) {
+        const Duration since = answered.m_askedAt - m_start;
+        if (since < c_measuredFrom)
+            continue;
+        const bool hasFailed = answered.m_taken == Duration::max();
+        const bool isLate = !hasFailed && answered.m_taken > answered.m_objective;
+        ++result.m_requests;
+        result.m_failed += hasFailed ? 1 : 0;
+        result.m_late += isLate ? 1 : 0;
+        taken.push_back(inSeconds(hasFailed ? c_deadline : answered.m_taken));
+        Window& window = windows[since / c_window];
+        ++window.m_requests;
+        window.m_missed += hasFailed || isLate ? 1 : 0;
+    }
+    for (const auto& [at, window] : windows) {
+        const double kept = 1 - static_cast<double>(window.m_missed) / static_cast<double>(window.m_requests);
+        if (window.m_requests >= c_leastOfWindow)
+            result.m_worstWindow = std::min(result.m_worstWindow, kept);
+    }
+    if (taken.empty())
+        return result;
+    std::ranges::sort(taken);
+    result.m_medianSeconds = taken[taken.size() / 2];
+    result.m_p99Seconds = taken[taken.size() * 99 / 100];
+    return result;
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/bench/ReplayExperimentTest.cpp
@@ -0,0 +1,60 @@
+#include "bench/ReplayReport.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    /// Requests answered late or not at all, over some seeds.
+    std::uint64_t missed(LoadPattern pattern, std::string_view design)
+    {
+        std::uint64_t sum = 0;
+        for (const std::uint64_t seed : { 2U, 3U, 4U, 5U, 6U, 7U, 8U, 9U }) {
+            ReplaySettings settings;
+            settings.m_profile = *findFleetProfile("shirakaba");
+            settings.m_pattern = pattern;
+            settings.m_seed = seed;
+            const ReplayResult result = ReplayExperiment { settings, replayDesign(design, settings.m_profile) }.run();
+            EXPECT_GT(result.m_requests, 4'000u);
+            sum += result.m_late + result.m_failed;
+        }
+        return sum;
+    }
+
+    TEST(ReplayExperimentTest, theSameSeedGivesTheSameRun)
+    {
+        ReplaySettings settings;
+        settings.m_profile = *findFleetProfile("kalahari");
+        settings.m_pattern = LoadPattern::Crest;
+        const FlowExperiment::DesignFactory design = replayDesign("carried", settings.m_profile);
+        const ReplayResult first = ReplayExperiment { settings, design }.run();
+        const ReplayResult second = ReplayExperiment { settings, design }.run();
+        EXPECT_EQ(first.m_requests, second.m_requests);
+        EXPECT_EQ(first.m_late, second.m_late);
+        EXPECT_EQ(first.m_p99Seconds, second.m_p99Seconds);
+    }
+
+    TEST(ReplayExperimentTest, atACrestFewerAnswersAreLateThanWithTheNaiveForwarder)
+    {
+        EXPECT_LT(3 * missed(LoadPattern::Crest, "carried"), 2 * missed(LoadPattern::Crest, "naive-affinity"));
+    }
+
+    TEST(ReplayExperimentTest, stragglersHoldUpLessWorkThanWithRandomPlacement)
+    {
+        EXPECT_LT(
+            3 * missed(LoadPattern::Stragglers, "carried"), 2 * missed(LoadPattern::Stragglers, "carried-random"));
+    }
+
+    // Entry VMs that hear nothing of each other place by what they see themselves.
+    TEST(ReplayExperimentTest, silentPeersLeaveACrestBetterThanTheNaiveForwarder)
+    {
+        EXPECT_LT(missed(LoadPattern::SilentPeers, "carried"), missed(LoadPattern::SilentPeers, "naive-affinity"));
+    }
+
+    TEST(ReplayExperimentTest, darkHostsCostFewerRequestsThanWithTheNaiveForwarder)
+    {
+        EXPECT_LT(3 * missed(LoadPattern::DarkHosts, "carried"), 2 * missed(LoadPattern::DarkHosts, "naive-affinity"));
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/programs/bench.cpp
+++ b/src/programs/bench.cpp
@@ -5,6 +5,7 @@
 #include "bench/LoadReport.h"
 #include "bench/MembersExperiment.h"
 #include "bench/PacketBench.h"
+#include "bench/ReplayReport.h"
 #include "bench/Reports.h"
 #include "bench/Slopes.h"
 #include "settings/Program.h"
@@ -50,6 +51,7 @@
 
   compare   plays the same arrivals and single faults against each design
   faults    the fault matrix: every fault alone and with a second one later; status 1 when a promise breaks
+  replay    what callers see of loads that days with trouble bring, against the naive forwarder
   load      placement and admission under ordinary load, stragglers and a crest
   slopes    how messages, tables and processor time grow with the fleet
   members   heartbeats between control processes: bytes, times to detection and spreading, false alarms
@@ -255,6 +257,10 @@
             fmt::print("{}", runLoadComparison(*profile, given.m_seed, given.m_format));
             return 0;
         }
+        if (given.m_command == "replay") {
+            fmt::print("{}", runReplays(*profile, given.m_seed, given.m_format));
+            return 0;
+        }
         if (given.m_command == "slopes") {
             fmt::print("{}", runSlopes(given.m_format));
             return 0;
