relay: gauges of what is believed and its age

cuminrelay_config_version, _ready, _backends by state, _peers, _tracked_flows, _follows_store and _knowledge_age_seconds, once a second, on the metrics address. Tests: BeliefGaugesTest, aGaugeShowsTheLastValueOfEachState.

--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -56,6 +56,7 @@
             m_hasAll = true;
             m_revision = std::max(m_revision, taken.value());
             m_backoff.succeeded();
+            m_answeredAt = m_environment.m_clock.now();
             noteContact(true, {});
             if (hasChanged)
                 co_await sleepFor(c_coalescing);
--- a/src/discovery/StoreWatch.h
+++ b/src/discovery/StoreWatch.h
@@ -45,6 +45,9 @@
     /// Whether it follows the store and the last call was answered.
     bool isFollowing() const { return m_isReading && m_isInContact; }
 
+    /// When the store answered last; epoch: never.
+    Instant answeredAt() const { return m_answeredAt; }
+
 protected:
     /// Reads everything and hands it on.
     virtual boost::asio::awaitable<Outcome<StoreRevision>> takeAll(Deadline deadline) = 0;
@@ -68,6 +71,7 @@
     bool m_isReading = false;
     boost::asio::steady_timer* m_idle = nullptr; ///< set while the task waits for setReading
     bool m_isInContact = false;
+    Instant m_answeredAt {};
     bool m_hasReported = false;
 };
 
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -202,11 +202,17 @@
 
 bool ExchangePeers::hearsReader(Instant now) const
 {
-    const Duration longestSilence = silence();
-    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
-        const Known& known = entry.second;
-        return known.m_zone == m_zone && known.m_isReading && now - known.m_heardAt < longestSilence;
-    });
+    return now - readerHeardAt() < silence();
+}
+
+Instant ExchangePeers::readerHeardAt() const
+{
+    Instant heardAt {};
+    for (const auto& [peer, known] : m_peers) {
+        if (known.m_zone == m_zone && known.m_isReading)
+            heardAt = std::max(heardAt, known.m_heardAt);
+    }
+    return heardAt;
 }
 
 std::optional<Endpoint> ExchangePeers::newerPeer(const KnownState& own, Instant now)
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -55,6 +55,9 @@
     /// Whether a VM of the own zone that follows the store was heard of just now.
     bool hearsReader(Instant now) const;
 
+    /// When a VM of the own zone that follows the store was last heard of; epoch: none is known.
+    Instant readerHeardAt() const;
+
     /// Another VM that knows a newer state of the store, if there is one. One of another zone counts only after a
     /// while: the own zone's reader is about to hear of it, too.
     std::optional<Endpoint> newerPeer(const KnownState& own, Instant now);
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -17,7 +17,13 @@
 Counter& Metrics::counter(std::string_view name, std::string_view reason)
 {
     const std::lock_guard<std::mutex> lock { m_mutex };
-    return m_counters[CounterKey { std::string { name }, std::string { reason } }];
+    return m_counters[LabelledName { std::string { name }, std::string { reason } }];
+}
+
+Gauge& Metrics::gauge(std::string_view name, std::string_view state)
+{
+    const std::lock_guard<std::mutex> lock { m_mutex };
+    return m_gauges[LabelledName { std::string { name }, std::string { state } }];
 }
 
 void Metrics::observeSeconds(std::string_view name, double seconds)
@@ -53,24 +59,32 @@
     std::vector<CounterSample> samples;
     samples.reserve(m_counters.size());
     for (const auto& [key, counter] : m_counters)
-        samples.push_back({ key.m_name, key.m_reason, counter.value() });
+        samples.push_back({ key.m_name, key.m_label, counter.value() });
     return samples;
 }
 
-std::string Metrics::prometheusText() const
+template <typename Value>
+void Metrics::appendAll(
+    std::string& text, std::string_view type, std::string_view label, const std::map<LabelledName, Value>& values)
 {
-    const std::lock_guard<std::mutex> lock { m_mutex };
-    std::string text;
     std::string_view previous;
-    for (const auto& [key, counter] : m_counters) {
+    for (const auto& [key, value] : values) {
         if (key.m_name != previous)
-            text += fmt::format("# TYPE {} counter\n", key.m_name);
+            text += fmt::format("# TYPE {} {}\n", key.m_name, type);
         previous = key.m_name;
-        if (key.m_reason.empty())
-            text += fmt::format("{} {}\n", key.m_name, counter.value());
+        if (key.m_label.empty())
+            text += fmt::format("{} {}\n", key.m_name, value.value());
         else
-            text += fmt::format("{}{{reason=\"{}\"}} {}\n", key.m_name, key.m_reason, counter.value());
+            text += fmt::format("{}{{{}=\"{}\"}} {}\n", key.m_name, label, key.m_label, value.value());
     }
+}
+
+std::string Metrics::prometheusText() const
+{
+    const std::lock_guard<std::mutex> lock { m_mutex };
+    std::string text;
+    appendAll(text, "counter", "reason", m_counters);
+    appendAll(text, "gauge", "state", m_gauges);
     for (const auto& [name, held] : m_histograms) {
         text += fmt::format("# TYPE {} histogram\n", name);
         double cumulative = held.m_bins.at(-1);
--- a/src/observe/MetricsTest.cpp
+++ b/src/observe/MetricsTest.cpp
@@ -21,6 +21,19 @@
             "cuminrelay_packets_received_total 7\n");
     }
 
+    TEST(Metrics, aGaugeShowsTheLastValueOfEachState)
+    {
+        Metrics metrics;
+        metrics.gauge("cuminrelay_backends", "ready").set(4);
+        metrics.gauge("cuminrelay_backends", "ready").set(3);
+        metrics.gauge("cuminrelay_knowledge_age_seconds").set(0.25);
+        EXPECT_EQ(metrics.prometheusText(),
+            "# TYPE cuminrelay_backends gauge\n"
+            "cuminrelay_backends{state=\"ready\"} 3\n"
+            "# TYPE cuminrelay_knowledge_age_seconds gauge\n"
+            "cuminrelay_knowledge_age_seconds 0.25\n");
+    }
+
     TEST(Metrics, aHistogramCountsAndSumsAlsoWhatLiesOutsideItsBins)
     {
         Metrics metrics;
--- /dev/null
+++ b/src/relay/BeliefGauges.cpp
@@ -0,0 +1,66 @@
+#include "relay/BeliefGauges.h"
+
+#include <array>
+#include <string_view>
+
+namespace cuminrelay {
+
+namespace {
+
+    /// How a backend server counts: the first of these that is so.
+    enum class BackendState : std::uint8_t {
+        Departed,
+        Dead,
+        Silent,
+        Lapsed,
+        Draining,
+        Ready,
+        Count,
+    };
+
+    constexpr std::array<std::string_view, static_cast<std::size_t>(BackendState::Count)> c_stateNames { "departed",
+        "dead", "silent", "lapsed", "draining", "ready" };
+
+    BackendState stateOf(const KnownBackend& backend)
+    {
+        if (backend.m_presence == Presence::Departed)
+            return BackendState::Departed;
+        if (backend.m_confirmedDead)
+            return BackendState::Dead;
+        if (backend.m_life.isSilent())
+            return BackendState::Silent;
+        if (backend.m_presence == Presence::Lapsed)
+            return BackendState::Lapsed;
+        return backend.m_announced.m_server.m_draining ? BackendState::Draining : BackendState::Ready;
+    }
+
+} // namespace
+
+BeliefGauges::BeliefGauges(Metrics& metrics)
+    : m_metrics(metrics)
+{
+}
+
+void BeliefGauges::update(const CarriedRouter& router, const KnowledgeSource& source, Instant now)
+{
+    const std::chrono::duration<double> age = now - source.m_currentAt;
+    m_metrics.gauge("cuminrelay_knowledge_age_seconds").set(source.m_currentAt == Instant {} ? -1 : age.count());
+    m_metrics.gauge("cuminrelay_config_version").set(static_cast<double>(router.configVersion().m_number));
+    m_metrics.gauge("cuminrelay_ready").set(source.m_isReady ? 1 : 0);
+    m_metrics.gauge("cuminrelay_follows_store").set(source.m_followsStore ? 1 : 0);
+    m_metrics.gauge("cuminrelay_peers", "own_zone").set(static_cast<double>(source.m_nearPeers));
+    m_metrics.gauge("cuminrelay_peers", "all").set(static_cast<double>(source.m_peers));
+    m_metrics.gauge("cuminrelay_tracked_flows").set(static_cast<double>(router.trackedFlows()));
+    updateBackends(router);
+}
+
+void BeliefGauges::updateBackends(const CarriedRouter& router)
+{
+    std::array<std::size_t, c_stateNames.size()> counts {};
+    router.backends().forEach(
+        [&counts](const KnownBackend& backend) { ++counts[static_cast<std::size_t>(stateOf(backend))]; });
+    for (std::size_t i = 0; i < counts.size(); ++i)
+        m_metrics.gauge("cuminrelay_backends", c_stateNames[i]).set(static_cast<double>(counts[i]));
+}
+
+} // namespace cuminrelay
--- /dev/null
+++ b/src/relay/BeliefGaugesTest.cpp
@@ -0,0 +1,67 @@
+#include "relay/BeliefGauges.h"
+
+#include "placement/LeastWorkPlacement.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminrelay {
+namespace {
+
+    constexpr Instant c_now { std::chrono::seconds { 100 } };
+
+    class SilentObserver final : public RouterObserver {
+    public:
+        void placed(const PacketSummary&, const KnownBackend&, PlacementCause, std::size_t, Instant) override { }
+        void turnedAway(const PacketSummary&, const Verdict&, const KnownBackend*, Instant) override { }
+        void lifeChanged(const KnownBackend&, bool, Instant) override { }
+    };
+
+    AnnouncedBackend backendOf(std::uint64_t identity, bool draining)
+    {
+        AnnouncedBackend backend;
+        backend.m_identity = { identity };
+        backend.m_server.m_zone = "a";
+        backend.m_server.m_draining = draining;
+        return backend;
+    }
+
+    class BeliefGaugesTest : public testing::Test {
+    protected:
+        double shown(std::string_view name, std::string_view state = {})
+        {
+            return m_metrics.gauge(name, state).value();
+        }
+
+        LeastWorkPlacement m_placement;
+        SilentObserver m_observer;
+        CarriedRouter m_router { { "a" }, m_placement, m_observer };
+        Metrics m_metrics;
+        BeliefGauges m_gauges { m_metrics };
+    };
+
+    TEST_F(BeliefGaugesTest, aProcessThatKnowsNothingSaysSo)
+    {
+        m_gauges.update(m_router, {}, c_now);
+        EXPECT_EQ(shown("cuminrelay_knowledge_age_seconds"), -1);
+        EXPECT_EQ(shown("cuminrelay_config_version"), 0);
+        EXPECT_EQ(shown("cuminrelay_ready"), 0);
+    }
+
+    TEST_F(BeliefGaugesTest, backendServersCountOnceByTheirState)
+    {
+        m_router.backends().announce(backendOf(1, false), c_now);
+        m_router.backends().announce(backendOf(2, false), c_now);
+        m_router.backends().announce(backendOf(3, true), c_now);
+        m_router.backends().announce(backendOf(4, false), c_now);
+        m_router.backends().withdraw({ 4 }, c_now);
+        m_gauges.update(m_router, { true, false, c_now - std::chrono::milliseconds { 500 }, 2, 7 }, c_now);
+        EXPECT_EQ(shown("cuminrelay_backends", "ready"), 2);
+        EXPECT_EQ(shown("cuminrelay_backends", "draining"), 1);
+        EXPECT_EQ(shown("cuminrelay_backends", "lapsed"), 1);
+        EXPECT_EQ(shown("cuminrelay_knowledge_age_seconds"), 0.5);
+        EXPECT_EQ(shown("cuminrelay_peers", "own_zone"), 2);
+        EXPECT_EQ(shown("cuminrelay_peers", "all"), 7);
+    }
+
+} // namespace
+} // namespace cuminrelay
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+    constexpr Duration c_gaugeInterval = std::chrono::seconds { 1 };
+
     namespace asio = boost::asio;
     using asio::ip::udp;
 
@@ -72,6 +74,7 @@
     , m_readiness(parts.m_context.get_executor(), m_settings.m_readinessPath, parts.m_metrics, parts.m_log)
     , m_metricsServer(parts.m_context.get_executor(), parts.m_metrics, parts.m_log)
     , m_signals(parts.m_context)
+    , m_gauges(parts.m_metrics)
 {
     m_flowLog.watch(m_router);
     m_message.m_zone = hashZone(m_settings.m_zone);
@@ -184,6 +187,7 @@
         chooseReader(now);
         tellNews(now);
         tellLoad(now);
+        showBeliefs(now);
         flushLog();
         if (m_departure && m_departure->mayEnd(m_readiness.refusals(), now))
             break;
@@ -400,6 +404,18 @@
             { "backends", m_router.backends().size() } });
 }
 
+void RelayProcess::showBeliefs(Instant now)
+{
+    if (now < m_gaugesAt)
+        return;
+    m_gaugesAt = now + c_gaugeInterval;
+    const bool follows = m_declarationsWatch.isFollowing();
+    m_gauges.update(m_router,
+        { m_readiness.isReady(), follows, follows ? m_declarationsWatch.answeredAt() : m_peers.readerHeardAt(),
+            m_peers.nearCount(), m_peers.size() },
+        now);
+}
+
 void RelayProcess::flushLog()
 {
     m_parts.m_logOutput.flush();
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -13,6 +13,7 @@
 #include "observe/NonBlockingSink.h"
 #include "packets/PacketFrontEnd.h"
 #include "relay/BackendInquiry.h"
+#include "relay/BeliefGauges.h"
 #include "relay/Departure.h"
 #include "relay/FlowLog.h"
 #include "relay/PauseDetector.h"
@@ -96,6 +97,7 @@
     void noteRan(Instant now);
     void updateReadiness();
     void flushLog();
+    void showBeliefs(Instant now);
 
     /// Some 100 bytes each.
     static constexpr std::size_t s_trackedFlows = 100'000;
@@ -121,6 +123,8 @@
     TellingSchedule m_telling { c_exchangeBytesPerSecond };
     bool m_hasNews = false; ///< not yet told to the own zone
     bool m_isFetching = false;
+    BeliefGauges m_gauges;
+    Deadline m_gaugesAt {}; ///< when they are shown next
     std::uint64_t m_countedLost = 0; ///< log lines, as the counter has them
     alignas(8) std::array<std::byte, c_loadMessageBytes> m_sendRoom {};
     alignas(8) std::array<std::byte, c_loadMessageBytes> m_receiveRoom {};
