exchange: what a list shows is told whole to who knows an earlier state

Cause: a VM passed on what changed by comparing states. A backend server whose entry lapsed and came back between two of its lists looked unchanged, so a VM that had read the store in between never heard that it was back, counted it as departed after 2.5 s and reset its open flows. The same for a service that was dropped and declared again in a version that the teller missed. Ruled out: news that came late (news_taken shows every revision). Change: changes are known one by one only after the newest list; services are told by change only to who knows a version that the teller held. Tests: two in NewsBookTest failed before.

--- a/src/exchange/NewsBook.cpp
+++ b/src/exchange/NewsBook.cpp
@@ -40,8 +40,8 @@
         if (!listed.contains(identity))
             missing.push_back(identity);
     }
-    if (m_backendsRevision == StoreRevision {})
-        m_changesSince = list.m_revision;
+    // What came and went between two lists is not known.
+    m_changesSince = list.m_revision;
     m_backends = std::move(listed);
     for (const BackendIdentity identity : missing)
         withdraw(identity, list.m_revision);
@@ -82,7 +82,6 @@
     const ConfigVersion version = declarations.m_version;
     if (version <= m_rest.m_version)
         return false;
-    const bool isFirst = m_rest.m_version == ConfigVersion {};
     std::map<std::string, ServiceEntry, std::less<>> services;
     for (const DeclaredService& service : declarations.m_services) {
         const auto known = m_services.find(service.m_name);
@@ -95,8 +94,9 @@
             removeService(name, version);
     }
     m_services = std::move(services);
-    if (isFirst)
-        m_servicesSince = version;
+    m_heldVersions.insert(version);
+    if (m_heldVersions.size() > s_keptVersions)
+        m_heldVersions.erase(m_heldVersions.begin());
     m_rest = declarations;
     m_rest.m_services.clear();
     m_declarationsRevision = revision;
@@ -138,7 +138,7 @@
 DeclarationNews NewsBook::declarationsSince(ConfigVersion known) const
 {
     DeclarationNews news;
-    news.m_isComplete = known < m_servicesSince;
+    news.m_isComplete = known < m_servicesSince || !m_heldVersions.contains(known);
     news.m_rest = m_rest;
     for (const auto& [name, entry] : m_services) {
         if (news.m_isComplete || entry.m_version > known)
--- a/src/exchange/NewsBook.h
+++ b/src/exchange/NewsBook.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -36,10 +37,11 @@
 
 /// What this entry VM knows of the store, from the store itself or from others, and since when: answers what is new
 /// since a state that another VM knows. What is older than the state held is never taken, whoever tells it.
-/// Memory: O(backend servers and services); the last s_keptRemovals of each that are gone.
+/// Memory: O(backend servers and services); the last s_keptRemovals of each that are gone, and s_keptVersions numbers.
 class NewsBook {
 public:
     static constexpr std::size_t s_keptRemovals = 2'048;
+    static constexpr std::size_t s_keptVersions = 64;
 
     /// Take what is new; false, and nothing is taken, when it is not newer than what is held. Changes that are none do
     /// not make the state a newer one, unless another VM tells them.
@@ -78,7 +80,8 @@
     std::map<std::string, ServiceEntry, std::less<>> m_services; ///< by name
     std::map<std::string, ConfigVersion, std::less<>> m_removedServices;
     ServiceDeclarations m_rest; ///< everything but the services
-    ConfigVersion m_servicesSince; ///< changes after this are known one by one
+    ConfigVersion m_servicesSince; ///< removals after this are known
+    std::set<ConfigVersion> m_heldVersions; ///< what changed since others than these is not known
     StoreRevision m_declarationsRevision;
 };
 
--- a/src/exchange/NewsBookTest.cpp
+++ b/src/exchange/NewsBookTest.cpp
@@ -76,6 +76,33 @@
         EXPECT_TRUE(book.since({}).m_isComplete);
     }
 
+    // A backend server whose entry lapsed and came back between two lists looks unchanged to the teller.
+    TEST(NewsBookTest, whatALaterListShowsIsToldWholeToWhoKnowsAStateInBetween)
+    {
+        NewsBook teller;
+        teller.take(BackendList { { makeBackend(1), makeBackend(2) }, 0, { 10 } });
+        NewsBook other;
+        other.take(BackendList { { makeBackend(1) }, 0, { 15 } });
+        teller.take(BackendList { { makeBackend(1), makeBackend(2) }, 0, { 20 } });
+        takeNews(other, teller.since(other.state()));
+        EXPECT_EQ(identitiesOf(other), identitiesOf(teller));
+    }
+
+    // A service that was dropped and declared again looks unchanged to who missed the version without it.
+    TEST(NewsBookTest, whoKnowsAVersionThatTheTellerMissedGetsAllServices)
+    {
+        NewsBook teller;
+        teller.take(makeDeclarations(1, { "a", "bb" }), { 1 });
+        NewsBook other;
+        other.take(makeDeclarations(2, { "a" }), { 2 });
+        teller.take(makeDeclarations(3, { "a", "bb" }), { 3 });
+        const News news = teller.since(other.state());
+        ASSERT_TRUE(news.m_declarations.has_value());
+        const std::optional<ServiceDeclarations> merged = other.merged(*news.m_declarations);
+        ASSERT_TRUE(merged.has_value());
+        EXPECT_EQ(merged->m_services.size(), 2u);
+    }
+
     TEST(NewsBookTest, anOlderStateIsNotTaken)
     {
         NewsBook book;
