--- /dev/null
+++ b/src/status/VmStatus.cpp
@@ -0,0 +1,109 @@
+#include "status/VmStatus.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace cuminrelay {
+
+namespace {
+
+    std::uint64_t countIn(const MetricsPage& page, std::string_view name, std::string_view label = {})
+    {
+        return static_cast<std::uint64_t>(std::max(0.0, page.find(name, label).value_or(0)));
+    }
+
+    ConfigVersion highestVersion(std::span<const VmStatus> vms)
+    {
+        ConfigVersion highest;
+        for (const VmStatus& vm : vms)
+            highest = std::max(highest, vm.m_configVersion);
+        return highest;
+    }
+
+    std::vector<std::string> behind(std::span<const VmStatus> vms, ConfigVersion version)
+    {
+        std::vector<std::string> names;
+        for (const VmStatus& vm : vms) {
+            if (!vm.m_problem.empty() || vm.m_configVersion < version)
+                names.push_back(formatEndpoint(vm.m_metrics));
+        }
+        return names;
+    }
+
+} // namespace
+
+VmStatus statusFrom(Endpoint metrics, const MetricsPage& page)
+{
+    VmStatus status;
+    status.m_metrics = metrics;
+    const std::optional<double> version = page.find("cuminrelay_config_version");
+    if (!version) {
+        status.m_problem = "its metrics are not those of a relay";
+        return status;
+    }
+    status.m_configVersion = { static_cast<std::uint64_t>(*version) };
+    status.m_isReady = page.find("cuminrelay_ready") == 1;
+    status.m_followsStore = page.find("cuminrelay_follows_store") == 1;
+    status.m_knowledgeAgeSeconds = page.find("cuminrelay_knowledge_age_seconds").value_or(-1);
+    status.m_backendsReady = countIn(page, "cuminrelay_backends", "ready");
+    for (const std::string_view state : { "draining", "lapsed", "silent", "dead" })
+        status.m_backendsOther += countIn(page, "cuminrelay_backends", state);
+    status.m_peers = countIn(page, "cuminrelay_peers", "all");
+    status.m_flows = countIn(page, "cuminrelay_tracked_flows");
+    return status;
+}
+
+bool isInForce(std::span<const VmStatus> vms, ConfigVersion version)
+{
+    return std::ranges::all_of(vms, [version](const VmStatus& vm) {
+        return vm.m_problem.empty() && vm.m_isReady && vm.m_configVersion >= version;
+    });
+}
+
+std::string statusTable(std::span<const VmStatus> vms)
+{
+    std::string text = fmt::format("{:<22} {:>9} {:<6} {:<8} {:>8} {:>6} {:>6} {:>6} {:>8}\n", "vm", "version", "ready",
+        "source", "age s", "ready", "other", "peers", "flows");
+    for (const VmStatus& vm : vms) {
+        if (!vm.m_problem.empty()) {
+            text += fmt::format("{:<22} {}\n", formatEndpoint(vm.m_metrics), vm.m_problem);
+            continue;
+        }
+        text += fmt::format("{:<22} {:>9} {:<6} {:<8} {:>8.1f} {:>6} {:>6} {:>6} {:>8}\n", formatEndpoint(vm.m_metrics),
+            vm.m_configVersion.m_number, vm.m_isReady ? "yes" : "no", vm.m_followsStore ? "store" : "peer",
+            vm.m_knowledgeAgeSeconds, vm.m_backendsReady, vm.m_backendsOther, vm.m_peers, vm.m_flows);
+    }
+    const std::vector<std::string> late = behind(vms, highestVersion(vms));
+    if (!late.empty())
+        text += fmt::format("without version {}: {}\n", highestVersion(vms).m_number, fmt::join(late, ", "));
+    return text;
+}
+
+std::string statusJson(std::span<const VmStatus> vms)
+{
+    boost::json::array rows;
+    for (const VmStatus& vm : vms) {
+        boost::json::object row { { "vm", formatEndpoint(vm.m_metrics) } };
+        if (!vm.m_problem.empty()) {
+            row["problem"] = vm.m_problem;
+        } else {
+            row["config_version"] = vm.m_configVersion.m_number;
+            row["ready"] = vm.m_isReady;
+            row["follows_store"] = vm.m_followsStore;
+            row["knowledge_age_s"] = vm.m_knowledgeAgeSeconds;
+            row["backends_ready"] = vm.m_backendsReady;
+            row["backends_other"] = vm.m_backendsOther;
+            row["peers"] = vm.m_peers;
+            row["flows"] = vm.m_flows;
+        }
+        rows.push_back(std::move(row));
+    }
+    return boost::json::serialize(
+               boost::json::object { { "highest_version", highestVersion(vms).m_number }, { "vms", std::move(rows) } })
+        + '\n';
+}
+
+} // namespace cuminrelay
