--- a/src/programs/status.cpp
+++ b/src/programs/status.cpp
@@ -53,22 +53,9 @@
             "output", options::value(&given.m_output)->value_name("json|table"), "form of the output (default table)")(
             "version", options::bool_switch(&given.m_showVersion), "print version and build and exit")(
             "help", options::bool_switch(&given.m_help), "print this text and exit");
-        options::options_description all;
-        all.add(described).add_options()("vm", options::value(&given.m_vms));
-        options::positional_options_description positions;
-        positions.add("vm", -1);
-        // The library reports a bad command line by exception; here it becomes an exit status.
-        try {
-            options::variables_map values;
-            options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
-                               .options(all)
-                               .positional(positions)
-                               .run(),
-                values);
-            options::notify(values);
-        } catch (const options::error& problem) {
-            return refuse(problem.what());
-        }
+        const Outcome<void> parsed = parseCommandLine(arguments, described, given.m_vms);
+        if (!parsed)
+            return refuse(parsed.error().m_message);
         if (given.m_help) {
             fmt::print("Usage: {0} ADDRESS:PORT...\nShows what entry VMs believe, from their metrics addresses.\n\n"
                        "Example: {0} --wait 12 10.1.0.10:9464 10.2.0.40:9464\n\n{1}\n"
--- a/src/programs/trace.cpp
+++ b/src/programs/trace.cpp
@@ -92,22 +92,9 @@
             "output", options::value(&given.m_output)->value_name("json|table"), "form of the output (default table)")(
             "version", options::bool_switch(&given.m_version), "print version and build and exit")(
             "help", options::bool_switch(&given.m_help), "print this text and exit");
-        options::options_description all;
-        all.add(described).add_options()("word", options::value(&given.m_words));
-        options::positional_options_description positions;
-        positions.add("word", -1);
-        // The library reports a bad command line by exception; here it becomes an exit status.
-        try {
-            options::variables_map values;
-            options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
-                               .options(all)
-                               .positional(positions)
-                               .run(),
-                values);
-            options::notify(values);
-        } catch (const options::error& problem) {
-            return refuse(problem.what());
-        }
+        const Outcome<void> parsed = parseCommandLine(arguments, described, given.m_words);
+        if (!parsed)
+            return refuse(parsed.error().m_message);
         if (given.m_help) {
             fmt::print("Usage: {0} FLOW FILE...\nMerges the logs of entry VMs into the story of one flow.\n\n"
                        "Example: {0} '100.64.0.7:40001>198.18.0.1:443' vm-*.log\n\n{1}\n"
--- a/src/settings/Program.cpp
+++ b/src/settings/Program.cpp
@@ -47,21 +47,41 @@
 
 } // namespace
 
+namespace {
+
+    Outcome<void> parse(std::span<char* const> arguments, const options::options_description& description,
+        const options::positional_options_description& positions)
+    {
+        // The library reports a bad command line by exception; here it becomes a value.
+        try {
+            options::variables_map variables;
+            options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
+                               .options(description)
+                               .positional(positions)
+                               .run(),
+                variables);
+            options::notify(variables);
+        } catch (const options::error& failure) {
+            return Error { ErrorKind::InvalidInput, failure.what() };
+        }
+        return boost::outcome_v2::success();
+    }
+
+} // namespace
+
 Outcome<void> parseCommandLine(std::span<char* const> arguments, const options::options_description& description)
 {
-    // The library reports a bad command line by exception; here it becomes a value.
-    try {
-        options::variables_map variables;
-        options::store(options::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
-                           .options(description)
-                           .positional({})
-                           .run(),
-            variables);
-        options::notify(variables);
-    } catch (const options::error& failure) {
-        return Error { ErrorKind::InvalidInput, failure.what() };
-    }
-    return boost::outcome_v2::success();
+    return parse(arguments, description, {});
+}
+
+Outcome<void> parseCommandLine(
+    std::span<char* const> arguments, const options::options_description& description, std::vector<std::string>& words)
+{
+    options::options_description all;
+    all.add(description).add_options()("word", options::value(&words));
+    options::positional_options_description positions;
+    positions.add("word", -1);
+    return parse(arguments, all, positions);
 }
 
 std::string versionText(std::string_view name)
--- a/src/settings/Program.h
+++ b/src/settings/Program.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cuminrelay {
 
@@ -21,6 +22,10 @@
 Outcome<void> parseCommandLine(
     std::span<char* const> arguments, const boost::program_options::options_description& description);
 
+/// The same for a program that also takes words: those that are no options, in order.
+Outcome<void> parseCommandLine(std::span<char* const> arguments,
+    const boost::program_options::options_description& description, std::vector<std::string>& words);
+
 /// "name 0.1.0 (build abc123, RelWithDebInfo, g++ 12.2.0)", as --version prints it.
 std::string versionText(std::string_view name);
 
