--- a/src/entry/EntryControlServer.cpp
+++ b/src/entry/EntryControlServer.cpp
@@ -65,7 +65,7 @@
         [context](ConfigVersion version) mutable { context.getResults().setVersion(version.m_number); });
 }
 
-kj::Promise<ConfigVersion> EntryControlServer::install(SharedConfiguration configuration)
+kj::Promise<ConfigVersion> EntryControlServer::install(const SharedConfiguration& configuration)
 {
     return m_packets.call([](PacketPath& path) { return path.tables(); })
         .then([this, configuration](const std::shared_ptr<const ServiceTables>& previous) {
--- a/src/entry/EntryControlServer.h
+++ b/src/entry/EntryControlServer.h
@@ -40,7 +40,7 @@
     SharedConfiguration takeUpdate(wire::ConfigurationUpdate::Reader update);
 
     /// Builds its tables and puts it in force; the version that is in force then.
-    kj::Promise<ConfigVersion> install(SharedConfiguration configuration);
+    kj::Promise<ConfigVersion> install(const SharedConfiguration& configuration);
     void countRefusal(std::string_view reason, const Error& error);
 
     PacketThread& m_packets;
