affinity, bench: one silent observer; a dark host's model from its declaration

The observer that notes nothing stood in CarriedRouterTest, BeliefGaugesTest and CarriedDesign. ReplayExperiment repeated slots and connection limit of a host as numbers when it went dark.

--- a/src/affinity/CarriedRouterTest.cpp
+++ b/src/affinity/CarriedRouterTest.cpp
@@ -1,5 +1,6 @@
 #include "affinity/CarriedRouter.h"
 
+#include "affinity/SilentObserver.h"
 #include "placement/LeastWorkPlacement.h"
 
 #include <algorithm>
@@ -18,13 +19,6 @@
 
     using std::chrono::milliseconds;
 
-    class SilentObserver final : public RouterObserver {
-    public:
-        void placed(const PacketSummary&, const KnownBackend&, PlacementCause, std::size_t, Instant) override { }
-        void turnedAway(const PacketSummary&, const Verdict&, const KnownBackend*, Instant) override { }
-        void lifeChanged(const KnownBackend&, bool, Instant) override { }
-    };
-
     AnnouncedBackend makeBackend(
         std::uint64_t identity, std::string_view zone = "a", std::string_view app = "kanteisha")
     {
--- a/src/bench/CarriedDesign.h
+++ b/src/bench/CarriedDesign.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "affinity/CarriedRouter.h"
+#include "affinity/SilentObserver.h"
 #include "bench/FleetDesign.h"
 #include "exchange/ExchangePeers.h"
 #include "exchange/TellingSchedule.h"
@@ -52,14 +53,6 @@
         bool m_isLeaving = false;
     };
 
-    /// Decisions are not logged here.
-    class SilentObserver final : public RouterObserver {
-    public:
-        void placed(const PacketSummary&, const KnownBackend&, PlacementCause, std::size_t, Instant) override { }
-        void turnedAway(const PacketSummary&, const Verdict&, const KnownBackend*, Instant) override { }
-        void lifeChanged(const KnownBackend&, bool, Instant) override { }
-    };
-
     static void noteRan(Vm& vm, Instant now);
     static void hear(Vm& vm, Endpoint teller, const LoadMessage& message, Instant now);
 
--- a/src/bench/ReplayExperiment.cpp
+++ b/src/bench/ReplayExperiment.cpp
@@ -56,6 +56,12 @@
         return std::chrono::duration<double> { duration }.count();
     }
 
+    /// A backend server without any work.
+    BackendModel modelOf(const BackendServer& server)
+    {
+        return { server.m_tunnel, server.m_slots, server.m_connectionLimit };
+    }
+
 } // namespace
 
 std::string_view loadPatternName(LoadPattern pattern)
@@ -82,8 +88,7 @@
         return server.m_labels.at("app") != service || server.m_labels.at("tier") != "serving";
     });
     for (const BackendServer& server : m_configuration.m_backendServers) {
-        m_hosts.emplace(server.m_tunnel,
-            Host { BackendModel { server.m_tunnel, server.m_slots, server.m_connectionLimit }, false, 0 });
+        m_hosts.emplace(server.m_tunnel, Host { modelOf(server), false, 0 });
     }
     m_design = makeDesign(m_vms, *this);
 }
@@ -162,12 +167,15 @@
 void ReplayExperiment::darken(bool dark)
 {
     std::size_t index = 0;
-    for (auto& [endpoint, host] : m_hosts) {
+    for (const BackendServer& server : m_configuration.m_backendServers) {
         if (index++ % c_darkDivisor != 0)
             continue;
+        Host& host = m_hosts.at(server.m_tunnel);
         host.m_isDark = dark;
-        if (dark)
-            host = Host { BackendModel { endpoint, 2, 2'000 }, true, host.m_lost + 1 };
+        if (!dark)
+            continue;
+        host.m_model = modelOf(server);
+        ++host.m_lost;
     }
 }
 
--- a/src/relay/BeliefGaugesTest.cpp
+++ b/src/relay/BeliefGaugesTest.cpp
@@ -1,5 +1,6 @@
 #include "relay/BeliefGauges.h"
 
+#include "affinity/SilentObserver.h"
 #include "placement/LeastWorkPlacement.h"
 
 #include <gtest/gtest.h>
@@ -9,13 +10,6 @@
 
     constexpr Instant c_now { std::chrono::seconds { 100 } };
 
-    class SilentObserver final : public RouterObserver {
-    public:
-        void placed(const PacketSummary&, const KnownBackend&, PlacementCause, std::size_t, Instant) override { }
-        void turnedAway(const PacketSummary&, const Verdict&, const KnownBackend*, Instant) override { }
-        void lifeChanged(const KnownBackend&, bool, Instant) override { }
-    };
-
     AnnouncedBackend backendOf(std::uint64_t identity, bool draining)
     {
         AnnouncedBackend backend;
