--- a/src/observe/HttpGetServer.cpp
+++ b/src/observe/HttpGetServer.cpp
@@ -3,8 +3,6 @@
 #include "base/Listener.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_static_buffer.hpp>
@@ -38,6 +36,7 @@
     , m_name(std::move(name))
     , m_metrics(metrics)
     , m_log(log)
+    , m_tasks(executor, metrics, log)
 {
 }
 
@@ -47,7 +46,7 @@
     if (!listener)
         return listener.error();
     m_acceptor = std::move(listener.value());
-    asio::co_spawn(m_acceptor.get_executor(), acceptConnections(), asio::detached);
+    m_tasks.keepRunning(m_name, [this] { return acceptConnections(); });
     return boost::outcome_v2::success();
 }
 
@@ -79,13 +78,19 @@
             m_metrics.counter("cuminrelay_refusals_total", fmt::format("{}_connection_limit", m_name)).add();
             continue;
         }
-        asio::co_spawn(m_acceptor.get_executor(), serveConnection(std::move(socket)), asio::detached);
+        ++m_connections;
+        m_tasks.runOnce(m_name, serveConnection(std::move(socket)), [this] { --m_connections; });
     }
 }
 
 asio::awaitable<void> HttpGetServer::serveConnection(tcp::socket socket)
 {
-    ++m_connections;
+    co_await serveRequests(std::move(socket));
+    --m_connections;
+}
+
+asio::awaitable<void> HttpGetServer::serveRequests(tcp::socket socket)
+{
     beast::tcp_stream stream { std::move(socket) };
     beast::flat_static_buffer<c_headerLimitBytes> buffer;
     for (;;) {
@@ -109,7 +114,6 @@
         if (writeError || !response.keep_alive())
             break;
     }
-    --m_connections;
 }
 
 } // namespace cuminrelay
--- a/src/observe/HttpGetServer.h
+++ b/src/observe/HttpGetServer.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
+#include "observe/TaskSupervisor.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -47,11 +48,13 @@
 
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serveConnection(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serveRequests(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_name;
     Metrics& m_metrics;
     Log& m_log;
+    TaskSupervisor m_tasks;
     std::size_t m_connections = 0;
 };
 
--- a/src/observe/MetricsServerTest.cpp
+++ b/src/observe/MetricsServerTest.cpp
@@ -8,7 +8,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <gtest/gtest.h>
+#include <new>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace cuminrelay {
@@ -70,6 +72,48 @@
         EXPECT_EQ(call(http::verb::post, "/metrics").result(), http::status::method_not_allowed);
     }
 
+    /// Throws instead of its first answers.
+    class ThrowingServer final : public HttpGetServer {
+    public:
+        using HttpGetServer::HttpGetServer;
+
+        unsigned m_failures = 0;
+
+    private:
+        HttpGetResponse answer(std::string_view) override
+        {
+            if (m_failures > 0) {
+                --m_failures;
+                throw std::bad_alloc {};
+            }
+            return { 200, "ready\n" };
+        }
+    };
+
+    // Each failed request must give its connection back, or else the server refuses all connections after a while.
+    TEST_F(MetricsServerTest, failedAnswersDoNotUseUpTheConnections)
+    {
+        ThrowingServer server { m_context.get_executor(), "throwing", m_metrics, m_log };
+        server.m_failures = 100;
+        ASSERT_TRUE(server.start({ 0x7f000001, 0 }).has_value());
+        const auto isAnswered = [&server] {
+            asio::io_context context;
+            tcp::socket socket { context };
+            socket.connect({ asio::ip::address_v4::loopback(), server.localEndpoint().m_port });
+            http::request<http::empty_body> request { http::verb::get, "/", 11 };
+            http::write(socket, request);
+            boost::beast::flat_buffer buffer;
+            http::response<http::string_body> response;
+            boost::system::error_code failure;
+            http::read(socket, buffer, response, failure);
+            return !failure && response.result() == http::status::ok;
+        };
+        for (unsigned i = 0; i < 100; ++i)
+            EXPECT_FALSE(isAnswered());
+        EXPECT_TRUE(isAnswered());
+        EXPECT_EQ(m_metrics.total("cuminrelay_task_failures_total"), 100u);
+    }
+
     TEST_F(MetricsServerTest, anEndpointInUseIsNamedInTheError)
     {
         MetricsServer second { m_context.get_executor(), m_metrics, m_log };
