platform, discovery, exchange, relay: one odd entry stops no VM

Cause: a page or a batch of changes that Boost.JSON refused was taken for an outage of the store. One object of another writer, nested 40 deep, with an exponent out of range or with bytes that are not UTF-8, kept a VM that started from ever becoming ready, and ended the watch of the others; an unreadable config/main did the same. Change: each object is decoded by itself; what cannot be read is set aside with its name, counted and logged once for each revision. A known backend server whose entry becomes unreadable drains until it can be read again, on every VM. Unreadable declarations leave the last good ones in force (counter, log line, gauge, cuminrelay-status). A second copy of a response is not read as the next one. After a pause a VM follows the store only after a new answer, and one that knows of newer declarations refuses nothing. An unusable store update is not requested again at once.

--- a/src/affinity/ServiceMap.h
+++ b/src/affinity/ServiceMap.h
@@ -50,6 +50,7 @@
     ConfigVersion m_version;
     std::vector<DeclaredService> m_services;
     std::vector<HealthCheck> m_healthChecks; ///< the first match for a backend server applies
+    std::size_t m_unknownKinds = 0; ///< services that were declared with an unknown kind; not sent to other VMs
     std::chrono::milliseconds m_idleTimeout { 0 }; ///< flows idle for longer may be removed; 0: not declared
 };
 
--- a/src/discovery/Discovery.h
+++ b/src/discovery/Discovery.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cuminrelay {
@@ -19,27 +20,36 @@
     friend constexpr auto operator<=>(StoreRevision, StoreRevision) = default;
 };
 
+/// An entry or object that another writer left, or that a newer program wrote, and that cannot be used.
+struct UnreadableEntry {
+    std::string m_name; ///< empty if even the name cannot be read
+    StoreRevision m_revision; ///< of its last change; 0 if it cannot be read
+    std::string m_problem; ///< what was found and what is allowed
+};
+
 struct BackendList {
     std::vector<AnnouncedBackend> m_backends;
-    std::size_t m_unreadable = 0; ///< entries that describe no usable backend server
+    std::vector<UnreadableEntry> m_unreadable; ///< name no backend server to use
     StoreRevision m_revision;
 };
 
 /// One added, changed or removed entry.
 struct BackendChange {
     BackendIdentity m_identity;
-    std::optional<AnnouncedBackend> m_backend; ///< empty: removed or no longer readable
+    std::optional<AnnouncedBackend> m_backend; ///< empty: removed
 };
 
+/// The last change of each changed entry.
 struct BackendChanges {
     std::vector<BackendChange> m_changes;
-    std::size_t m_unreadable = 0;
+    std::vector<UnreadableEntry> m_unreadable; ///< name no backend server to use, whatever they named before
     StoreRevision m_revision;
 };
 
 /// The declared services; empty if they have not changed or none have been declared yet.
 struct DeclarationState {
     std::optional<ServiceDeclarations> m_declarations;
+    std::optional<UnreadableEntry> m_unreadable; ///< the last stored declarations, if they cannot be used
     StoreRevision m_revision;
 };
 
--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -100,8 +100,9 @@
     const Instant now = m_environment.m_clock.now();
     if (!m_hasCompleteState)
         co_return co_await readAll(now + c_readTimeout);
-    // After a failure the first call does not wait, so that a recovered store is detected soon.
-    const Deadline waitUntil = m_isInContact ? now + c_maxWait : now;
+    // After a failure or a pause the first call does not wait, so that the store's state is known soon.
+    const bool isUpToDate = m_isInContact && m_answeredAt >= m_trustedFrom;
+    const Deadline waitUntil = isUpToDate ? now + c_maxWait : now;
     co_return co_await readChanges(m_revision, waitUntil, waitUntil + c_answerTimeout);
 }
 
--- a/src/discovery/StoreWatch.h
+++ b/src/discovery/StoreWatch.h
@@ -42,8 +42,12 @@
     /// Records that other VMs have sent all changes up to a revision.
     void advanceTo(StoreRevision revision);
 
+    /// Records that the process was paused. What the store told before may be outdated: the watch follows it again only
+    /// after an answer at or after this time.
+    void distrustAnswersBefore(Instant resumedAt) { m_trustedFrom = resumedAt; }
+
     /// Whether this watch follows the store and the last call was answered.
-    bool isFollowing() const { return m_isReading && m_isInContact; }
+    bool isFollowing() const { return m_isReading && m_isInContact && m_answeredAt >= m_trustedFrom; }
 
     /// Time of the store's last answer; epoch: never.
     Instant answeredAt() const { return m_answeredAt; }
@@ -72,6 +76,7 @@
     boost::asio::steady_timer* m_idleTimer = nullptr; ///< set while the task waits for setReading
     bool m_isInContact = false;
     Instant m_answeredAt {};
+    Instant m_trustedFrom {}; ///< earlier answers may be outdated
     bool m_hasLoggedContact = false;
 };
 
--- a/src/discovery/StoreWatchTest.cpp
+++ b/src/discovery/StoreWatchTest.cpp
@@ -28,7 +28,7 @@
         asio::awaitable<Outcome<BackendList>> listBackends(Deadline) override
         {
             ++m_lists;
-            co_return BackendList { {}, 0, { 5 } };
+            co_return BackendList { {}, {}, { 5 } };
         }
 
         asio::awaitable<Outcome<BackendChanges>> watchBackends(
@@ -120,6 +120,24 @@
         EXPECT_EQ(m_discovery.m_lists, 1u);
     }
 
+    // A VM that slept through a change must not act as if it still followed the store.
+    TEST_F(StoreWatchTest, afterAPauseTheWatchFollowsTheStoreOnlyAfterANewAnswer)
+    {
+        run();
+        EXPECT_TRUE(m_watch.isFollowing());
+        m_clock.advance(std::chrono::seconds { 5 });
+        m_watch.distrustAnswersBefore(m_clock.now());
+        EXPECT_FALSE(m_watch.isFollowing());
+    }
+
+    TEST_F(StoreWatchTest, afterAPauseTheNextWatchDoesNotWait)
+    {
+        m_watch.distrustAnswersBefore(m_clock.now() + std::chrono::seconds { 1 });
+        run();
+        ASSERT_EQ(m_discovery.m_waits.size(), 1u);
+        EXPECT_EQ(m_discovery.m_waits[0], Duration::zero());
+    }
+
     TEST_F(StoreWatchTest, missingHistoryCausesACompleteRead)
     {
         m_discovery.m_failures = { ErrorKind::Stale };
--- a/src/discovery/Watches.cpp
+++ b/src/discovery/Watches.cpp
@@ -4,11 +4,32 @@
 
 namespace asio = boost::asio;
 
+UnreadableEntryLog::UnreadableEntryLog(WatchEnvironment environment)
+    : m_environment(environment)
+{
+}
+
+void UnreadableEntryLog::record(std::span<const UnreadableEntry> entries)
+{
+    for (const UnreadableEntry& entry : entries) {
+        const auto logged = m_logged.find(entry.m_name);
+        if (logged != m_logged.end() && logged->second == entry.m_revision)
+            continue;
+        if (m_logged.size() >= s_maxNames)
+            m_logged.clear();
+        m_logged[entry.m_name] = entry.m_revision;
+        m_environment.m_metrics.counter("cuminrelay_unreadable_entries_total", "backend").add();
+        m_environment.m_log.warning("discovery", "backend_unreadable",
+            { { "backend", entry.m_name }, { "revision", entry.m_revision.m_number }, { "error", entry.m_problem } });
+    }
+}
+
 BackendsWatch::BackendsWatch(
     Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed)
     : StoreWatch("backends", environment, seed)
     , m_discovery(discovery)
     , m_listener(listener)
+    , m_unreadableLog(environment)
 {
 }
 
@@ -17,6 +38,7 @@
     const Outcome<BackendList> list = co_await m_discovery.listBackends(deadline);
     if (!list)
         co_return list.error();
+    m_unreadableLog.record(list.value().m_unreadable);
     m_listener.backendsListed(list.value());
     co_return list.value().m_revision;
 }
@@ -27,7 +49,8 @@
     const Outcome<BackendChanges> changes = co_await m_discovery.watchBackends(afterRevision, waitUntil, deadline);
     if (!changes)
         co_return changes.error();
-    if (!changes.value().m_changes.empty())
+    m_unreadableLog.record(changes.value().m_unreadable);
+    if (!changes.value().m_changes.empty() || !changes.value().m_unreadable.empty())
         m_listener.backendsChanged(changes.value());
     co_return changes.value().m_revision;
 }
@@ -37,6 +60,7 @@
     : StoreWatch("declarations", environment, seed)
     , m_discovery(discovery)
     , m_listener(listener)
+    , m_environment(environment)
 {
 }
 
@@ -57,7 +81,17 @@
         return state.error();
     if (state.value().m_declarations)
         m_listener.declarationsChanged(*state.value().m_declarations, state.value().m_revision);
+    if (state.value().m_unreadable)
+        recordUnreadable(*state.value().m_unreadable, state.value().m_revision);
     return state.value().m_revision;
 }
 
+void DeclarationsWatch::recordUnreadable(const UnreadableEntry& declarations, StoreRevision readAt)
+{
+    m_unreadableRevision = declarations.m_revision != StoreRevision {} ? declarations.m_revision : readAt;
+    m_environment.m_metrics.counter("cuminrelay_unreadable_entries_total", "declarations").add();
+    m_environment.m_log.error("discovery", "declarations_unreadable",
+        { { "revision", m_unreadableRevision.m_number }, { "error", declarations.m_problem } });
+}
+
 } // namespace cuminrelay
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -213,6 +213,15 @@
     return lastSeenAt;
 }
 
+bool ExchangePeers::hasNewerDeclarations(ConfigVersion own, Instant now) const
+{
+    const Duration timeout = peerTimeout();
+    return std::ranges::any_of(m_peers, [&](const auto& entry) {
+        const PeerState& state = entry.second;
+        return now - state.m_lastSeenAt < timeout && state.m_versions.m_declarations > own;
+    });
+}
+
 std::optional<Endpoint> ExchangePeers::peerWithNewerState(const StoreVersions& own, Instant now)
 {
     const Duration timeout = peerTimeout();
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -58,6 +58,9 @@
     /// Time of the last message from a reader of the local zone; epoch: none.
     Instant readerLastSeenAt() const;
 
+    /// Whether a VM announced newer declarations than these within the peer time-out.
+    bool hasNewerDeclarations(ConfigVersion own, Instant now) const;
+
     /// Another VM with a newer state of the store, or nullopt. A VM of another zone counts only after a delay, as
     /// the local zone's reader is about to receive the same state, but at once if this VM has no state.
     std::optional<Endpoint> peerWithNewerState(const StoreVersions& own, Instant now);
--- a/src/exchange/ExchangePeersTest.cpp
+++ b/src/exchange/ExchangePeersTest.cpp
@@ -234,5 +234,19 @@
         EXPECT_EQ(fleet.m_vms[0]->m_peers.size(), 1u);
     }
 
+    // A VM that knows of newer declarations must not refuse a service that they may have added.
+    TEST(ExchangePeersTest, newerDeclarationsOfAPeerAreKnownUntilItTimesOut)
+    {
+        const Instant now { std::chrono::seconds { 100 } };
+        ExchangePeers peers { { 1, c_port }, { 1 }, {} };
+        LoadMessage message;
+        message.m_zone = { 2 };
+        message.m_storeVersions = { { 40 }, { 7 } };
+        peers.recordMessage({ 2, c_port }, message, now);
+        EXPECT_TRUE(peers.hasNewerDeclarations({ 6 }, now));
+        EXPECT_FALSE(peers.hasNewerDeclarations({ 7 }, now));
+        EXPECT_FALSE(peers.hasNewerDeclarations({ 6 }, now + peers.peerTimeout()));
+    }
+
 } // namespace
 } // namespace cuminrelay
--- a/src/exchange/StoreCache.cpp
+++ b/src/exchange/StoreCache.cpp
@@ -24,6 +24,36 @@
     return changes;
 }
 
+std::vector<AnnouncedBackend> StoreCache::drained(std::span<const UnreadableEntry> entries) const
+{
+    std::vector<AnnouncedBackend> backends;
+    for (const UnreadableEntry& entry : entries) {
+        const auto known = std::ranges::find_if(
+            m_backends, [&entry](const auto& held) { return held.second.m_backend.m_server.m_name == entry.m_name; });
+        if (known == m_backends.end())
+            continue;
+        AnnouncedBackend& backend = backends.emplace_back(known->second.m_backend);
+        backend.m_server.m_draining = true;
+    }
+    return backends;
+}
+
+BackendList StoreCache::withoutUnreadable(BackendList list) const
+{
+    for (AnnouncedBackend& backend : drained(list.m_unreadable))
+        list.m_backends.push_back(std::move(backend));
+    list.m_unreadable.clear();
+    return list;
+}
+
+BackendChanges StoreCache::withoutUnreadable(BackendChanges changes) const
+{
+    for (AnnouncedBackend& backend : drained(changes.m_unreadable))
+        changes.m_changes.push_back({ backend.m_identity, std::move(backend) });
+    changes.m_unreadable.clear();
+    return changes;
+}
+
 bool StoreCache::apply(const BackendList& list)
 {
     if (list.m_revision < m_backendsRevision)
--- a/src/exchange/StoreCache.h
+++ b/src/exchange/StoreCache.h
@@ -42,6 +42,12 @@
     static constexpr std::size_t s_maxRemovals = 2'048;
     static constexpr std::size_t s_maxVersions = 64;
 
+    /// Replace the unreadable entries of known backend servers by their last readable content, draining: their flows
+    /// stay, and they get no new ones until their entries can be read again. Unreadable entries of other names are left
+    /// out, also if they name the identity of a known one.
+    BackendList withoutUnreadable(BackendList list) const;
+    BackendChanges withoutUnreadable(BackendChanges changes) const;
+
     /// Store newer data, and a list also of the same revision; otherwise return false without effect. Empty changes,
     /// which only another VM sends and never the watch of the store, advance the revision too.
     bool apply(const BackendList& list);
@@ -57,6 +63,9 @@
 
     StoreVersions state() const { return { m_backendsRevision, m_otherFields.m_version }; }
 
+    /// Revision at which the declarations were read from the store; 0: none are stored.
+    StoreRevision declarationsRevision() const { return m_declarationsRevision; }
+
 private:
     struct BackendEntry {
         AnnouncedBackend m_backend;
@@ -68,6 +77,9 @@
         ConfigVersion m_version; ///< of the last change
     };
 
+    /// The known backend servers with these entries, draining.
+    std::vector<AnnouncedBackend> drained(std::span<const UnreadableEntry> entries) const;
+
     void removeService(const std::string& name, ConfigVersion version);
     DeclarationUpdate declarationsSince(ConfigVersion held) const;
     void withdraw(BackendIdentity identity, StoreRevision revision);
--- a/src/exchange/StoreCacheTest.cpp
+++ b/src/exchange/StoreCacheTest.cpp
@@ -43,7 +43,7 @@
         ASSERT_TRUE(decoded.has_value()) << decoded.error().m_message;
         const StoreUpdate& update = decoded.value();
         if (update.m_isComplete) {
-            storeCache.apply(BackendList { update.m_backends, 0, update.m_backendsRevision });
+            storeCache.apply(BackendList { update.m_backends, {}, update.m_backendsRevision });
         } else {
             storeCache.apply(changesOf(update));
         }
@@ -65,8 +65,8 @@
     TEST(StoreCacheTest, onlyChangesAreSent)
     {
         StoreCache storeCache;
-        storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, 0, { 10 } });
-        storeCache.apply(BackendChanges { { { { 3 }, makeBackend(3) }, { { 1 }, {} } }, 0, { 12 } });
+        storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
+        storeCache.apply(BackendChanges { { { { 3 }, makeBackend(3) }, { { 1 }, {} } }, {}, { 12 } });
         const StoreUpdate update = storeCache.updateSince({ { 10 }, {} });
         EXPECT_FALSE(update.m_isComplete);
         ASSERT_EQ(update.m_backends.size(), 1u);
@@ -80,10 +80,10 @@
     TEST(StoreCacheTest, aVmWithARevisionBetweenTwoListsGetsACompleteUpdate)
     {
         StoreCache sender;
-        sender.apply(BackendList { { makeBackend(1), makeBackend(2) }, 0, { 10 } });
+        sender.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
         StoreCache receiver;
-        receiver.apply(BackendList { { makeBackend(1) }, 0, { 15 } });
-        sender.apply(BackendList { { makeBackend(1), makeBackend(2) }, 0, { 20 } });
+        receiver.apply(BackendList { { makeBackend(1) }, {}, { 15 } });
+        sender.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 20 } });
         applyStoreUpdate(receiver, sender.updateSince(receiver.state()));
         EXPECT_EQ(identitiesOf(receiver), identitiesOf(sender));
     }
@@ -106,9 +106,9 @@
     TEST(StoreCacheTest, anOlderStateIsRejected)
     {
         StoreCache storeCache;
-        storeCache.apply(BackendList { { makeBackend(1) }, 0, { 10 } });
-        EXPECT_FALSE(storeCache.apply(BackendList { {}, 0, { 9 } }));
-        EXPECT_FALSE(storeCache.apply(BackendChanges { { { { 1 }, {} } }, 0, { 10 } }));
+        storeCache.apply(BackendList { { makeBackend(1) }, {}, { 10 } });
+        EXPECT_FALSE(storeCache.apply(BackendList { {}, {}, { 9 } }));
+        EXPECT_FALSE(storeCache.apply(BackendChanges { { { { 1 }, {} } }, {}, { 10 } }));
         storeCache.apply(makeDeclarations(5, { "a" }), { 10 });
         EXPECT_FALSE(storeCache.apply(makeDeclarations(5, {}), { 11 }));
         EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
@@ -118,12 +118,12 @@
     {
         StoreCache reader;
         StoreCache follower;
-        reader.apply(BackendList { { makeBackend(1), makeBackend(2) }, 0, { 10 } });
+        reader.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
         reader.apply(makeDeclarations(1, { "a", "bb", "ccc" }), { 10 });
         applyStoreUpdate(follower, reader.updateSince(follower.state()));
-        reader.apply(BackendChanges { { { { 2 }, {} } }, 0, { 11 } });
+        reader.apply(BackendChanges { { { { 2 }, {} } }, {}, { 11 } });
         reader.apply(makeDeclarations(4, { "a", "ccc", "dddd" }), { 12 });
-        reader.apply(BackendChanges { { { { 4 }, makeBackend(4) } }, 0, { 13 } });
+        reader.apply(BackendChanges { { { { 4 }, makeBackend(4) } }, {}, { 13 } });
         const StoreUpdate update = reader.updateSince(follower.state());
         ASSERT_TRUE(update.m_declarations.has_value());
         EXPECT_EQ(update.m_declarations->m_changed.size(), 1u);
@@ -147,15 +147,60 @@
     TEST(StoreCacheTest, afterTooManyWithdrawalsTheUpdateIsComplete)
     {
         StoreCache storeCache;
-        storeCache.apply(BackendList { {}, 0, { 1 } });
+        storeCache.apply(BackendList { {}, {}, { 1 } });
         for (std::uint64_t i = 0; i <= StoreCache::s_maxRemovals; ++i) {
-            storeCache.apply(BackendChanges { { { { i + 1 }, makeBackend(i + 1) } }, 0, { 2 * i + 2 } });
-            storeCache.apply(BackendChanges { { { { i + 1 }, {} } }, 0, { 2 * i + 3 } });
+            storeCache.apply(BackendChanges { { { { i + 1 }, makeBackend(i + 1) } }, {}, { 2 * i + 2 } });
+            storeCache.apply(BackendChanges { { { { i + 1 }, {} } }, {}, { 2 * i + 3 } });
         }
         EXPECT_TRUE(storeCache.updateSince({ { 2 }, {} }).m_isComplete);
         EXPECT_FALSE(storeCache.updateSince({ { 100 }, {} }).m_isComplete);
     }
 
+    std::optional<bool> isDraining(const StoreCache& storeCache, std::uint64_t identity)
+    {
+        for (const AnnouncedBackend& backend : storeCache.updateSince({}).m_backends) {
+            if (backend.m_identity.m_value == identity)
+                return backend.m_server.m_draining;
+        }
+        return std::nullopt;
+    }
+
+    // An unreadable entry names no backend server to use; the one that it named before still runs.
+    TEST(StoreCacheTest, anUnreadableEntryTakesNoNewFlowsUntilItCanBeReadAgain)
+    {
+        StoreCache storeCache;
+        storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
+        storeCache.apply(storeCache.withoutUnreadable(BackendChanges { {}, { { "i-1", { 11 }, "odd" } }, { 11 } }));
+        EXPECT_EQ(isDraining(storeCache, 1), true);
+        EXPECT_EQ(isDraining(storeCache, 2), false);
+        const StoreUpdate update = storeCache.updateSince({ { 10 }, {} });
+        ASSERT_EQ(update.m_backends.size(), 1u); // other VMs learn of it
+        EXPECT_TRUE(update.m_backends[0].m_server.m_draining);
+        storeCache.apply(BackendChanges { { { { 1 }, makeBackend(1) } }, {}, { 12 } });
+        EXPECT_EQ(isDraining(storeCache, 1), false);
+    }
+
+    TEST(StoreCacheTest, anUnreadableEntryInAListKeepsItsBackendServerDraining)
+    {
+        StoreCache storeCache;
+        storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
+        storeCache.apply(
+            storeCache.withoutUnreadable(BackendList { { makeBackend(2) }, { { "i-1", { 15 }, "odd" } }, { 20 } }));
+        EXPECT_EQ(isDraining(storeCache, 1), true);
+        EXPECT_EQ(isDraining(storeCache, 2), false);
+    }
+
+    TEST(StoreCacheTest, unreadableEntriesOfOtherNamesChangeNothing)
+    {
+        StoreCache storeCache;
+        storeCache.apply(BackendList { { makeBackend(1) }, {}, { 10 } });
+        const std::vector<UnreadableEntry> others { { "notes-1", { 11 }, "odd" }, { "", {}, "odd" },
+            { "i-9", {}, "" } };
+        storeCache.apply(storeCache.withoutUnreadable(BackendChanges { {}, others, { 11 } }));
+        EXPECT_EQ(isDraining(storeCache, 1), false);
+        EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
+    }
+
     TEST(StoreUpdateServerTest, theTargetHoldsTheStoreVersions)
     {
         const StoreVersions held { { 12 }, { 34 } };
--- a/src/exchange/StoreUpdateClient.cpp
+++ b/src/exchange/StoreUpdateClient.cpp
@@ -1,5 +1,6 @@
 #include "exchange/StoreUpdateClient.h"
 
+#include "base/IdleConnection.h"
 #include "exchange/StoreUpdateMessage.h"
 #include "exchange/StoreUpdateServer.h"
 
@@ -49,7 +50,8 @@
 asio::awaitable<Outcome<StoreUpdate>> StoreUpdateClient::fetch(Endpoint peer, StoreVersions held)
 {
     boost::system::error_code failure;
-    const bool isReused = m_stream && m_peer == peer && m_clock.now() < m_keepAliveUntil;
+    const bool isReused
+        = m_stream && m_peer == peer && m_clock.now() < m_keepAliveUntil && isReusable(m_stream->socket());
     // Moved out of m_stream, so that no failed connection stays there.
     boost::beast::tcp_stream stream = isReused ? std::move(*m_stream) : boost::beast::tcp_stream { m_executor };
     m_stream.reset();
@@ -75,14 +77,15 @@
     const http::response<http::string_body>& response = parser.get();
     if (response.result() != http::status::ok)
         co_return unavailable(peer, response.body());
-    if (response.keep_alive()) {
+    // Bytes after the response would be read as the response to the next request.
+    if (response.keep_alive() && buffer.size() == 0) {
         m_stream.emplace(std::move(stream));
         m_peer = peer;
         m_keepAliveUntil = m_clock.now() + c_keepAliveTime;
     }
     Outcome<StoreUpdate> update = decodeStoreUpdate(response.body(), m_clock.now());
     if (!update)
-        co_return unavailable(peer, update.error().m_message);
+        co_return Error { ErrorKind::InvalidInput, unavailable(peer, update.error().m_message).m_message };
     co_return update;
 }
 
--- a/src/exchange/StoreUpdateClient.h
+++ b/src/exchange/StoreUpdateClient.h
@@ -17,7 +17,8 @@
 public:
     StoreUpdateClient(boost::asio::any_io_executor executor, const Clock& clock);
 
-    /// Requests the changes since the held versions. Errors: Unavailable if no valid answer came in time.
+    /// Requests the changes since the held versions. Errors: Unavailable if no answer came in time,
+    /// InvalidInput if it cannot be decoded.
     boost::asio::awaitable<Outcome<StoreUpdate>> fetch(Endpoint peer, StoreVersions held);
 
 private:
--- a/src/objectapi/HttpPlatformClient.cpp
+++ b/src/objectapi/HttpPlatformClient.cpp
@@ -1,5 +1,6 @@
 #include "objectapi/HttpPlatformClient.h"
 
+#include "base/IdleConnection.h"
 #include "objectapi/VmList.h"
 
 #include <algorithm>
@@ -302,7 +303,7 @@
 std::optional<HttpPlatformClient::Stream> HttpPlatformClient::takeIdleStream()
 {
     std::optional<Stream> taken;
-    if (m_idleStream)
+    if (m_idleStream && isReusable(m_idleStream->socket()))
         taken.emplace(std::move(*m_idleStream));
     m_idleStream.reset();
     return taken;
--- a/src/relay/RelayGauges.cpp
+++ b/src/relay/RelayGauges.cpp
@@ -47,6 +47,7 @@
     m_metrics.gauge("cuminrelay_knowledge_age_seconds")
         .set(status.m_lastStoreContactAt == Instant {} ? -1 : age.count());
     m_metrics.gauge("cuminrelay_config_version").set(static_cast<double>(router.configVersion().m_number));
+    m_metrics.gauge("cuminrelay_config_unreadable").set(status.m_isStoredConfigUnreadable ? 1 : 0);
     m_metrics.gauge("cuminrelay_ready").set(status.m_isReady ? 1 : 0);
     m_metrics.gauge("cuminrelay_follows_store").set(status.m_followsStore ? 1 : 0);
     m_metrics.gauge("cuminrelay_peers", "own_zone").set(static_cast<double>(status.m_localZonePeers));
--- a/src/relay/RelayGauges.h
+++ b/src/relay/RelayGauges.h
@@ -15,11 +15,13 @@
     Instant m_lastStoreContactAt {}; ///< last contact with the store or a VM that follows it; epoch: never
     std::size_t m_localZonePeers = 0;
     std::size_t m_peers = 0;
+    bool m_isStoredConfigUnreadable
+        = false; ///< the store holds a later configuration than the one in force, unreadable
 };
 
 /// Exports the state of a relay process and its age as gauges: cuminrelay_config_version, cuminrelay_ready,
-/// cuminrelay_backends by state, cuminrelay_peers, cuminrelay_tracked_flows, cuminrelay_follows_store and
-/// cuminrelay_knowledge_age_seconds (-1: no data). An update costs O(backend servers).
+/// cuminrelay_backends by state, cuminrelay_peers, cuminrelay_tracked_flows, cuminrelay_follows_store,
+/// cuminrelay_config_unreadable and cuminrelay_knowledge_age_seconds (-1: no data). An update costs O(backend servers).
 class RelayGauges {
 public:
     /// metrics must outlive this object.
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -6,8 +6,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -31,6 +29,9 @@
     /// Packets that were queued during a pause have been received within this time after it.
     constexpr Duration c_backlogDrainTime = std::chrono::milliseconds { 50 };
 
+    /// Delay before the next request for a store update after one that could not be used.
+    constexpr Duration c_uselessUpdateDelay = std::chrono::milliseconds { 200 };
+
     constexpr std::uint64_t c_backendsSalt = 1;
     constexpr std::uint64_t c_declarationsSalt = 2;
 
@@ -62,6 +63,7 @@
 RelayProcess::RelayProcess(RelaySettings settings, FlowPlacement& placement, const RelayEnvironment& environment)
     : m_settings(std::move(settings))
     , m_environment(environment)
+    , m_tasks(environment.m_context.get_executor(), environment.m_metrics, environment.m_log)
     , m_flowLog(environment.m_log, environment.m_metrics)
     , m_router({ m_settings.m_zone, s_trackedFlowLimit, m_settings.m_addressReuse }, placement, m_flowLog)
     , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
@@ -109,19 +111,18 @@
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
     m_signals.add(SIGHUP);
-    asio::io_context& context = m_environment.m_context;
-    asio::co_spawn(context, serveSignals(), asio::detached);
-    asio::co_spawn(context, m_backendsWatch.run(), asio::detached);
-    asio::co_spawn(context, m_declarationsWatch.run(), asio::detached);
-    asio::co_spawn(context, forwardPackets(), asio::detached);
-    asio::co_spawn(context, receiveLoadMessages(), asio::detached);
-    asio::co_spawn(context, runPeriodicTasks(), asio::detached);
+    m_tasks.keepRunning("signals", [this] { return serveSignals(); });
+    m_tasks.keepRunning("backends_watch", [this] { return m_backendsWatch.run(); });
+    m_tasks.keepRunning("declarations_watch", [this] { return m_declarationsWatch.run(); });
+    m_tasks.keepRunning("packets", [this] { return forwardPackets(); });
+    m_tasks.keepRunning("load_messages", [this] { return receiveLoadMessages(); });
+    m_tasks.keepRunning("periodic", [this] { return runPeriodicTasks(); });
     m_environment.m_log.info("relay", "started",
         { { "name", m_settings.m_name }, { "zone", m_settings.m_zone },
             { "packets", formatEndpoint(m_settings.m_packets) }, { "exchange", formatEndpoint(m_settings.m_exchange) },
             { "store", formatEndpoint(m_settings.m_store) }, { "seeds", m_settings.m_seeds.size() },
             { "stop_within_ms", m_settings.m_stopWithin.count() }, { "version", CUMINRELAY_VERSION } });
-    context.run();
+    m_environment.m_context.run();
     return ExitStatus::Success;
 }
 
@@ -206,25 +207,34 @@
     const bool isReading = m_peers.shouldRead(now);
     m_backendsWatch.setReading(isReading);
     m_declarationsWatch.setReading(isReading);
-    m_router.setDeclarationsCurrent(m_declarationsWatch.isFollowing() || m_peers.hasLiveReader(now));
-    if (m_isFetching)
+    const bool hasReader = m_peers.hasLiveReader(now) && m_peers.readerLastSeenAt() >= m_resumedAt;
+    m_router.setDeclarationsCurrent((m_declarationsWatch.isFollowing() || hasReader)
+        && !m_peers.hasNewerDeclarations(m_router.configVersion(), now));
+    if (m_isFetching || now < m_nextFetchAt)
         return;
     const std::optional<Endpoint> peer = m_peers.peerWithNewerState(m_storeCache.state(), now);
     if (!peer)
         return;
     m_isFetching = true;
-    asio::co_spawn(m_environment.m_context, fetchStoreUpdate(*peer), asio::detached);
+    m_tasks.runOnce("store_update", fetchStoreUpdate(*peer), [this] { m_isFetching = false; });
 }
 
 asio::awaitable<void> RelayProcess::fetchStoreUpdate(Endpoint peer)
 {
-    const Outcome<StoreUpdate> storeUpdate = co_await m_storeUpdateClient.fetch(peer, m_storeCache.state());
+    const StoreVersions held = m_storeCache.state();
+    const Outcome<StoreUpdate> storeUpdate = co_await m_storeUpdateClient.fetch(peer, held);
     m_isFetching = false;
-    m_environment.m_metrics.counter("cuminrelay_news_total", storeUpdate ? "taken" : "unavailable").add();
+    const bool isMalformed = !storeUpdate && storeUpdate.error().m_kind == ErrorKind::InvalidInput;
+    m_environment.m_metrics
+        .counter("cuminrelay_news_total", storeUpdate ? "taken" : (isMalformed ? "malformed" : "unavailable"))
+        .add();
     if (storeUpdate)
         applyStoreUpdate(storeUpdate.value(), peer);
     else
         m_environment.m_log.warning("exchange", "news_unavailable", { { "error", storeUpdate.error().m_message } });
+    // The same peer would give the same answer again.
+    if (isMalformed || (storeUpdate && m_storeCache.state() == held))
+        m_nextFetchAt = m_environment.m_clock.now() + c_uselessUpdateDelay;
 }
 
 void RelayProcess::applyStoreUpdate(const StoreUpdate& storeUpdate, Endpoint peer)
@@ -234,7 +244,7 @@
             { "backends", storeUpdate.m_backends.size() }, { "withdrawn", storeUpdate.m_withdrawn.size() },
             { "revision", storeUpdate.m_backendsRevision.m_number } });
     if (storeUpdate.m_isComplete)
-        backendsListed({ storeUpdate.m_backends, 0, storeUpdate.m_backendsRevision });
+        backendsListed({ storeUpdate.m_backends, {}, storeUpdate.m_backendsRevision });
     else
         backendsChanged(changesOf(storeUpdate));
     m_backendsWatch.advanceTo(storeUpdate.m_backendsRevision);
@@ -308,7 +318,14 @@
 void RelayProcess::startProbes(Instant now)
 {
     for (LivenessProbe& probe : m_router.takeProbes(now))
-        asio::co_spawn(m_environment.m_context, probeBackend(std::move(probe)), asio::detached);
+        startProbe(std::move(probe));
+}
+
+void RelayProcess::startProbe(LivenessProbe probe)
+{
+    const BackendToken backend = probe.m_backend;
+    m_tasks.runOnce("probe", probeBackend(std::move(probe)),
+        [this, backend] { m_router.recordProbe(backend, ProbeOutcome::Unclear, m_environment.m_clock.now()); });
 }
 
 asio::awaitable<void> RelayProcess::probeBackend(LivenessProbe probe)
@@ -395,7 +412,11 @@
         return;
     m_environment.m_metrics.counter("cuminrelay_pauses_total").add();
     m_environment.m_log.warning("relay", "paused", { { "for_ms", toMilliseconds(pause) } });
-    m_router.applyPause(now + c_backlogDrainTime);
+    // Messages and answers that were queued during the pause are as old as it.
+    m_resumedAt = now + c_backlogDrainTime;
+    m_router.applyPause(m_resumedAt);
+    m_backendsWatch.distrustAnswersBefore(m_resumedAt);
+    m_declarationsWatch.distrustAnswersBefore(m_resumedAt);
 }
 
 void RelayProcess::updateReadiness()
@@ -418,7 +439,7 @@
     m_gauges.update(m_router,
         { m_readiness.isReady(), followsStore,
             followsStore ? m_declarationsWatch.answeredAt() : m_peers.readerLastSeenAt(), m_peers.localZonePeerCount(),
-            m_peers.size() },
+            m_peers.size(), m_declarationsWatch.unreadableRevision() > m_storeCache.declarationsRevision() },
         now);
 }
 
@@ -431,21 +452,23 @@
     m_countedLostLines = lostLines;
 }
 
-void RelayProcess::backendsListed(const BackendList& list)
+void RelayProcess::backendsListed(const BackendList& readList)
 {
+    const BackendList list = m_storeCache.withoutUnreadable(readList);
     if (!m_storeCache.apply(list))
         return;
     m_hasStoreUpdate = true;
     m_router.backends().replaceAll(list.m_backends, m_environment.m_clock.now());
     m_hasBackends = true;
     m_environment.m_log.info("discovery", "backends_listed",
-        { { "backends", list.m_backends.size() }, { "unreadable", list.m_unreadable },
+        { { "backends", list.m_backends.size() }, { "unreadable", readList.m_unreadable.size() },
             { "revision", list.m_revision.m_number } });
     updateReadiness();
 }
 
-void RelayProcess::backendsChanged(const BackendChanges& changes)
+void RelayProcess::backendsChanged(const BackendChanges& readChanges)
 {
+    const BackendChanges changes = m_storeCache.withoutUnreadable(readChanges);
     if (!m_storeCache.apply(changes))
         return;
     m_hasStoreUpdate = true;
@@ -475,6 +498,7 @@
     if (isApplied && m_storeCache.apply(declarations, revision))
         m_hasStoreUpdate = true;
     m_environment.m_metrics.counter("cuminrelay_declarations_total", isApplied ? "taken" : "not_newer").add();
+    m_environment.m_metrics.counter("cuminrelay_unknown_kinds_total").add(isApplied ? declarations.m_unknownKinds : 0);
     m_environment.m_log.info("discovery", isApplied ? "declarations_taken" : "declarations_refused",
         { { "config", declarations.m_version.m_number }, { "services", declarations.m_services.size() },
             { "in_force", m_router.configVersion().m_number } });
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -11,6 +11,7 @@
 #include "observe/Metrics.h"
 #include "observe/MetricsServer.h"
 #include "observe/NonBlockingSink.h"
+#include "observe/TaskSupervisor.h"
 #include "packets/PacketFrontEnd.h"
 #include "relay/BackendProber.h"
 #include "relay/FlowLog.h"
@@ -73,8 +74,8 @@
     void requestStop();
 
 private:
-    void backendsListed(const BackendList& list) override;
-    void backendsChanged(const BackendChanges& changes) override;
+    void backendsListed(const BackendList& readList) override;
+    void backendsChanged(const BackendChanges& readChanges) override;
     void declarationsChanged(const ServiceDeclarations& declarations, StoreRevision revision) override;
 
     boost::asio::awaitable<void> forwardPackets();
@@ -92,6 +93,7 @@
     void introduceNewPeers(Instant now);
     std::size_t sendTo(std::span<const Endpoint> targets, std::span<const ExchangePeer> gossiped);
     void startProbes(Instant now);
+    void startProbe(LivenessProbe probe);
     void beginShutdown();
     void reload();
     void detectPause(Instant now);
@@ -104,6 +106,7 @@
 
     RelaySettings m_settings;
     RelayEnvironment m_environment;
+    TaskSupervisor m_tasks;
     FlowLog m_flowLog;
     TokenRouter m_router;
     ExchangePeers m_peers;
@@ -123,6 +126,8 @@
     LoadMessageSchedule m_loadMessageSchedule { c_exchangeBytesPerSecond };
     bool m_hasStoreUpdate = false; ///< to announce to the local zone
     bool m_isFetching = false;
+    Deadline m_nextFetchAt {}; ///< earliest time of the next request for a store update
+    Instant m_resumedAt {}; ///< messages received before may be older than the last pause
     RelayGauges m_gauges;
     Deadline m_nextGaugeUpdateAt {};
     std::uint64_t m_countedLostLines = 0; ///< lost log lines that the counter includes
--- a/src/status/StatusTest.cpp
+++ b/src/status/StatusTest.cpp
@@ -58,6 +58,16 @@
         EXPECT_EQ(statusTable(std::array { statusAt(7) }).find("without"), std::string::npos);
     }
 
+    TEST(VmStatusTest, theTableListsVmsThatCannotReadTheStoredConfiguration)
+    {
+        const MetricsPage page { "cuminrelay_config_version 7\ncuminrelay_ready 1\ncuminrelay_config_unreadable 1\n" };
+        const std::array vms { statusFrom(c_vm, page) };
+        const std::string text = statusTable(vms);
+        EXPECT_NE(text.find("cannot be read by: 10.1.0.1:9464"), std::string::npos) << text;
+        EXPECT_NE(statusJson(vms).find("\"stored_config_unreadable\":true"), std::string::npos);
+        EXPECT_EQ(statusTable(std::array { statusAt(7) }).find("cannot be read"), std::string::npos);
+    }
+
     /// Serves the metrics page of an entry VM on loopback.
     class StatusClientTest : public testing::Test {
     protected:
--- a/src/status/VmStatus.cpp
+++ b/src/status/VmStatus.cpp
@@ -23,6 +23,16 @@
         return highest;
     }
 
+    std::vector<std::string> vmsThatCannotReadStoredConfig(std::span<const VmStatus> vms)
+    {
+        std::vector<std::string> names;
+        for (const VmStatus& vm : vms) {
+            if (vm.m_isStoredConfigUnreadable)
+                names.push_back(formatEndpoint(vm.m_metrics));
+        }
+        return names;
+    }
+
     std::vector<std::string> vmsWithoutVersion(std::span<const VmStatus> vms, ConfigVersion version)
     {
         std::vector<std::string> names;
@@ -53,6 +63,7 @@
         status.m_backendsOther += gaugeValue(page, "cuminrelay_backends", state);
     status.m_peers = gaugeValue(page, "cuminrelay_peers", "all");
     status.m_flows = gaugeValue(page, "cuminrelay_tracked_flows");
+    status.m_isStoredConfigUnreadable = page.find("cuminrelay_config_unreadable") == 1;
     return status;
 }
 
@@ -79,6 +90,9 @@
     const std::vector<std::string> lagging = vmsWithoutVersion(vms, highestVersion(vms));
     if (!lagging.empty())
         text += fmt::format("without version {}: {}\n", highestVersion(vms).m_number, fmt::join(lagging, ", "));
+    const std::vector<std::string> unreadable = vmsThatCannotReadStoredConfig(vms);
+    if (!unreadable.empty())
+        text += fmt::format("the store's latest configuration cannot be read by: {}\n", fmt::join(unreadable, ", "));
     return text;
 }
 
@@ -98,6 +112,7 @@
             row["backends_other"] = vm.m_backendsOther;
             row["peers"] = vm.m_peers;
             row["flows"] = vm.m_flows;
+            row["stored_config_unreadable"] = vm.m_isStoredConfigUnreadable;
         }
         rows.push_back(std::move(row));
     }
--- a/src/status/VmStatus.h
+++ b/src/status/VmStatus.h
@@ -24,6 +24,7 @@
     std::uint64_t m_backendsOther = 0; ///< draining, lapsed, silent or dead
     std::uint64_t m_peers = 0;
     std::uint64_t m_flows = 0;
+    bool m_isStoredConfigUnreadable = false; ///< the store holds a later configuration that this VM cannot read
 };
 
 /// Sets m_problem if the page is not from a relay process.
