--- a/src/settings/JsonOutline.cpp
+++ b/src/settings/JsonOutline.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     constexpr std::string_view c_spaces = " \t\r\n";
-    constexpr std::string_view c_endsOfScalar = " \t\r\n,]}";
+    constexpr std::string_view c_endsOfScalar = " \t\r\n,:\"[]{}";
 
     /// Reads a text from left to right.
     class OutlineReader {
--- a/src/settings/JsonOutlineTest.cpp
+++ b/src/settings/JsonOutlineTest.cpp
@@ -33,7 +33,7 @@
         for (const char* const text : { "", " ", "{", "{\"a\"", "{\"a\":", "{\"a\":1", "{\"a\":\"x", "{\"a\":\"x\\",
                  "[1]", "{\"a\":1,}", "{a:1}", "{\"a\":}", "{\"a\":[1}", "{\"a\":1}x", "{\"a\":1}{", "null" })
             EXPECT_FALSE(splitJsonObject(text).has_value()) << text;
-        for (const char* const text : { "", "[", "[1", "[1,", "[1,]", "{}", "[[]", "[]]", "7" })
+        for (const char* const text : { "", "[", "[1", "[1,", "[1,]", "{}", "[[]", "[]]", "7", "[5{]", "[5\"]" })
             EXPECT_FALSE(splitJsonArray(text).has_value()) << text;
     }
 
