--- a/src/objectapi/VmList.cpp
+++ b/src/objectapi/VmList.cpp
@@ -1,10 +1,9 @@
 #include "objectapi/VmList.h"
 
 #include "settings/JsonFields.h"
-#include "settings/JsonText.h"
+#include "settings/JsonOutline.h"
 
 #include <algorithm>
-#include <boost/json/array.hpp>
 #include <fmt/format.h>
 #include <utility>
 
@@ -37,15 +36,13 @@
 
 Outcome<VmList> parseVmList(std::string_view text)
 {
-    const Outcome<boost::json::value> parsed = parseJsonText(c_location, text);
-    if (!parsed)
-        return parsed.error();
-    if (!parsed.value().is_array())
-        return Error { ErrorKind::InvalidInput,
-            fmt::format("{}: found no array; expected an array of VMs", c_location) };
+    const Outcome<std::vector<std::string_view>> entries = splitJsonArray(text);
+    if (!entries)
+        return Error { ErrorKind::InvalidInput, fmt::format("{}: {}", c_location, entries.error().m_message) };
     VmList list;
-    for (const boost::json::value& value : parsed.value().get_array()) {
-        Outcome<Member> member = parseMember(value);
+    for (const std::string_view entry : entries.value()) {
+        const Outcome<boost::json::value> value = parseJsonValue(entry);
+        Outcome<Member> member = value ? parseMember(value.value()) : Outcome<Member> { value.error() };
         if (member)
             list.m_members.push_back(std::move(member.value()));
         else
