--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -1294,12 +1294,12 @@
     co_await sleepFor(milliseconds { 100 });
     writeConfiguration(world.m_store, 9, true);
     record("the store has accepted version 9, which adds the route of port %u", c_droppedPort);
-    co_await sleepFor(milliseconds { 300 });
+    co_await sleepFor(milliseconds { 100 });
     for (std::uint16_t i = 1; i <= 8; ++i)
-        callers.open(static_cast<std::uint16_t>(40'000 + i), "b", milliseconds { 200 }, c_droppedPort);
-    co_await sleepFor(milliseconds { 300 });
+        callers.open(static_cast<std::uint16_t>(40'000 + i), "b", milliseconds { 400 }, c_droppedPort);
+    co_await sleepFor(milliseconds { 200 });
     terminate(5);
-    co_await sleepFor(milliseconds { 4'700 });
+    co_await sleepFor(milliseconds { 5'000 });
     world.m_store.heal(reader);
     co_await sleepFor(milliseconds { 2'000 });
     callers.stop();
