affinity: a flow with two answered openings stays where it opened

Cause: the copy of the opening packet went to a second backend server after 200 ms without a sign of the first. Both then repeat answers for up to 11 s, and the caller's packets carry the token of the last one. Only the flow's record on one VM, kept for 2 to 3 s, knew where the flow was open.

Change: one missing answer no longer moves the opening; suspicion that was there before, or a second one, does. A flow whose opening packet may have reached several backend servers is remembered as contested for the lifetime of a flow, with the backend server that its first packet names, and the VMs tell each other of such flows. The first packet is the one that the caller sends in response to the answer that opens the flow, so it is right where later ones are not.

Changed tests: two expected a second backend server after one missing answer, which is the fault; they now expect it after another flow's, or the second.

--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -34,6 +34,7 @@
     constexpr Duration c_refusalValidity = std::chrono::milliseconds { 2'500 };
 
     constexpr std::uint64_t c_weightSalt = 0x77656967; // "weig"
+    constexpr std::uint64_t c_contestedSalt = 0x636f6e74; // "cont"
 
 } // namespace
 
@@ -42,6 +43,7 @@
     , m_placement(placement)
     , m_observer(observer)
     , m_flows(m_backends, m_options.m_trackedFlowLimit)
+    , m_contestedFlows(hashText(m_options.m_zone, c_contestedSalt))
 {
 }
 
@@ -80,21 +82,29 @@
         = m_flows.open(hash, packet.m_flow, backend->m_token, service->m_kind == RequestKind::Idempotent, now);
     if (flow)
         flow->m_openingSequence = packet.m_sequence;
+    // The copies before may have reached another VM.
+    if (packet.m_retransmissions > 0)
+        m_contestedFlows.add(hash, packet.m_sequence, now);
+    else
+        m_contestedFlows.removeIfReused(hash, packet.m_sequence);
     m_observer.placed(packet, *backend, PlacementCause::New, m_eligible.size(), now);
     return forwardTo(*backend);
 }
 
 /// Decides on the retransmitted opening packet of a flow placed here. Two backend servers that both answer would
-/// compete for the flow, so a second one is chosen only if the first has not answered since or accepts no new flows.
+/// compete for the flow. One missing answer may be a lost packet, so a second backend server is chosen only if the
+/// first was suspected before or accepts no new flows.
 PacketAction TokenRouter::decideRetransmittedOpening(
     const PacketSummary& packet, FlowHash hash, TrackedFlow& flow, Instant now)
 {
     TrackedBackend* const first = m_backends.find(flow.m_backend);
     const bool isLate = now - flow.m_openedAt >= c_minRetransmissionDelay;
+    const bool wasSuspected = first && isSuspected(*first);
     if (first && isLate && !flow.m_isEstablished)
         recordMissingAnswer(*first, flow.m_openedAt, now);
     const bool hasAnswered = first && first->m_liveness.answeredAt() >= flow.m_openedAt;
-    if (first && (flow.m_isEstablished || !isLate || (hasAnswered && first->acceptsNewFlows()))) {
+    const bool mayAnswer = first && first->acceptsNewFlows() && (hasAnswered || !wasSuspected);
+    if (first && (flow.m_isEstablished || !isLate || mayAnswer)) {
         m_observer.placed(packet, *first, PlacementCause::Retransmission, 1, now);
         return forwardTo(*first);
     }
@@ -105,11 +115,26 @@
     if (second->m_token != flow.m_backend) {
         m_flows.move(flow, second->m_token);
         flow.m_openedAt = now;
+        m_contestedFlows.add(hash, packet.m_sequence, now);
     }
     m_observer.placed(packet, *second, PlacementCause::SecondChoice, m_eligible.size(), now);
     return forwardTo(*second);
 }
 
+/// Returns the token of the backend server where a flow is open; flow: its record, if any. The first packet after the
+/// opening packet carries the token of the answer that opened the flow. A later token may be that of another backend
+/// server, which answered another copy of the opening packet.
+BackendToken TokenRouter::openBackendOf(
+    const PacketSummary& packet, FlowHash hash, const TrackedFlow* flow, Instant now)
+{
+    const BackendToken carried { packet.m_carriedToken };
+    const BackendToken resolved = m_contestedFlows.resolve(hash, carried, now);
+    if (resolved != BackendToken {})
+        return resolved;
+    const bool isDecided = flow && flow->wasOpenedHere() && flow->m_isEstablished;
+    return flow && (isDecided || carried == BackendToken {}) ? flow->m_backend : carried;
+}
+
 PacketAction TokenRouter::decideOpeningOfUnknownService(const PacketSummary& packet, Instant now)
 {
     if (m_services.version() == ConfigVersion {})
@@ -139,14 +164,10 @@
     const ServiceMap::Entry* const service = m_services.find(packet.m_flow.m_service);
     if (!service)
         return decideMidstreamOfUnknownService(packet, hash, now);
-    const BackendToken carried { packet.m_carriedToken };
     TrackedFlow* flow = m_flows.find(hash);
-    // The first packet after the opening packet carries the token of the answer that opened the flow. A later token may
-    // be that of another backend server, which answered a retransmitted opening packet.
-    const bool isPinned = flow && flow->wasOpenedHere() && flow->m_isEstablished;
-    if (flow && !isPinned && flow->m_backend != carried && carried != BackendToken {})
-        m_flows.move(*flow, carried);
-    const BackendToken token = isPinned || carried == BackendToken {} ? (flow ? flow->m_backend : carried) : carried;
+    const BackendToken token = openBackendOf(packet, hash, flow, now);
+    if (flow && flow->m_backend != token)
+        m_flows.move(*flow, token);
     TrackedBackend* const backend = m_backends.find(token);
     if (!backend)
         return reject(packet, PacketActionKind::Drop, Reason::UnknownBackend, nullptr, now);
@@ -237,9 +258,7 @@
     const auto isListed = [](const TrackedBackend& backend) {
         return backend.m_presence == Presence::Announced || backend.m_liveness.answeredAt() > backend.m_withdrawnAt;
     };
-    const auto isResponsive = [this](const TrackedBackend& backend) {
-        return !backend.m_confirmedDead && !backend.m_liveness.isUnresponsive() && !isInPartitionedZone(backend);
-    };
+    const auto isResponsive = [this](const TrackedBackend& backend) { return !isSuspected(backend); };
     // Falls back to backend servers with expired entries, then to unresponsive ones.
     const bool found
         = collect([&](const TrackedBackend& backend) { return isListed(backend) && isResponsive(backend); })
@@ -297,6 +316,12 @@
         m_observer.livenessChanged(backend, true, now);
 }
 
+/// Whether there is evidence that new flows would get no answer of the backend server.
+bool TokenRouter::isSuspected(const TrackedBackend& backend) const
+{
+    return backend.m_confirmedDead || backend.m_liveness.isUnresponsive() || isInPartitionedZone(backend);
+}
+
 /// Whether the backend server is in another zone that has not answered since an opening packet there went unanswered.
 bool TokenRouter::isInPartitionedZone(const TrackedBackend& backend) const
 {
@@ -470,6 +495,7 @@
     if (now >= m_nextSweepAt) {
         m_nextSweepAt = now + c_sweepInterval;
         m_flows.sweep(now);
+        m_contestedFlows.sweep(now);
         m_pendingResets.sweep(now);
     }
 }
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "affinity/BackendCatalog.h"
+#include "affinity/ContestedFlows.h"
 #include "affinity/LivenessProbe.h"
 #include "affinity/PendingResets.h"
 #include "affinity/RouterObserver.h"
@@ -42,7 +43,8 @@
 /// records only serve to place new flows and to detect failed backend servers.
 ///
 /// FlowPlacement places an opening packet among the backend servers that the service's selectors match. A retransmitted
-/// opening packet goes to the same one, unless that one has not answered since.
+/// opening packet goes to the same one, unless several packets to that one went unanswered. A flow whose opening packet
+/// may have reached several backend servers stays with the one whose answer opened it, on all VMs.
 class TokenRouter final : public PacketRouter {
 public:
     struct Options {
@@ -99,6 +101,10 @@
     /// Drops opening packets until staleUntil.
     void applyPause(Deadline staleUntil);
 
+    /// Flows whose opening packet may have reached several backend servers, to exchange with the other VMs.
+    ContestedFlows& contestedFlows() { return m_contestedFlows; }
+    const ContestedFlows& contestedFlows() const { return m_contestedFlows; }
+
     BackendCatalog& backends() { return m_backends; }
     const BackendCatalog& backends() const { return m_backends; }
     ConfigVersion configVersion() const { return m_services.version(); }
@@ -115,6 +121,7 @@
     PacketAction decideOpening(const PacketSummary& packet, FlowHash hash, Instant now);
     PacketAction decideMidstream(const PacketSummary& packet, FlowHash hash, Instant now);
     PacketAction decideRetransmittedOpening(const PacketSummary& packet, FlowHash hash, TrackedFlow& flow, Instant now);
+    BackendToken openBackendOf(const PacketSummary& packet, FlowHash hash, const TrackedFlow* flow, Instant now);
     PacketAction decideOpeningOfUnknownService(const PacketSummary& packet, Instant now);
     PacketAction decideMidstreamOfUnknownService(const PacketSummary& packet, FlowHash hash, Instant now);
     PacketAction decideMidstreamOfGoneBackend(
@@ -127,6 +134,7 @@
         std::span<TrackedBackend* const> pool, const FlowDemand& demand, BackendToken excluded, Instant now);
     std::span<TrackedBackend* const> poolOf(SelectorIndex selector);
     void recordAnswer(TrackedBackend& backend, Instant now);
+    bool isSuspected(const TrackedBackend& backend) const;
     void recordMissingAnswer(TrackedBackend& backend, Instant sentAt, Instant now);
     LivenessProbe probeOf(const TrackedBackend& backend, bool mustIdentify) const;
     bool isInPartitionedZone(const TrackedBackend& backend) const;
@@ -147,6 +155,7 @@
     std::vector<TrackedBackend*> m_eligible; // reused by each placement
     std::vector<FlowCandidate> m_candidates; // at the index of m_eligible; reused as well
     std::map<std::string, LivenessTracker, std::less<>> m_zoneLiveness; ///< by name of another zone
+    ContestedFlows m_contestedFlows;
     PendingResets m_pendingResets;
     Instant m_stateConfirmedAt {};
     bool m_hasNewerDeclarations = false;
--- a/src/affinity/TokenRouterTest.cpp
+++ b/src/affinity/TokenRouterTest.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <rapidcheck/gtest.h>
 #include <string>
+#include <utility>
 
 namespace cuminrelay {
 namespace {
@@ -278,15 +279,36 @@
         EXPECT_EQ(vm.open(1, c_forms, 1).m_target, opened.m_target);
     }
 
+    // The answer may have been lost (review/1). A second backend server would compete for the flow: both repeat their
+    // answers for seconds, and the caller's packets carry the token of the last one.
+    TEST(TokenRouterTest, oneMissingAnswerDoesNotSendTheOpeningToASecondBackend)
+    {
+        Vm vm;
+        const PacketAction opened = vm.open(1);
+        vm.wait(milliseconds { 200 });
+        EXPECT_EQ(vm.open(1, c_forms, 1).m_target, opened.m_target);
+        EXPECT_EQ(vm.m_router.contestedFlows().size(), 0u);
+        for (std::uint16_t port = 2; port < 40; ++port)
+            EXPECT_NE(vm.open(port).m_target, opened.m_target);
+    }
+
     TEST(TokenRouterTest, retransmittedOpeningLeavesAnUnresponsiveBackend)
     {
         Vm vm;
         const PacketAction opened = vm.open(1);
+        std::uint16_t otherPort = 2; // of another flow at the same backend server
+        while (vm.open(otherPort).m_target != opened.m_target)
+            ++otherPort;
         vm.wait(milliseconds { 200 });
-        const PacketAction second = vm.open(1, c_forms, 1);
+        vm.open(1, c_forms, 1);
+        const PacketAction other = vm.open(otherPort, c_forms, 1);
+        EXPECT_EQ(other.m_kind, PacketActionKind::ToBackend);
+        EXPECT_NE(other.m_target, opened.m_target); // two openings are missing an answer
+        vm.wait(milliseconds { 400 });
+        const PacketAction second = vm.open(1, c_forms, 2);
         EXPECT_EQ(second.m_kind, PacketActionKind::ToBackend);
         EXPECT_NE(second.m_target, opened.m_target);
-        for (std::uint16_t port = 2; port < 40; ++port)
+        for (std::uint16_t port = 100; port < 140; ++port)
             EXPECT_NE(vm.open(port).m_target, opened.m_target);
     }
 
@@ -313,14 +335,22 @@
         EXPECT_NE(vm.send(again).m_target, opened.m_target);
     }
 
+    /// Opens a flow whose first backend server misses two copies, so that the third goes to another.
+    std::pair<PacketAction, PacketAction> openTwice(Vm& vm, std::uint16_t port)
+    {
+        const PacketAction first = vm.open(port);
+        vm.wait(milliseconds { 200 });
+        vm.open(port, c_forms, 1);
+        vm.wait(milliseconds { 400 });
+        return { first, vm.open(port, c_forms, 2) };
+    }
+
     // Two backend servers have answered the opening packet. The caller's packets carry the token of the last answer,
     // but the flow is open at the backend server whose answer the caller acknowledged first.
     TEST(TokenRouterTest, flowWithTwoAnswersStaysAtItsFirstToken)
     {
         Vm vm;
-        const PacketAction first = vm.open(1);
-        vm.wait(milliseconds { 200 });
-        const PacketAction second = vm.open(1, c_forms, 1);
+        const auto [first, second] = openTwice(vm, 1);
         ASSERT_NE(first.m_token, second.m_token);
         EXPECT_EQ(vm.data(1, first.m_token, 10).m_target, first.m_target);
         const PacketAction later = vm.data(1, second.m_token, 110);
@@ -341,6 +371,67 @@
         EXPECT_EQ(later.m_token, opened.m_token);
     }
 
+    // The backend server that lost repeats its answer for 11 s. The record of an idle flow is gone by then (review/1).
+    TEST(TokenRouterTest, contestedFlowStaysWhereItIsOpenAfterAPause)
+    {
+        for (const bool opensAtFirst : { true, false }) {
+            Vm vm;
+            const auto [first, second] = openTwice(vm, 1);
+            const PacketAction& winner = opensAtFirst ? first : second;
+            const PacketAction& loser = opensAtFirst ? second : first;
+            EXPECT_EQ(vm.data(1, winner.m_token, 10).m_target, winner.m_target);
+            for (int i = 0; i < 120; ++i)
+                vm.wait(milliseconds { 100 });
+            const PacketAction later = vm.data(1, loser.m_token, 110);
+            EXPECT_EQ(later.m_target, winner.m_target);
+            EXPECT_EQ(later.m_token, winner.m_token);
+        }
+    }
+
+    /// Delivers what one VM says of contested flows to another.
+    void exchangeContestedFlows(Vm& from, Vm& to)
+    {
+        for (const ContestedFlow& flow : from.m_router.contestedFlows().takeForMessage(6))
+            to.m_router.contestedFlows().apply(flow, to.m_now);
+    }
+
+    TEST(TokenRouterTest, contestedFlowStaysWhereItIsOpenAfterAChangeOfTheRotation)
+    {
+        Vm vm;
+        const auto [first, second] = openTwice(vm, 1);
+        vm.data(1, second.m_token, 10);
+        Vm next;
+        exchangeContestedFlows(vm, next);
+        const PacketAction later = next.data(1, first.m_token, 110);
+        EXPECT_EQ(later.m_target, second.m_target);
+        EXPECT_EQ(later.m_token, second.m_token);
+    }
+
+    // The rotation changes before the flow is open: the VM that gets the first packet after the opening packet decides.
+    TEST(TokenRouterTest, contestedFlowThatOpensThroughAnotherVmStaysWhereItIsOpen)
+    {
+        Vm vm;
+        const auto [first, second] = openTwice(vm, 1);
+        Vm next;
+        exchangeContestedFlows(vm, next);
+        EXPECT_EQ(next.data(1, second.m_token, 10).m_target, second.m_target);
+        EXPECT_EQ(next.data(1, first.m_token, 110).m_target, second.m_target);
+        exchangeContestedFlows(next, vm);
+        EXPECT_EQ(vm.data(1, first.m_token, 210).m_target, second.m_target);
+    }
+
+    // The copies before may have reached another VM, which chose another backend server.
+    TEST(TokenRouterTest, flowOpenedHereByACopyIsContested)
+    {
+        Vm vm;
+        const PacketAction opened = vm.open(1, c_forms, 1);
+        EXPECT_EQ(vm.data(1, opened.m_token, 10).m_target, opened.m_target);
+        const std::uint32_t other = tokenOf({ opened.m_identity % 3 + 1 }).m_value;
+        for (int i = 0; i < 120; ++i)
+            vm.wait(milliseconds { 100 });
+        EXPECT_EQ(vm.data(1, other, 110).m_target, opened.m_target);
+    }
+
     // This VM has no record of the flow's opening packet.
     TEST(TokenRouterTest, flowOpenedElsewhereFollowsItsToken)
     {
--- a/src/bench/TokenDesign.cpp
+++ b/src/bench/TokenDesign.cpp
@@ -144,9 +144,11 @@
     message.m_leaving = vm.m_isLeaving;
     message.m_storeVersions.m_declarations = vm.m_router->configVersion();
     vm.m_router->collectLocalLoad(message.m_loads);
-    if (!vm.m_loadMessageSchedule->isDue(message.m_loads, {}, now))
+    ContestedFlows& contested = vm.m_router->contestedFlows();
+    if (!vm.m_loadMessageSchedule->isDue(message.m_loads, {}, contested.hasChanges(), now))
         return;
     message.m_peers = vm.m_peers->peersToGossip(now);
+    message.m_contestedFlows = contested.takeForMessage(c_maxContestedFlows);
     const std::vector<Endpoint> targets = vm.m_peers->nextTargets(now);
     const std::size_t bytes = targets.size() * bytesOf(message);
     vm.m_loadMessageSchedule->recordLoadMessage(message.m_loads, {}, bytes, now, vm.m_peers->repeatAt(now));
@@ -163,6 +165,8 @@
     vm.m_peers->recordMessage(sender, message, now);
     (void)vm.m_peers->takeNewPeers(); // not needed: all VMs are seeds
     vm.m_router->applyPeerLoad(sender, message.m_loads, now, vm.m_peers->peerTimeout());
+    for (const ContestedFlow& flow : message.m_contestedFlows)
+        vm.m_router->contestedFlows().apply(flow, now);
 }
 
 void TokenDesign::detectPause(Vm& vm, Instant now)
--- a/src/exchange/LoadExchange.capnp
+++ b/src/exchange/LoadExchange.capnp
@@ -13,6 +13,7 @@
   backendsRevision @5 :UInt64;
   declarationsVersion @6 :UInt64;
   dead @7 :List(UInt32); # tokens of backend servers that the sender found dead
+  contestedFlows @9 :List(ContestedFlow);
   stateAgeMs @8 :UInt32 = 0xffffffff; # time since the store is known to have held these versions; default: unknown
 }
 
@@ -22,6 +23,13 @@
   longFlows @2 :UInt16;
 }
 
+# Flow whose opening packet may have reached several backend servers.
+struct ContestedFlow {
+  flow @0 :UInt64; # hash of the flow's key
+  token @1 :UInt32; # of the backend server where it is open; 0: not known yet
+  openingSequence @2 :UInt32;
+}
+
 struct Peer {
   exchange @0 :UInt64; # packed endpoint
   zone @1 :UInt32;
--- a/src/exchange/LoadExchange.capnp.h
+++ b/src/exchange/LoadExchange.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(9d267c1da904f496);
 CAPNP_DECLARE_SCHEMA(9cfcf5ccf5c92802);
+CAPNP_DECLARE_SCHEMA(b5a6d169047a9dbf);
 CAPNP_DECLARE_SCHEMA(d7de521b2256aba4);
 
 }  // namespace schemas
@@ -34,7 +35,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -56,6 +57,21 @@
   };
 };
 
+struct ContestedFlow {
+  ContestedFlow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b5a6d169047a9dbf, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -111,6 +127,9 @@
 
   inline  ::uint32_t getStateAgeMs() const;
 
+  inline bool hasContestedFlows() const;
+  inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader getContestedFlows() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -179,6 +198,13 @@
   inline  ::uint32_t getStateAgeMs();
   inline void setStateAgeMs( ::uint32_t value);
 
+  inline bool hasContestedFlows();
+  inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Builder getContestedFlows();
+  inline void setContestedFlows( ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Builder initContestedFlows(unsigned int size);
+  inline void adoptContestedFlows(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>> disownContestedFlows();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -291,6 +317,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class ContestedFlow::Reader {
+public:
+  typedef ContestedFlow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFlow() const;
+
+  inline  ::uint32_t getToken() const;
+
+  inline  ::uint32_t getOpeningSequence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ContestedFlow::Builder {
+public:
+  typedef ContestedFlow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFlow();
+  inline void setFlow( ::uint64_t value);
+
+  inline  ::uint32_t getToken();
+  inline void setToken( ::uint32_t value);
+
+  inline  ::uint32_t getOpeningSequence();
+  inline void setOpeningSequence( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ContestedFlow::Pipeline {
+public:
+  typedef ContestedFlow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Peer::Reader {
 public:
   typedef Peer Reads;
@@ -564,6 +676,40 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline bool LoadMessage::Reader::hasContestedFlows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadMessage::Builder::hasContestedFlows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader LoadMessage::Reader::getContestedFlows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Builder LoadMessage::Builder::getContestedFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadMessage::Builder::setContestedFlows( ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Builder LoadMessage::Builder::initContestedFlows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadMessage::Builder::adoptContestedFlows(
+    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>> LoadMessage::Builder::disownContestedFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t BackendLoad::Reader::getToken() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -606,6 +752,48 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ContestedFlow::Reader::getFlow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ContestedFlow::Builder::getFlow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ContestedFlow::Builder::setFlow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ContestedFlow::Reader::getToken() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ContestedFlow::Builder::getToken() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ContestedFlow::Builder::setToken( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ContestedFlow::Reader::getOpeningSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ContestedFlow::Builder::getOpeningSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ContestedFlow::Builder::setOpeningSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Peer::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/exchange/LoadMessage.cpp
+++ b/src/exchange/LoadMessage.cpp
@@ -48,6 +48,8 @@
             message.m_dead.push_back({ token });
         for (const wire::Peer::Reader peer : reader.getPeers())
             message.m_peers.push_back({ Endpoint::fromPacked(peer.getExchange()), { peer.getZone() } });
+        for (const wire::ContestedFlow::Reader flow : reader.getContestedFlows())
+            message.m_contestedFlows.push_back({ { flow.getFlow() }, flow.getOpeningSequence(), { flow.getToken() } });
         return message;
     }
 
@@ -56,7 +58,7 @@
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out)
 {
     CR_ASSERT(message.m_loads.size() <= c_maxLoads && message.m_dead.size() <= c_maxDead
-            && message.m_peers.size() <= c_maxPeers,
+            && message.m_peers.size() <= c_maxPeers && message.m_contestedFlows.size() <= c_maxContestedFlows,
         "load message has too many entries");
     capnp::MallocMessageBuilder builder;
     wire::LoadMessage::Builder root = builder.initRoot<wire::LoadMessage>();
@@ -81,6 +83,13 @@
         peers[i].setExchange(message.m_peers[i].m_exchange.packed());
         peers[i].setZone(message.m_peers[i].m_zone.m_value);
     }
+    capnp::List<wire::ContestedFlow>::Builder contested
+        = root.initContestedFlows(static_cast<unsigned>(message.m_contestedFlows.size()));
+    for (unsigned i = 0; i < contested.size(); ++i) {
+        contested[i].setFlow(message.m_contestedFlows[i].m_flow.m_value);
+        contested[i].setToken(message.m_contestedFlows[i].m_backend.m_value);
+        contested[i].setOpeningSequence(message.m_contestedFlows[i].m_openingSequence);
+    }
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
     const std::size_t bytes = words.size() * sizeof(capnp::word);
     CR_ASSERT(bytes <= out.size(), "encoded load message exceeds the buffer");
--- a/src/exchange/LoadMessage.h
+++ b/src/exchange/LoadMessage.h
@@ -42,6 +42,7 @@
     std::vector<BackendLoadReport> m_loads;
     std::vector<BackendToken> m_dead; ///< backend servers that the sender found dead
     std::vector<ExchangePeer> m_peers; ///< some peers of the sender
+    std::vector<ContestedFlow> m_contestedFlows; ///< some that the sender added or resolved
 
     friend bool operator==(const LoadMessage&, const LoadMessage&) = default;
 };
@@ -53,9 +54,10 @@
 inline constexpr std::size_t c_maxLoads = 120;
 inline constexpr std::size_t c_maxDead = 24;
 inline constexpr std::size_t c_maxPeers = 8;
+inline constexpr std::size_t c_maxContestedFlows = 6;
 
-/// Encodes a message to the front of out and returns the written part. Precondition: at most c_maxLoads, c_maxDead
-/// and c_maxPeers entries; out has c_maxLoadMessageBytes and is aligned to 8 bytes.
+/// Encodes a message to the front of out and returns the written part. Precondition: at most c_maxLoads, c_maxDead,
+/// c_maxPeers and c_maxContestedFlows entries; out has c_maxLoadMessageBytes and is aligned to 8 bytes.
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out);
 
 /// Decodes a datagram, which must be aligned to 8 bytes. Errors: InvalidInput.
--- a/src/exchange/LoadMessageSchedule.cpp
+++ b/src/exchange/LoadMessageSchedule.cpp
@@ -4,13 +4,13 @@
 
 namespace cuminrelay {
 
-bool LoadMessageSchedule::isDue(
-    std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead, Instant now) const
+bool LoadMessageSchedule::isDue(std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead,
+    bool hasContestedFlows, Instant now) const
 {
     if (!std::equal(dead.begin(), dead.end(), m_dead.begin(), m_dead.end()))
         return true;
     const bool hasChanged = !std::equal(loads.begin(), loads.end(), m_loads.begin(), m_loads.end());
-    return (hasChanged && m_pacer.maySend(now)) || now >= m_repeatAt;
+    return ((hasChanged || hasContestedFlows) && m_pacer.maySend(now)) || now >= m_repeatAt;
 }
 
 void LoadMessageSchedule::recordLoadMessage(std::span<const BackendLoadReport> loads,
--- a/src/exchange/LoadMessageSchedule.h
+++ b/src/exchange/LoadMessageSchedule.h
@@ -17,7 +17,8 @@
 /// IPv4 and UDP headers of each message.
 inline constexpr std::size_t c_datagramHeaderBytes = 28;
 
-/// Decides when an entry VM sends its load to others: when it has changed and the byte budget allows it; regardless of
+/// Decides when an entry VM sends its load to others: when it, or a contested flow, has changed and the byte budget
+/// allows it; regardless of
 /// the budget, when the dead backend servers have changed, and at intervals, so that the receivers do not expire it.
 class LoadMessageSchedule {
 public:
@@ -26,7 +27,8 @@
     {
     }
 
-    bool isDue(std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead, Instant now) const;
+    bool isDue(std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead, bool hasContestedFlows,
+        Instant now) const;
 
     /// Records that a load was sent. bytes: total size of its datagrams. Unchanged, it is due again at repeatAt.
     void recordLoadMessage(std::span<const BackendLoadReport> loads, std::span<const BackendToken> dead,
--- a/src/exchange/LoadMessageScheduleTest.cpp
+++ b/src/exchange/LoadMessageScheduleTest.cpp
@@ -19,18 +19,18 @@
     TEST(LoadMessageScheduleTest, aChangedLoadIsSentAsSoonAsTheBudgetAllows)
     {
         LoadMessageSchedule schedule { c_budget };
-        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start));
+        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, false, c_start));
         schedule.recordLoadMessage(loadsOf(1), {}, 1'000, c_start, c_repeatAt); // 50 ms of the budget
-        EXPECT_FALSE(schedule.isDue(loadsOf(2), {}, c_start + milliseconds { 49 }));
-        EXPECT_TRUE(schedule.isDue(loadsOf(2), {}, c_start + milliseconds { 50 }));
+        EXPECT_FALSE(schedule.isDue(loadsOf(2), {}, false, c_start + milliseconds { 49 }));
+        EXPECT_TRUE(schedule.isDue(loadsOf(2), {}, false, c_start + milliseconds { 50 }));
     }
 
     TEST(LoadMessageScheduleTest, anUnchangedLoadIsSentAgainWhenDue)
     {
         LoadMessageSchedule schedule { c_budget };
         schedule.recordLoadMessage(loadsOf(1), {}, 100, c_start, c_repeatAt);
-        EXPECT_FALSE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 199 }));
-        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 200 }));
+        EXPECT_FALSE(schedule.isDue(loadsOf(1), {}, false, c_start + milliseconds { 199 }));
+        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, false, c_start + milliseconds { 200 }));
     }
 
     // Otherwise, the receivers time the sender out.
@@ -38,7 +38,7 @@
     {
         LoadMessageSchedule schedule { c_budget };
         schedule.recordLoadMessage(loadsOf(1), {}, 1'000'000, c_start, c_repeatAt);
-        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, c_start + milliseconds { 200 }));
+        EXPECT_TRUE(schedule.isDue(loadsOf(1), {}, false, c_start + milliseconds { 200 }));
     }
 
     TEST(LoadMessageScheduleTest, aDeadBackendServerIsSentDespiteASpentBudget)
@@ -46,7 +46,7 @@
         LoadMessageSchedule schedule { c_budget };
         schedule.recordLoadMessage(loadsOf(1), {}, 1'000'000, c_start, c_repeatAt);
         const std::vector<BackendToken> dead { { 7 } };
-        EXPECT_TRUE(schedule.isDue(loadsOf(1), dead, c_start));
+        EXPECT_TRUE(schedule.isDue(loadsOf(1), dead, false, c_start));
     }
 
     TEST(LoadMessageScheduleTest, aBusyVmStaysWithinItsBudget)
@@ -56,7 +56,7 @@
         std::uint32_t requests = 0;
         for (Instant now = c_start; now < c_start + std::chrono::seconds { 10 }; now += milliseconds { 25 }) {
             const std::vector<BackendLoadReport> loads = loadsOf(++requests);
-            if (!schedule.isDue(loads, {}, now))
+            if (!schedule.isDue(loads, {}, false, now))
                 continue;
             schedule.recordLoadMessage(loads, {}, 1'700, now, now + milliseconds { 200 });
             sent += 1'700;
--- a/src/exchange/LoadMessageTest.cpp
+++ b/src/exchange/LoadMessageTest.cpp
@@ -21,6 +21,8 @@
             message.m_dead.push_back({ i });
         for (std::uint32_t i = 0; i < c_maxPeers; ++i)
             message.m_peers.push_back({ { i, 7720 }, { i } });
+        for (std::uint32_t i = 0; i < c_maxContestedFlows; ++i)
+            message.m_contestedFlows.push_back({ { i }, i, { i } });
         Buffer buffer;
         const Outcome<LoadMessage> decoded = decodeLoadMessage(encodeLoadMessage(message, buffer.m_bytes));
         ASSERT_TRUE(decoded.has_value());
@@ -35,6 +37,9 @@
         message.m_isReading = *rc::gen::arbitrary<bool>();
         message.m_storeVersions
             = { { *rc::gen::arbitrary<std::uint64_t>() }, { *rc::gen::arbitrary<std::uint64_t>() } };
+        for (std::size_t i = *rc::gen::inRange<std::size_t>(0, c_maxContestedFlows); i > 0; --i)
+            message.m_contestedFlows.push_back({ { *rc::gen::arbitrary<std::uint64_t>() },
+                *rc::gen::arbitrary<std::uint32_t>(), { *rc::gen::arbitrary<std::uint32_t>() } });
         if (*rc::gen::arbitrary<bool>())
             message.m_stateAge = std::chrono::milliseconds { *rc::gen::arbitrary<std::uint16_t>() };
         for (int i = *rc::gen::inRange(0, 20); i > 0; --i)
--- a/src/relay/RelayGauges.cpp
+++ b/src/relay/RelayGauges.cpp
@@ -52,6 +52,7 @@
     m_metrics.gauge("cuminrelay_peers", "own_zone").set(static_cast<double>(status.m_localZonePeers));
     m_metrics.gauge("cuminrelay_peers", "all").set(static_cast<double>(status.m_peers));
     m_metrics.gauge("cuminrelay_tracked_flows").set(static_cast<double>(router.trackedFlows()));
+    m_metrics.gauge("cuminrelay_contested_flows").set(static_cast<double>(router.contestedFlows().size()));
     updateBackends(router);
 }
 
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -176,6 +176,8 @@
     m_peers.recordMessage(peer, message.value(), now);
     introduceNewPeers(now);
     m_router.applyPeerLoad(peer, message.value().m_loads, now, m_peers.peerTimeout());
+    for (const ContestedFlow& flow : message.value().m_contestedFlows)
+        m_router.contestedFlows().apply(flow, now);
     m_router.applyDeadHints(message.value().m_dead, message.value().m_zone, now);
     if (m_peers.localZonePeerCount() != countBefore)
         m_environment.m_log.info("exchange", "peers_changed",
@@ -298,10 +300,12 @@
     std::vector<BackendToken> dead = m_router.deadBackends();
     if (dead.size() > c_maxDead)
         dead.resize(c_maxDead);
-    if (!m_loadMessageSchedule.isDue(loads, dead, now))
+    ContestedFlows& contested = m_router.contestedFlows();
+    if (!m_loadMessageSchedule.isDue(loads, dead, contested.hasChanges(), now))
         return;
     m_message.m_loads = std::move(loads);
     m_message.m_dead = std::move(dead);
+    m_message.m_contestedFlows = contested.takeForMessage(c_maxContestedFlows);
     const std::size_t bytes = sendTo(m_peers.nextTargets(now), m_peers.peersToGossip(now));
     m_loadMessageSchedule.recordLoadMessage(m_message.m_loads, m_message.m_dead, bytes, now, m_peers.repeatAt(now));
 }
