affinity: an entry counts only if the declarations name its service

Cause: an entry with a later start takes its address from the owner, before anything asks whether it names a backend server to use.

Change: TokenRouter keeps entries of unnamed services apart until declarations name them, in whatever order the two arrive, from the store or from another VM; they touch no other entry. A backend server in use whose entry comes to name an unknown service drains, as if the entry could not be read.

--- a/src/affinity/ServiceMap.cpp
+++ b/src/affinity/ServiceMap.cpp
@@ -32,6 +32,13 @@
     return found != m_healthChecks.end() ? std::string_view { found->m_path } : std::string_view {};
 }
 
+bool ServiceMap::names(const Labels& labels) const
+{
+    return std::ranges::any_of(m_selectors, [&labels](const Selector& selector) { return matches(selector, labels); })
+        || std::ranges::any_of(
+            m_healthChecks, [&labels](const HealthCheck& check) { return matches(check.m_selector, labels); });
+}
+
 SelectorIndex ServiceMap::indexOf(const Selector& selector)
 {
     const auto found = std::find(m_selectors.begin(), m_selectors.end(), selector);
--- a/src/affinity/ServiceMap.h
+++ b/src/affinity/ServiceMap.h
@@ -82,6 +82,10 @@
     /// Returns the health check path of a backend server with these labels; empty if none is declared.
     std::string_view healthPath(const Labels& labels) const;
 
+    /// Whether the declarations name the service of a backend server with these labels: a selector or a health check
+    /// matches it.
+    bool names(const Labels& labels) const;
+
     std::span<const Selector> selectors() const { return m_selectors; }
     std::size_t size() const { return m_entries.size(); }
 
--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -349,15 +349,68 @@
     return action;
 }
 
-bool TokenRouter::applyDeclarations(const ServiceDeclarations& declarations)
+bool TokenRouter::applyDeclarations(const ServiceDeclarations& declarations, Instant now)
 {
     if (declarations.m_version <= m_services.version())
         return false;
     m_services = ServiceMap { declarations };
     m_poolsValid = false;
+    for (auto position = m_unnamedBackends.begin(); position != m_unnamedBackends.end();) {
+        if (m_services.names(position->second.m_server.m_labels)) {
+            m_backends.announce(position->second, now);
+            position = m_unnamedBackends.erase(position);
+        } else {
+            ++position;
+        }
+    }
     return true;
 }
 
+void TokenRouter::replaceBackends(std::span<const AnnouncedBackend> announced, Instant now)
+{
+    m_unnamedBackends.clear();
+    std::vector<AnnouncedBackend> named;
+    for (const AnnouncedBackend& backend : announced) {
+        if (m_services.names(backend.m_server.m_labels)) {
+            named.push_back(backend);
+            continue;
+        }
+        m_unnamedBackends.emplace(backend.m_identity, backend);
+        if (std::optional<AnnouncedBackend> inUse = drainedInUse(backend.m_identity))
+            named.push_back(std::move(*inUse));
+    }
+    m_backends.replaceAll(named, now);
+}
+
+void TokenRouter::announceBackend(const AnnouncedBackend& announced, Instant now)
+{
+    if (m_services.names(announced.m_server.m_labels)) {
+        m_unnamedBackends.erase(announced.m_identity);
+        m_backends.announce(announced, now);
+        return;
+    }
+    m_unnamedBackends.insert_or_assign(announced.m_identity, announced);
+    if (const std::optional<AnnouncedBackend> inUse = drainedInUse(announced.m_identity))
+        m_backends.announce(*inUse, now);
+}
+
+void TokenRouter::withdrawBackend(BackendIdentity identity, Instant now)
+{
+    m_unnamedBackends.erase(identity);
+    m_backends.withdraw(identity, now);
+}
+
+/// The last usable entry of a backend server whose entry has not been withdrawn, draining; nullopt if there is none.
+std::optional<AnnouncedBackend> TokenRouter::drainedInUse(BackendIdentity identity) const
+{
+    const TrackedBackend* const backend = m_backends.find(tokenOf(identity));
+    if (!backend || backend->m_announced.m_identity != identity || backend->m_presence != Presence::Announced)
+        return std::nullopt;
+    AnnouncedBackend drained = backend->m_announced;
+    drained.m_server.m_draining = true;
+    return drained;
+}
+
 void TokenRouter::applyPeerLoad(
     Endpoint peer, std::span<const BackendLoadReport> reports, Instant now, Duration timeout)
 {
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -59,7 +59,19 @@
     void decide(std::span<const PacketSummary> packets, std::span<PacketAction> actions, Instant now) override;
 
     /// Applies declarations. Returns false, without effect, unless they are newer than the current ones.
-    bool applyDeclarations(const ServiceDeclarations& declarations);
+    bool applyDeclarations(const ServiceDeclarations& declarations, Instant now);
+
+    /// Apply the store's entries. An entry of a service that the declarations do not name may be of another writer, so
+    /// it does not count, and changes nothing about other backend servers, until declarations name its service. If it
+    /// replaces the entry of a backend server in use, that one keeps its flows and gets no new ones meanwhile.
+    void replaceBackends(std::span<const AnnouncedBackend> announced, Instant now);
+    void announceBackend(const AnnouncedBackend& announced, Instant now);
+
+    /// Applies that an entry has disappeared or become unreadable.
+    void withdrawBackend(BackendIdentity identity, Instant now);
+
+    /// Entries that do not count because the declarations do not name their services.
+    std::size_t unnamedBackends() const { return m_unnamedBackends.size(); }
 
     /// Sets the time as of which the declarations and backend servers are known to have been the store's (epoch:
     /// unknown), and whether newer declarations are known to exist. Without a recent confirmation, packets to unknown
@@ -133,6 +145,7 @@
     TrackedBackend* placeIn(
         std::span<TrackedBackend* const> pool, const FlowDemand& demand, BackendToken excluded, Instant now);
     std::span<TrackedBackend* const> poolOf(SelectorIndex selector);
+    std::optional<AnnouncedBackend> drainedInUse(BackendIdentity identity) const;
     void recordAnswer(TrackedBackend& backend, Instant now);
     bool isSuspected(const TrackedBackend& backend) const;
     void recordMissingAnswer(TrackedBackend& backend, Instant sentAt, Instant now);
@@ -147,6 +160,7 @@
     RouterObserver& m_observer;
     ServiceMap m_services;
     BackendCatalog m_backends;
+    std::map<BackendIdentity, AnnouncedBackend> m_unnamedBackends; ///< of services that the declarations do not name
     TrackedFlows m_flows;
     std::map<Endpoint, PeerReports> m_peerLoad;
     std::vector<std::vector<TrackedBackend*>> m_pools; ///< by selector, valid at m_poolGeneration
--- a/src/affinity/TokenRouterTest.cpp
+++ b/src/affinity/TokenRouterTest.cpp
@@ -62,7 +62,7 @@
             for (std::uint64_t i = 1; i <= backends; ++i)
                 announced.push_back(makeBackend(i));
             m_router.backends().replaceAll(announced, m_now);
-            m_router.applyDeclarations(makeDeclarations(1));
+            m_router.applyDeclarations(makeDeclarations(1), m_now);
             confirmState();
         }
 
@@ -162,7 +162,7 @@
         EXPECT_TRUE(vm.m_router.takeConfirmationRequest());
         ServiceDeclarations later = makeDeclarations(2);
         later.m_services.push_back({ "added", added, RequestKind::Idempotent, later.m_services[0].m_selectors });
-        vm.m_router.applyDeclarations(later);
+        vm.m_router.applyDeclarations(later, vm.m_now);
         EXPECT_EQ(vm.data(1, token, 10, 1, added).m_kind, PacketActionKind::ToBackend);
     }
 
@@ -185,7 +185,7 @@
         vm.data(1, opened.m_token, 10);
         ServiceDeclarations later = makeDeclarations(2);
         later.m_services.pop_back();
-        vm.m_router.applyDeclarations(later);
+        vm.m_router.applyDeclarations(later, vm.m_now);
         EXPECT_EQ(vm.data(1, opened.m_token, 110).m_kind, PacketActionKind::ResetCaller);
         EXPECT_EQ(vm.data(1, opened.m_token, 110).m_kind, PacketActionKind::ResetCaller); // the first may be lost
     }
@@ -213,9 +213,9 @@
     TEST(TokenRouterTest, declarationsThatAreNotNewerAreNotApplied)
     {
         Vm vm;
-        EXPECT_TRUE(vm.m_router.applyDeclarations(makeDeclarations(5)));
-        EXPECT_FALSE(vm.m_router.applyDeclarations(makeDeclarations(4)));
-        EXPECT_FALSE(vm.m_router.applyDeclarations(makeDeclarations(5)));
+        EXPECT_TRUE(vm.m_router.applyDeclarations(makeDeclarations(5), vm.m_now));
+        EXPECT_FALSE(vm.m_router.applyDeclarations(makeDeclarations(4), vm.m_now));
+        EXPECT_FALSE(vm.m_router.applyDeclarations(makeDeclarations(5), vm.m_now));
         EXPECT_EQ(vm.m_router.configVersion().m_number, 5u);
     }
 
@@ -239,6 +239,93 @@
             EXPECT_NE(vm.open(port).m_target, opened.m_target);
     }
 
+    /// An entry of another writer: a later start at the address of a backend server in use, of another service.
+    AnnouncedBackend makeStrayEntry(const Vm& vm, std::uint32_t token)
+    {
+        AnnouncedBackend stray = makeBackend(77, "a", "staging");
+        stray.m_server.m_tunnel = vm.m_router.backends().find(BackendToken { token })->m_announced.m_server.m_tunnel;
+        return stray;
+    }
+
+    ServiceDeclarations makeDeclarationsWithStaging(std::uint64_t version)
+    {
+        ServiceDeclarations declarations = makeDeclarations(version);
+        const Selector selector { { { "app", SelectorOperator::Equals, { "staging" } } } };
+        declarations.m_services.push_back(
+            { "staging", { 0xc6120009, 443 }, RequestKind::NonIdempotent, { { selector, 1 } } });
+        return declarations;
+    }
+
+    // All VMs took the address for that of a new backend server, and reset the flows of the live one (review/2).
+    TEST(TokenRouterTest, anEntryOfAServiceThatNoDeclarationNamesTakesNoAddress)
+    {
+        for (const bool isListed : { false, true }) {
+            for (const bool isDraining : { false, true }) {
+                Vm vm { 1 };
+                const PacketAction opened = vm.open(1);
+                AnnouncedBackend stray = makeStrayEntry(vm, opened.m_token);
+                stray.m_server.m_draining = isDraining;
+                if (isListed)
+                    vm.m_router.replaceBackends(std::vector { makeBackend(1), stray }, vm.m_now);
+                else
+                    vm.m_router.announceBackend(stray, vm.m_now);
+                EXPECT_EQ(vm.data(1, opened.m_token, 10).m_identity, opened.m_identity);
+                EXPECT_EQ(vm.open(2).m_identity, opened.m_identity);
+                EXPECT_EQ(vm.m_router.unnamedBackends(), 1u);
+                vm.m_router.withdrawBackend(stray.m_identity, vm.m_now);
+                EXPECT_EQ(vm.open(3).m_identity, opened.m_identity);
+                EXPECT_EQ(vm.m_router.unnamedBackends(), 0u);
+            }
+        }
+    }
+
+    TEST(TokenRouterTest, anEntryCountsOnceDeclarationsNameItsService)
+    {
+        const Endpoint staging { 0xc6120009, 443 };
+        for (const bool isDeclaredFirst : { false, true }) {
+            Vm vm;
+            if (isDeclaredFirst)
+                vm.m_router.applyDeclarations(makeDeclarationsWithStaging(2), vm.m_now);
+            vm.m_router.announceBackend(makeBackend(77, "a", "staging"), vm.m_now);
+            if (!isDeclaredFirst)
+                vm.m_router.applyDeclarations(makeDeclarationsWithStaging(2), vm.m_now);
+            EXPECT_EQ(vm.open(1, staging).m_identity, 77u);
+        }
+    }
+
+    TEST(TokenRouterTest, backendsThatAreListedBeforeTheFirstDeclarationsCountOnceThoseArrive)
+    {
+        NullRouterObserver observer;
+        LeastWorkPlacement placement;
+        TokenRouter router { { "a" }, placement, observer };
+        router.replaceBackends(std::vector { makeBackend(1), makeBackend(2) }, c_start);
+        EXPECT_FALSE(router.isConfigured());
+        router.applyDeclarations(makeDeclarations(1), c_start);
+        EXPECT_TRUE(router.isConfigured());
+        EXPECT_EQ(router.backends().size(), 2u);
+    }
+
+    TEST(TokenRouterTest, aBackendWhoseEntryNamesAnUnknownServiceKeepsItsFlowsAndGetsNoNewOnes)
+    {
+        for (const bool isListed : { false, true }) {
+            Vm vm { 2 };
+            const PacketAction opened = vm.open(1);
+            AnnouncedBackend changed = makeBackend(opened.m_identity, "a", "staging");
+            if (isListed)
+                vm.m_router.replaceBackends(std::vector { makeBackend(3 - opened.m_identity), changed }, vm.m_now);
+            else
+                vm.m_router.announceBackend(changed, vm.m_now);
+            EXPECT_EQ(vm.data(1, opened.m_token, 10).m_target, opened.m_target);
+            for (std::uint16_t port = 2; port < 20; ++port)
+                EXPECT_NE(vm.open(port).m_target, opened.m_target);
+            vm.m_router.announceBackend(makeBackend(opened.m_identity), vm.m_now);
+            bool isUsed = false;
+            for (std::uint16_t port = 20; port < 40; ++port)
+                isUsed = isUsed || vm.open(port).m_target == opened.m_target;
+            EXPECT_TRUE(isUsed);
+        }
+    }
+
     TEST(TokenRouterTest, expiredBackendsAreUsedDuringTheGracePeriod)
     {
         Vm vm;
--- a/src/bench/TokenDesign.cpp
+++ b/src/bench/TokenDesign.cpp
@@ -93,7 +93,7 @@
 void TokenDesign::installConfiguration(VmIndex index, const Configuration& configuration, Instant now)
 {
     Vm& vm = m_vms[index];
-    if (!vm.m_router->applyDeclarations(declarationsOf(configuration)))
+    if (!vm.m_router->applyDeclarations(declarationsOf(configuration), now))
         return;
     vm.m_router->setStateConfirmed(Instant::max(), false);
     vm.m_router->backends().replaceAll(announcedBackends(configuration), now);
--- a/src/relay/RelayGauges.cpp
+++ b/src/relay/RelayGauges.cpp
@@ -51,6 +51,7 @@
     m_metrics.gauge("cuminrelay_follows_store").set(status.m_followsStore ? 1 : 0);
     m_metrics.gauge("cuminrelay_peers", "own_zone").set(static_cast<double>(status.m_localZonePeers));
     m_metrics.gauge("cuminrelay_peers", "all").set(static_cast<double>(status.m_peers));
+    m_metrics.gauge("cuminrelay_unnamed_backends").set(static_cast<double>(router.unnamedBackends()));
     m_metrics.gauge("cuminrelay_tracked_flows").set(static_cast<double>(router.trackedFlows()));
     m_metrics.gauge("cuminrelay_contested_flows").set(static_cast<double>(router.contestedFlows().size()));
     updateBackends(router);
--- a/src/relay/RelayGauges.h
+++ b/src/relay/RelayGauges.h
@@ -20,9 +20,9 @@
 };
 
 /// Exports the state of a relay process and its age as gauges: cuminrelay_config_version, cuminrelay_ready,
-/// cuminrelay_backends by state, cuminrelay_peers, cuminrelay_tracked_flows, cuminrelay_contested_flows,
-/// cuminrelay_follows_store, cuminrelay_config_unreadable and cuminrelay_knowledge_age_seconds (-1: no data). An update
-/// costs O(backend servers).
+/// cuminrelay_backends by state, cuminrelay_unnamed_backends, cuminrelay_peers, cuminrelay_tracked_flows,
+/// cuminrelay_contested_flows, cuminrelay_follows_store, cuminrelay_config_unreadable and
+/// cuminrelay_knowledge_age_seconds (-1: no data). An update costs O(backend servers).
 class RelayGauges {
 public:
     /// metrics must outlive this object.
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -488,7 +488,7 @@
     if (!m_storeCache.apply(list))
         return;
     m_hasStoreUpdate = true;
-    m_router.backends().replaceAll(list.m_backends, m_environment.m_clock.now());
+    m_router.replaceBackends(list.m_backends, m_environment.m_clock.now());
     m_hasBackends = true;
     m_environment.m_log.info("discovery", "backends_listed",
         { { "backends", list.m_backends.size() }, { "unreadable", readList.m_unreadable.size() },
@@ -510,9 +510,9 @@
             : tracked                             ? tracked->m_announced.m_server.m_name
                                                   : std::string {};
         if (change.m_backend)
-            m_router.backends().announce(*change.m_backend, now);
+            m_router.announceBackend(*change.m_backend, now);
         else
-            m_router.backends().withdraw(change.m_identity, now);
+            m_router.withdrawBackend(change.m_identity, now);
         const std::string_view state = !change.m_backend ? "withdrawn"
             : change.m_backend->m_server.m_draining      ? "draining"
                                                          : "ready";
@@ -524,7 +524,7 @@
 
 void RelayProcess::declarationsChanged(const ServiceDeclarations& declarations, StoreRevision revision)
 {
-    const bool isApplied = m_router.applyDeclarations(declarations);
+    const bool isApplied = m_router.applyDeclarations(declarations, m_environment.m_clock.now());
     if (isApplied && m_storeCache.apply(declarations, revision))
         m_hasStoreUpdate = true;
     m_environment.m_metrics.counter("cuminrelay_declarations_total", isApplied ? "taken" : "not_newer").add();
