exchange: a VM with a stale state reads the store itself

Cause: only what the reader said of itself made others read. It says that it follows the store until its watch times out (2 s + 1 s), then the next in rank waits 0.7 s. The way over another zone restarted its delay whenever no message came for 0.6 s.

Change: a VM reads when its own state has not been confirmed for 1.8 s, the first eight in rank 0.1 s apart, and when it has known of a newer state for 1 s without getting it. Watches wait 1 s instead of 2. The delay of the way over another zone does not restart.

Tests: StoreFollowingTest.aChangeIsInForceInTimeWhileReadersArePartitioned- FromTheStore (random phases, zones, VM counts) fails without the first rule, aVmThatReachesOnlyTheStoreHasChangesInTime without the second (both tried). ExchangePeersTest gives its fleet the ages of states, nothing else changed.

--- a/src/discovery/WatchSchedule.cpp
+++ b/src/discovery/WatchSchedule.cpp
@@ -9,9 +9,6 @@
 
     constexpr Duration c_readTimeout = std::chrono::milliseconds { 1'000 };
 
-    /// Bounds the time until a stalled watch is detected.
-    constexpr Duration c_maxWait = std::chrono::seconds { 2 };
-
     /// Time for the answer at the end of a wait. The store usually answers in milliseconds.
     constexpr Duration c_answerTimeout = std::chrono::milliseconds { 1'000 };
 
@@ -39,8 +36,10 @@
         m_call = { true, now, now + c_readTimeout };
         return m_call;
     }
-    // After a failure or a pause the first call does not wait, so that the store's state is known soon.
-    const Deadline waitUntil = isInContact() && !isConfirming ? now + c_maxWait : now;
+    // After a failure, a pause, or a time without calls the first call does not wait, so that the store's state is
+    // known soon.
+    const bool isRecent = isInContact() && now - m_answeredAt < s_maxWait;
+    const Deadline waitUntil = isRecent && !isConfirming ? now + s_maxWait : now;
     m_call = { false, waitUntil, waitUntil + c_answerTimeout };
     return m_call;
 }
--- a/src/discovery/WatchSchedule.h
+++ b/src/discovery/WatchSchedule.h
@@ -19,6 +19,9 @@
 /// the store, its calls wait for changes; the end of a wait without changes confirms that the state is current.
 class WatchSchedule {
 public:
+    /// How long a call waits for changes. The state of a VM that follows the store is confirmed at least this often.
+    static constexpr Duration s_maxWait = std::chrono::milliseconds { 1'000 };
+
     struct Call {
         bool m_readsAll = false; ///< read all objects, not the changes after revision()
         Deadline m_waitUntil {}; ///< without changes, the store answers then; the time of the call if it must not wait
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -36,6 +36,25 @@
     /// Delay per rank before a further VM tries to read while no VM of the zone is in contact with the store.
     constexpr Duration c_readerTakeoverStep = std::chrono::milliseconds { 700 };
 
+    /// Maximum time for a confirmation to spread to all VMs of a large zone and to those that did not get the first
+    /// messages, and for the store's answer.
+    constexpr Duration c_confirmationSpread = std::chrono::milliseconds { 800 };
+
+    /// A VM whose state is confirmed as of an earlier time reads the store itself. With the delays below, the calls and
+    /// the way to the other VMs less than the 3 s in which a change has to be in force.
+    constexpr Duration c_staleStateAge = WatchSchedule::s_maxWait + c_confirmationSpread;
+
+    /// Delay per rank before a further VM reads because of its stale state: short for the first ones, which bounds the
+    /// time until a change is in force; long for the others, which all have a stale state while the store is down.
+    constexpr Duration c_staleReadStep = std::chrono::milliseconds { 100 };
+    constexpr unsigned c_quickReaders = 8;
+
+    /// Minimum time of reading because of a stale state. A reader that lost contact has noticed it by then.
+    constexpr Duration c_minReadTime = std::chrono::seconds { 3 };
+
+    /// A VM that cannot get an update from the VM that announced it reads the store after this time.
+    constexpr Duration c_missingUpdateDelay = std::chrono::milliseconds { 1'000 };
+
     /// Time for the local zone's reader to receive a revision that a VM of another zone already has.
     constexpr Duration c_otherZoneDelay = std::chrono::milliseconds { 700 };
 
@@ -44,6 +63,12 @@
 
     constexpr std::uint64_t c_rankSalt = 0x72616e6b; // "rank"
 
+    Duration staleReadDelay(unsigned higherRanked)
+    {
+        const unsigned quick = std::min(higherRanked, c_quickReaders);
+        return quick * c_staleReadStep + (higherRanked - quick) * c_readerTakeoverStep;
+    }
+
     std::uint64_t rankOf(Endpoint peer)
     {
         return hashPair(peer.packed(), c_rankSalt);
@@ -73,7 +98,12 @@
 
 void ExchangePeers::recordMessage(Endpoint peer, const LoadMessage& message, Instant now)
 {
-    m_newestDeclarations = std::max(m_newestDeclarations, message.m_storeVersions.m_declarations);
+    if (isNewer(message.m_storeVersions, m_newestVersions)) {
+        m_newestVersions.m_backends = std::max(m_newestVersions.m_backends, message.m_storeVersions.m_backends);
+        m_newestVersions.m_declarations
+            = std::max(m_newestVersions.m_declarations, message.m_storeVersions.m_declarations);
+        m_newestVersionsAt = now;
+    }
     if (message.m_leaving) {
         m_peers.erase(peer);
         return;
@@ -181,29 +211,49 @@
     return now + std::min(c_maxRepeatInterval, peerTimeout() / std::max<std::int64_t>(1, 2 * messagesPerRound()));
 }
 
-bool ExchangePeers::shouldRead(Instant now)
+bool ExchangePeers::shouldRead(const StoreVersions& own, Instant confirmedAt, Instant now)
 {
+    updateBehindSince(own, now);
     if (m_startupListenUntil == Deadline {})
         m_startupListenUntil = now + c_startupListenTime;
-    const std::uint64_t own = rankOf(m_self);
+    const std::uint64_t ownRank = rankOf(m_self);
     const Duration timeout = peerTimeout();
     unsigned higherRanked = 0;
     bool hasHigherRankedReader = false;
     for (const auto& [peer, state] : m_peers) {
-        if (state.m_zone != m_zone || now - state.m_lastSeenAt >= timeout || rankOf(peer) < own)
+        if (state.m_zone != m_zone || now - state.m_lastSeenAt >= timeout || rankOf(peer) < ownRank)
             continue;
         ++higherRanked;
         hasHigherRankedReader = hasHigherRankedReader || state.m_isReading;
     }
     if (hasHigherRankedReader || hasLiveReader(now))
         m_lastReaderAt = now;
-    if (hasHigherRankedReader || now < m_startupListenUntil)
+    if (now < m_startupListenUntil)
+        return false;
+    const bool isStale
+        = confirmedAt != Instant {} && now - confirmedAt >= c_staleStateAge + staleReadDelay(higherRanked);
+    // A state that is confirmed as of a later time includes the announced one, even if its versions are lower.
+    const bool isMissingUpdate = m_behindSince != Instant {} && confirmedAt <= m_newestVersionsAt
+        && now - m_behindSince >= c_missingUpdateDelay;
+    if (isStale || isMissingUpdate)
+        m_readUntil = now + c_minReadTime;
+    if (now < m_readUntil)
+        return true;
+    if (hasHigherRankedReader)
         return false;
     if (m_lastReaderAt == Instant {})
         m_lastReaderAt = now;
     return higherRanked <= (now - m_lastReaderAt) / c_readerTakeoverStep;
 }
 
+void ExchangePeers::updateBehindSince(const StoreVersions& own, Instant now)
+{
+    if (!isNewer(m_newestVersions, own))
+        m_behindSince = Instant {};
+    else if (m_behindSince == Instant {})
+        m_behindSince = now;
+}
+
 bool ExchangePeers::hasLiveReader(Instant now) const
 {
     const Duration timeout = peerTimeout();
@@ -224,28 +274,26 @@
 
 std::optional<Endpoint> ExchangePeers::peerWithNewerState(const StoreVersions& own, Instant now)
 {
+    updateBehindSince(own, now);
     const Duration timeout = peerTimeout();
-    std::optional<Endpoint> inOtherZone;
     std::vector<Endpoint> inLocalZone;
+    std::optional<Endpoint> inOtherZone;
+    Instant inOtherZoneSeenAt {};
     for (const auto& [peer, state] : m_peers) {
-        if (now - state.m_lastSeenAt >= timeout || !isNewer(state.m_versions, own))
+        if (!isNewer(state.m_versions, own))
             continue;
-        if (state.m_zone == m_zone)
+        // Messages of a VM of another zone come rarely, as it sends to the VMs of all other zones in turn.
+        if (state.m_zone == m_zone && now - state.m_lastSeenAt < timeout)
             inLocalZone.push_back(peer);
-        else
+        if (state.m_zone != m_zone && state.m_lastSeenAt > inOtherZoneSeenAt) {
             inOtherZone = peer;
+            inOtherZoneSeenAt = state.m_lastSeenAt;
+        }
     }
     if (!inLocalZone.empty()) {
-        m_behindSince = Instant {};
         // Spreads the requests over the peers, so that no single link carries all answers.
         return inLocalZone[hashPair(m_self.packed(), m_requestCount++) % inLocalZone.size()];
     }
-    if (!inOtherZone) {
-        m_behindSince = Instant {};
-        return std::nullopt;
-    }
-    if (m_behindSince == Instant {})
-        m_behindSince = now;
     const bool isFirst = own == StoreVersions {};
     return isFirst || now - m_behindSince >= c_otherZoneDelay ? inOtherZone : std::nullopt;
 }
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "discovery/WatchSchedule.h"
 #include "exchange/LoadMessage.h"
 
 #include <cstddef>
@@ -46,11 +47,15 @@
     /// When to send an unchanged load again, so that no VM of the local zone times this VM out.
     Deadline repeatAt(Instant now) const;
 
-    /// Whether this VM should follow the store for its zone. The zone's reader is its highest-ranked VM in contact with
-    /// the store; the others receive store updates from it. A started VM first waits for a reader's message. When the
-    /// reader times out, the next in rank takes over at once. When the reader loses contact, the others also try, one
-    /// by one: not all VMs then call a store that is down, and others reach a store that refuses a few VMs.
-    bool shouldRead(Instant now);
+    /// Whether this VM should follow the store, with a state of these versions that is confirmed as of confirmedAt
+    /// (epoch: never). The zone's reader is its highest-ranked VM in contact with the store; the others receive store
+    /// updates from it. A started VM first waits for a reader's message. When the reader times out, the next in rank
+    /// takes over at once. When the reader loses contact, the others also try, one by one: not all VMs then call a
+    /// store that is down, and others reach a store that refuses a few VMs.
+    ///
+    /// A reader that says that it follows the store may be wrong, or not reachable. A VM therefore also reads when its
+    /// own state is not confirmed in time, again one by one, and when it cannot get an update that it knows of.
+    bool shouldRead(const StoreVersions& own, Instant confirmedAt, Instant now);
 
     /// The latest time as of which this VM's state, of these versions, is known from other VMs to have been the
     /// store's: one of them said so of a state that this VM has all of. Epoch: never. Call whenever the versions
@@ -58,7 +63,7 @@
     Instant stateConfirmedAt(const StoreVersions& own);
 
     /// Whether any VM ever announced newer declarations than these. They exist even if that VM has left since.
-    bool hasNewerDeclarations(ConfigVersion own) const { return m_newestDeclarations > own; }
+    bool hasNewerDeclarations(ConfigVersion own) const { return m_newestVersions.m_declarations > own; }
 
     /// Another VM with a newer state of the store, or nullopt. A VM of another zone counts only after a delay, as
     /// the local zone's reader is about to receive the same state, but at once if this VM has no state.
@@ -85,6 +90,9 @@
     /// Whether a reader of the local zone sent a message within the peer time-out.
     bool hasLiveReader(Instant now) const;
 
+    /// Records since when a VM has announced a newer state than these versions.
+    void updateBehindSince(const StoreVersions& own, Instant now);
+
     /// Messages that this VM sends until each VM of the local zone got one.
     std::int64_t messagesPerRound() const;
     void appendRoundRobin(std::vector<Endpoint>& targets, bool inLocalZone, std::size_t count);
@@ -100,8 +108,10 @@
     Deadline m_startupListenUntil {}; ///< set by the first shouldRead; this VM does not follow the store before
     Instant m_lastReaderAt {}; ///< when the zone last had a reader; epoch: unset
     Instant m_stateConfirmedAt {};
-    ConfigVersion m_newestDeclarations; ///< of all messages
-    Instant m_behindSince {}; ///< since when only VMs of other zones have a newer state; epoch: none has
+    StoreVersions m_newestVersions; ///< of all messages
+    Instant m_newestVersionsAt {}; ///< when m_newestVersions last changed
+    Instant m_behindSince {}; ///< since when a newer state than this VM's is known to exist; epoch: none is
+    Deadline m_readUntil {}; ///< end of reading because this VM's state was not confirmed in time
     std::uint64_t m_requestCount = 0; ///< calls of peerWithNewerState that returned a VM of the local zone
     Endpoint m_lastInLocalZone;
     Endpoint m_lastInOtherZone;
--- a/src/exchange/ExchangePeersTest.cpp
+++ b/src/exchange/ExchangePeersTest.cpp
@@ -53,6 +53,7 @@
             bool m_triesToRead = false;
             bool m_isReading = false;
             StoreVersions m_storeVersions {};
+            Instant m_confirmedAt {};
         };
 
         std::vector<std::unique_ptr<Vm>> m_vms;
@@ -63,12 +64,16 @@
         {
             if (!vm.m_isAlive)
                 return;
-            vm.m_triesToRead = vm.m_peers.shouldRead(m_now);
+            const Instant heardAt = vm.m_peers.stateConfirmedAt(vm.m_storeVersions);
+            vm.m_triesToRead = vm.m_peers.shouldRead(vm.m_storeVersions, std::max(vm.m_confirmedAt, heardAt), m_now);
             vm.m_isReading = vm.m_triesToRead && vm.m_reachesStore;
+            if (vm.m_isReading)
+                vm.m_confirmedAt = m_now;
             LoadMessage message;
             message.m_zone = vm.m_zone;
             message.m_isReading = vm.m_isReading;
             message.m_storeVersions = vm.m_storeVersions;
+            message.m_stateAge = stateAge(vm);
             message.m_peers = vm.m_peers.peersToGossip(m_now);
             for (const Endpoint target : vm.m_peers.nextTargets(m_now)) {
                 Vm& other = *m_vms[target.m_address - 1];
@@ -77,8 +82,14 @@
             }
         }
 
+        std::optional<Duration> stateAge(Vm& vm)
+        {
+            const Instant confirmedAt = std::max(vm.m_confirmedAt, vm.m_peers.stateConfirmedAt(vm.m_storeVersions));
+            return confirmedAt != Instant {} ? std::optional { m_now - confirmedAt } : std::nullopt;
+        }
+
         /// Delivers a message; the receiver replies to a new peer with the peers of its zone.
-        void deliver(Vm& receiver, const Vm& sender, const LoadMessage& message)
+        void deliver(Vm& receiver, Vm& sender, const LoadMessage& message)
         {
             receiver.m_peers.recordMessage(sender.m_self, message, m_now);
             for (const ExchangePeer& newPeer : receiver.m_peers.takeNewPeers()) {
@@ -86,6 +97,7 @@
                 reply.m_zone = receiver.m_zone;
                 reply.m_isReading = receiver.m_isReading;
                 reply.m_storeVersions = receiver.m_storeVersions;
+                reply.m_stateAge = stateAge(receiver);
                 reply.m_peers = receiver.m_peers.peersOf(newPeer.m_zone);
                 deliver(*m_vms[newPeer.m_exchange.m_address - 1], receiver, reply);
             }
--- a/src/exchange/StoreFollowersTest.cpp
+++ b/src/exchange/StoreFollowersTest.cpp
@@ -237,7 +237,7 @@
 
 void StoreFollowers::tick(Vm& vm)
 {
-    const bool isReading = vm.m_peers->shouldRead(m_now);
+    const bool isReading = vm.m_peers->shouldRead(vm.m_versions, confirmedAt(vm), m_now);
     for (Vm::Watch& watch : vm.m_watches)
         watch.m_schedule.setReading(isReading);
     const std::optional<Endpoint> peer
--- a/src/exchange/StoreFollowingTest.cpp
+++ b/src/exchange/StoreFollowingTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <span>
 
 namespace cuminrelay {
 namespace {
@@ -76,6 +77,116 @@
         }
     }
 
+    constexpr Duration c_timeLimit = seconds { 3 }; ///< from the acceptance of a change until it is in force
+
+    /// Checks that the VMs that have been undisturbed for a while have the changes that the store accepted in time.
+    void checkChangesInForce(const StoreFollowers& fleet)
+    {
+        const StoreVersions due = fleet.versionsAt(fleet.m_now - c_timeLimit);
+        for (const std::unique_ptr<StoreFollowers::Vm>& vm : fleet.m_vms)
+            RC_ASSERT(!vm->isInTouch(fleet.m_now) || includes(vm->m_versions, due));
+    }
+
+    /// Lets time pass, during which the given VMs are disturbed.
+    void runDisturbed(StoreFollowers& fleet, std::span<const std::size_t> disturbed, Duration duration)
+    {
+        for (const Instant end = fleet.m_now + duration; fleet.m_now < end;) {
+            for (const std::size_t vm : disturbed)
+                fleet.disturb(vm);
+            fleet.run(milliseconds { 10 });
+            checkChangesInForce(fleet);
+        }
+    }
+
+    // A reader that is partitioned from the store says that it follows the store until its watch times out (review/3).
+    // The phase of its watch, and the time from the partition to the change, decide how long the others wait.
+    RC_GTEST_PROP(StoreFollowingTest, aChangeIsInForceInTimeWhileReadersArePartitionedFromTheStore, ())
+    {
+        StoreFollowers fleet { generateZones(), *rc::gen::arbitrary<std::uint32_t>(), 0.02 };
+        fleet.run(c_startTime);
+        fleet.run(milliseconds { *rc::gen::inRange(0, 2'000) });
+        std::vector<std::size_t> partitioned;
+        for (std::uint32_t zone = 0; zone < 3; ++zone) {
+            const std::optional<std::size_t> reader = fleet.readerOf({ zone });
+            if (reader && (zone == 0 || *rc::gen::arbitrary<bool>()))
+                partitioned.push_back(*reader);
+        }
+        if (*rc::gen::arbitrary<bool>())
+            partitioned.push_back(*rc::gen::inRange<std::size_t>(0, fleet.m_vms.size()));
+        const StorePath path = *rc::gen::element(StorePath::Silent, StorePath::Refused);
+        for (const std::size_t vm : partitioned)
+            fleet.m_vms[vm]->m_storePath = path;
+        runDisturbed(fleet, partitioned, milliseconds { *rc::gen::inRange(0, 2'500) });
+        for (int changes = *rc::gen::inRange(1, 5); changes > 0; --changes) {
+            fleet.change(*rc::gen::inRange<std::size_t>(0, StoreFollowers::s_kinds));
+            runDisturbed(fleet, partitioned, milliseconds { *rc::gen::inRange(0, 1'500) });
+        }
+        runDisturbed(fleet, partitioned, milliseconds { 3'500 });
+    }
+
+    RC_GTEST_PROP(StoreFollowingTest, aChangeIsInForceInTimeWhileVmsComeAndGo, ())
+    {
+        StoreFollowers fleet { generateZones(), *rc::gen::arbitrary<std::uint32_t>(), 0.02 };
+        fleet.run(c_startTime);
+        std::vector<std::size_t> disturbed;
+        for (int i = *rc::gen::inRange(1, 4); i > 0; --i) {
+            const std::size_t index = *rc::gen::inRange<std::size_t>(0, fleet.m_vms.size());
+            StoreFollowers::Vm& vm = *fleet.m_vms[index];
+            const int fault = *rc::gen::inRange(0, 4);
+            if (fault == 0 && vm.m_isRunning)
+                fleet.kill(index);
+            else if (fault == 1 && vm.m_isRunning)
+                fleet.leave(index);
+            else if (fault == 2)
+                vm.m_isFrozen = true;
+            else
+                vm.m_canFetch = false; // stays in touch: it reaches the store
+            if (fault != 3)
+                disturbed.push_back(index);
+            runDisturbed(fleet, disturbed, milliseconds { *rc::gen::inRange(0, 500) });
+        }
+        for (int changes = *rc::gen::inRange(1, 5); changes > 0; --changes) {
+            fleet.change(*rc::gen::inRange<std::size_t>(0, StoreFollowers::s_kinds));
+            runDisturbed(fleet, disturbed, milliseconds { *rc::gen::inRange(0, 1'500) });
+        }
+        runDisturbed(fleet, disturbed, milliseconds { 3'500 });
+    }
+
+    // A VM that receives messages, but cannot connect to their senders, knows of each change and gets none. In a large
+    // zone it is far down in rank.
+    TEST(StoreFollowingTest, aVmThatReachesOnlyTheStoreHasChangesInTime)
+    {
+        StoreFollowers fleet { { 24, 24 }, 3 };
+        fleet.run(c_startTime);
+        for (std::size_t vm = 0; vm < 24; ++vm) {
+            if (fleet.readerOf({ 0 }) == vm)
+                continue;
+            fleet.m_vms[vm]->m_canFetch = false;
+            fleet.change(vm % StoreFollowers::s_kinds);
+            fleet.run(c_timeLimit);
+            ASSERT_EQ(fleet.m_vms[vm]->m_versions, fleet.versionsAt(fleet.m_now)) << "VM " << vm;
+            fleet.m_vms[vm]->m_canFetch = true;
+        }
+    }
+
+    // The VMs of a large zone hear of a reader only every two seconds, and of each other all the time.
+    TEST(StoreFollowingTest, inALargeFleetOneVmOfEachZoneCallsTheStore)
+    {
+        for (const std::size_t vms : { 2, 8, 24, 65 }) {
+            StoreFollowers fleet { { vms, vms, vms }, 7 };
+            fleet.run(c_startTime);
+            std::uint64_t before = 0;
+            for (const std::unique_ptr<StoreFollowers::Vm>& vm : fleet.m_vms)
+                before += vm->m_calls;
+            fleet.run(seconds { 10 });
+            std::uint64_t calls = 0;
+            for (const std::unique_ptr<StoreFollowers::Vm>& vm : fleet.m_vms)
+                calls += vm->m_calls;
+            // Two watches in each zone, one call a second each.
+            EXPECT_LE(calls - before, 3u * 2 * 11) << vms << " VMs in each zone";
+        }
+    }
+
     // The property above holds for a fleet that never confirms anything; this one does, and resets are not held up.
     TEST(StoreFollowingTest, inAnUndisturbedFleetStatesAreConfirmed)
     {
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -213,7 +213,7 @@
 /// Decides whether this VM follows the store, and fetches a store update from a VM with a newer state.
 void RelayProcess::chooseReader(Instant now)
 {
-    const bool isReading = m_peers.shouldRead(now);
+    const bool isReading = m_peers.shouldRead(m_storeCache.state(), stateConfirmedAt(), now);
     m_backendsWatch.setReading(isReading);
     m_declarationsWatch.setReading(isReading);
     if (m_isFetching || now < m_nextFetchAt)
