exchange: replace a kept connection that has gone silent

Cause: the fetch of a store update waited 2 s for an answer on a kept connection, after the reader's watch had waited 3 s on another.

Change: the answer on a kept connection has to begin within 0.3 s, or a new connection is opened; on that one within 0.7 s.

Tests: StoreUpdateClientTest.aSilentConnectionIsReplacedByANewOne; the code before returned the error of the time-out.

--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -36,12 +36,12 @@
     /// Delay per rank before a further VM tries to read while no VM of the zone is in contact with the store.
     constexpr Duration c_readerTakeoverStep = std::chrono::milliseconds { 700 };
 
-    /// Maximum time for a confirmation to spread to all VMs of a large zone and to those that did not get the first
-    /// messages, and for the store's answer.
+    /// Time for the store's answer and for its confirmation to reach all VMs of a large zone, from one to the next,
+    /// with some messages lost.
     constexpr Duration c_confirmationSpread = std::chrono::milliseconds { 800 };
 
-    /// A VM whose state is confirmed as of an earlier time reads the store itself. With the delays below, the calls and
-    /// the way to the other VMs less than the 3 s in which a change has to be in force.
+    /// A VM whose state is confirmed only as of an earlier time reads the store itself. Together with the delays below,
+    /// the call and the fetch of the others, this is less than the 3 s in which a change has to be in force.
     constexpr Duration c_staleStateAge = WatchSchedule::s_maxWait + c_confirmationSpread;
 
     /// Delay per rank before a further VM reads because of its stale state: short for the first ones, which bounds the
--- a/src/exchange/LoadMessageSchedule.h
+++ b/src/exchange/LoadMessageSchedule.h
@@ -18,8 +18,8 @@
 inline constexpr std::size_t c_datagramHeaderBytes = 28;
 
 /// Decides when an entry VM sends its load to others: when it, or a contested flow, has changed and the byte budget
-/// allows it; regardless of
-/// the budget, when the dead backend servers have changed, and at intervals, so that the receivers do not expire it.
+/// allows it; regardless of the budget, when the dead backend servers have changed, and at intervals, so that the
+/// receivers do not expire it.
 class LoadMessageSchedule {
 public:
     explicit LoadMessageSchedule(std::uint64_t bytesPerSecond)
--- a/src/exchange/StoreUpdateClient.cpp
+++ b/src/exchange/StoreUpdateClient.cpp
@@ -27,7 +27,8 @@
     constexpr std::chrono::milliseconds c_connectTimeout { 300 };
 
     /// A large answer may wait for a slow link; a second request would add to its load.
-    constexpr std::chrono::milliseconds c_answerTimeout { 2'000 };
+    constexpr std::chrono::milliseconds c_bodyTimeout { 2'000 };
+
     /// Less than the server's idle time-out of 5 s.
     constexpr std::chrono::seconds c_keepAliveTime { 4 };
 
@@ -49,20 +50,40 @@
 
 asio::awaitable<Outcome<StoreUpdate>> StoreUpdateClient::fetch(Endpoint peer, StoreVersions held)
 {
-    boost::system::error_code failure;
-    const bool isReused
+    const bool isKept
         = m_stream && m_peer == peer && m_clock.now() < m_keepAliveUntil && isReusable(m_stream->socket());
-    // Moved out of m_stream, so that no failed connection stays there.
-    boost::beast::tcp_stream stream = isReused ? std::move(*m_stream) : boost::beast::tcp_stream { m_executor };
+    if (isKept) {
+        // Moved out of m_stream, so that no failed connection stays there.
+        boost::beast::tcp_stream kept = std::move(*m_stream);
+        m_stream.reset();
+        Outcome<StoreUpdate> update = co_await fetchOn(std::move(kept), peer, held, s_keptAnswerTimeout);
+        if (update || update.error().m_kind == ErrorKind::InvalidInput)
+            co_return update;
+    }
     m_stream.reset();
+    Outcome<boost::beast::tcp_stream> stream = co_await connect(peer);
+    if (!stream)
+        co_return stream.error();
+    co_return co_await fetchOn(std::move(stream.value()), peer, held, s_answerTimeout);
+}
+
+asio::awaitable<Outcome<boost::beast::tcp_stream>> StoreUpdateClient::connect(Endpoint peer)
+{
+    boost::beast::tcp_stream stream { m_executor };
     stream.expires_after(c_connectTimeout);
-    if (!isReused) {
-        const asio::ip::tcp::endpoint endpoint { asio::ip::address_v4 { peer.m_address }, peer.m_port };
-        co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
-        if (failure)
-            co_return unavailable(peer, failure.message());
-    }
-    stream.expires_after(c_answerTimeout);
+    const asio::ip::tcp::endpoint endpoint { asio::ip::address_v4 { peer.m_address }, peer.m_port };
+    boost::system::error_code failure;
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return unavailable(peer, failure.message());
+    co_return stream;
+}
+
+asio::awaitable<Outcome<StoreUpdate>> StoreUpdateClient::fetchOn(
+    boost::beast::tcp_stream stream, Endpoint peer, StoreVersions held, std::chrono::milliseconds answerTimeout)
+{
+    boost::system::error_code failure;
+    stream.expires_after(answerTimeout);
     http::request<http::empty_body> request { http::verb::get, storeUpdateTarget(held), c_httpVersion };
     request.set(http::field::host, formatEndpoint(peer));
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
@@ -71,6 +92,10 @@
     boost::beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(c_maxAnswerBytes);
+    co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return unavailable(peer, failure.message());
+    stream.expires_after(c_bodyTimeout);
     co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
         co_return unavailable(peer, failure.message());
