--- a/src/discovery/Discovery.h
+++ b/src/discovery/Discovery.h
@@ -37,6 +37,7 @@
 struct BackendChange {
     BackendIdentity m_identity;
     std::optional<AnnouncedBackend> m_backend; ///< empty: removed
+    std::string m_name {}; ///< of the entry; empty in a change that another VM sent
 };
 
 /// The last change of each changed entry.
--- a/src/exchange/StoreCache.cpp
+++ b/src/exchange/StoreCache.cpp
@@ -1,6 +1,8 @@
 #include "exchange/StoreCache.h"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
 
 namespace cuminrelay {
 
@@ -38,16 +40,35 @@
     return backends;
 }
 
-BackendList StoreCache::withoutUnreadable(BackendList list) const
+bool StoreCache::isKnownByAnotherName(BackendIdentity identity, std::string_view name) const
 {
+    const auto known = m_backends.find(identity);
+    return known != m_backends.end() && known->second.m_backend.m_server.m_name != name;
+}
+
+BackendList StoreCache::withoutUnusable(BackendList list) const
+{
+    std::erase_if(list.m_backends, [this](const AnnouncedBackend& backend) {
+        return isKnownByAnotherName(backend.m_identity, backend.m_server.m_name);
+    });
     for (AnnouncedBackend& backend : drained(list.m_unreadable))
         list.m_backends.push_back(std::move(backend));
     list.m_unreadable.clear();
+    std::ranges::sort(list.m_backends, [](const AnnouncedBackend& left, const AnnouncedBackend& right) {
+        return std::tie(left.m_startedAtUnixMs, left.m_server.m_name)
+            < std::tie(right.m_startedAtUnixMs, right.m_server.m_name);
+    });
+    std::set<BackendIdentity> seen;
+    std::erase_if(
+        list.m_backends, [&seen](const AnnouncedBackend& backend) { return !seen.insert(backend.m_identity).second; });
     return list;
 }
 
-BackendChanges StoreCache::withoutUnreadable(BackendChanges changes) const
+BackendChanges StoreCache::withoutUnusable(BackendChanges changes) const
 {
+    std::erase_if(changes.m_changes, [this](const BackendChange& change) {
+        return !change.m_name.empty() && isKnownByAnotherName(change.m_identity, change.m_name);
+    });
     for (AnnouncedBackend& backend : drained(changes.m_unreadable))
         changes.m_changes.push_back({ backend.m_identity, std::move(backend) });
     changes.m_unreadable.clear();
--- a/src/exchange/StoreCache.h
+++ b/src/exchange/StoreCache.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cuminrelay {
@@ -43,10 +44,11 @@
     static constexpr std::size_t s_maxVersions = 64;
 
     /// Replace the unreadable entries of known backend servers by their last readable content, draining: their flows
-    /// stay, and they get no new ones until their entries can be read again. Unreadable entries of other names are left
-    /// out, also if they name the identity of a known one.
-    BackendList withoutUnreadable(BackendList list) const;
-    BackendChanges withoutUnreadable(BackendChanges changes) const;
+    /// stay, and they get no new ones until their entries can be read again. Other unreadable entries are left out, and
+    /// so are entries of another name than the known one that end in its identity: they are of another writer. Of two
+    /// new entries with one identity, the earlier start counts. A list is ordered by the times of the starts.
+    BackendList withoutUnusable(BackendList list) const;
+    BackendChanges withoutUnusable(BackendChanges changes) const;
 
     /// Store newer data, and a list also of the same revision; otherwise return false without effect. Empty changes,
     /// which only another VM sends and never the watch of the store, advance the revision too.
@@ -80,6 +82,9 @@
     /// The known backend servers with these entries, draining.
     std::vector<AnnouncedBackend> drained(std::span<const UnreadableEntry> entries) const;
 
+    /// Whether the backend server with this identity is known by an entry of another name.
+    bool isKnownByAnotherName(BackendIdentity identity, std::string_view name) const;
+
     void removeService(const std::string& name, ConfigVersion version);
     DeclarationUpdate declarationsSince(ConfigVersion held) const;
     void withdraw(BackendIdentity identity, StoreRevision revision);
--- a/src/exchange/StoreCacheTest.cpp
+++ b/src/exchange/StoreCacheTest.cpp
@@ -170,7 +170,7 @@
     {
         StoreCache storeCache;
         storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
-        storeCache.apply(storeCache.withoutUnreadable(BackendChanges { {}, { { "i-1", { 11 }, "odd" } }, { 11 } }));
+        storeCache.apply(storeCache.withoutUnusable(BackendChanges { {}, { { "i-1", { 11 }, "odd" } }, { 11 } }));
         EXPECT_EQ(isDraining(storeCache, 1), true);
         EXPECT_EQ(isDraining(storeCache, 2), false);
         const StoreUpdate update = storeCache.updateSince({ { 10 }, {} });
@@ -185,7 +185,7 @@
         StoreCache storeCache;
         storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
         storeCache.apply(
-            storeCache.withoutUnreadable(BackendList { { makeBackend(2) }, { { "i-1", { 15 }, "odd" } }, { 20 } }));
+            storeCache.withoutUnusable(BackendList { { makeBackend(2) }, { { "i-1", { 15 }, "odd" } }, { 20 } }));
         EXPECT_EQ(isDraining(storeCache, 1), true);
         EXPECT_EQ(isDraining(storeCache, 2), false);
     }
@@ -196,11 +196,31 @@
         storeCache.apply(BackendList { { makeBackend(1) }, {}, { 10 } });
         const std::vector<UnreadableEntry> others { { "notes-1", { 11 }, "odd" }, { "", {}, "odd" },
             { "i-9", {}, "" } };
-        storeCache.apply(storeCache.withoutUnreadable(BackendChanges { {}, others, { 11 } }));
+        storeCache.apply(storeCache.withoutUnusable(BackendChanges { {}, others, { 11 } }));
         EXPECT_EQ(isDraining(storeCache, 1), false);
         EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
     }
 
+    // Only the end of a name is the identity. Another writer's entry took the record of a live backend server.
+    TEST(StoreCacheTest, entriesOfOtherNamesWithAKnownIdentityChangeNothing)
+    {
+        AnnouncedBackend stray = makeBackend(1);
+        stray.m_server.m_name = "notes-1";
+        stray.m_server.m_draining = true;
+        ++stray.m_startedAtUnixMs;
+        StoreCache storeCache;
+        storeCache.apply(storeCache.withoutUnusable(BackendList { { stray, makeBackend(1) }, {}, { 10 } }));
+        EXPECT_EQ(isDraining(storeCache, 1), false);
+        storeCache.apply(storeCache.withoutUnusable(BackendChanges { { { { 1 }, stray, "notes-1" } }, {}, { 11 } }));
+        EXPECT_EQ(isDraining(storeCache, 1), false);
+        storeCache.apply(storeCache.withoutUnusable(BackendList { { stray, makeBackend(1) }, {}, { 12 } }));
+        EXPECT_EQ(isDraining(storeCache, 1), false);
+        storeCache.apply(storeCache.withoutUnusable(BackendChanges { { { { 1 }, {}, "notes-1" } }, {}, { 13 } }));
+        EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
+        storeCache.apply(storeCache.withoutUnusable(BackendChanges { { { { 1 }, {}, "i-1" } }, {}, { 14 } }));
+        EXPECT_TRUE(identitiesOf(storeCache).empty());
+    }
+
     TEST(StoreUpdateServerTest, theTargetHoldsTheStoreVersions)
     {
         const StoreVersions held { { 12 }, { 34 } };
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -484,7 +484,7 @@
 
 void RelayProcess::backendsListed(const BackendList& readList)
 {
-    const BackendList list = m_storeCache.withoutUnreadable(readList);
+    const BackendList list = m_storeCache.withoutUnusable(readList);
     if (!m_storeCache.apply(list))
         return;
     m_hasStoreUpdate = true;
@@ -498,7 +498,7 @@
 
 void RelayProcess::backendsChanged(const BackendChanges& readChanges)
 {
-    const BackendChanges changes = m_storeCache.withoutUnreadable(readChanges);
+    const BackendChanges changes = m_storeCache.withoutUnusable(readChanges);
     if (!m_storeCache.apply(changes))
         return;
     m_hasStoreUpdate = true;
