observe: a new connection replaces the longest idle one at the limit

Callers could see: a change in force late in a large zone after open connections went silent.

Cause: a server of store updates cannot tell silent connections from idle ones and keeps them for 5 s; they count against its limit of 64. In a zone of 65 VMs 64 of them keep a connection to the reader after a change. Once these went silent, the new ones that replace them were refused.

Change: at the limit, the connection that has waited longest for a request is closed for a new one. Only if none waits is the new one refused. Counter: cuminrelay_idle_connections_closed_total.

Tests: MetricsServerTest.aNewConnectionReplacesTheLongestIdleOne; with the server before, the 65th connection got no answer.

--- a/src/observe/HttpGetServer.cpp
+++ b/src/observe/HttpGetServer.cpp
@@ -74,7 +74,7 @@
             co_await pause.async_wait(c_asTuple);
             continue;
         }
-        if (m_connections >= s_maximumConnections) {
+        if (m_connections >= s_maximumConnections && !closeLongestIdle()) {
             m_metrics.counter("cuminrelay_refusals_total", fmt::format("{}_connection_limit", m_name)).add();
             continue;
         }
@@ -83,6 +83,21 @@
     }
 }
 
+bool HttpGetServer::closeLongestIdle()
+{
+    while (!m_idle.empty()) {
+        const std::shared_ptr<beast::tcp_stream> stream = m_idle.front().lock();
+        m_idle.erase(m_idle.begin());
+        if (!stream)
+            continue;
+        // Its coroutine ends, unless a request has just been received.
+        stream->cancel();
+        m_metrics.counter("cuminrelay_idle_connections_closed_total", m_name).add();
+        return true;
+    }
+    return false;
+}
+
 asio::awaitable<void> HttpGetServer::serveConnection(tcp::socket socket)
 {
     co_await serveRequests(std::move(socket));
@@ -91,13 +106,15 @@
 
 asio::awaitable<void> HttpGetServer::serveRequests(tcp::socket socket)
 {
-    beast::tcp_stream stream { std::move(socket) };
+    const std::shared_ptr<beast::tcp_stream> stream = std::make_shared<beast::tcp_stream>(std::move(socket));
     beast::flat_static_buffer<c_headerLimitBytes> buffer;
     for (;;) {
-        stream.expires_after(c_requestTimeout);
+        stream->expires_after(c_requestTimeout);
         http::request_parser<http::empty_body> parser;
         parser.header_limit(c_headerLimitBytes);
-        const auto [readError, readBytes] = co_await http::async_read(stream, buffer, parser, c_asTuple);
+        m_idle.emplace_back(stream);
+        const auto [readError, readBytes] = co_await http::async_read(*stream, buffer, parser, c_asTuple);
+        std::erase_if(m_idle, [&](const std::weak_ptr<beast::tcp_stream>& idle) { return idle.lock() == stream; });
         if (readError)
             break;
         const http::request<http::empty_body>& request = parser.get();
@@ -110,7 +127,7 @@
         response.result(getResponse.m_status);
         response.body() = std::move(getResponse.m_body);
         response.prepare_payload();
-        const auto [writeError, writtenBytes] = co_await http::async_write(stream, response, c_asTuple);
+        const auto [writeError, writtenBytes] = co_await http::async_write(*stream, response, c_asTuple);
         if (writeError || !response.keep_alive())
             break;
     }
--- a/src/observe/HttpGetServer.h
+++ b/src/observe/HttpGetServer.h
@@ -9,9 +9,12 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cuminrelay {
 
@@ -20,8 +23,9 @@
     std::string m_body;
 };
 
-/// Serves GET requests over HTTP/1.1. One coroutine accepts connections, and one serves each connection. The server,
-/// metrics and log must outlive the I/O context.
+/// Serves GET requests over HTTP/1.1. One coroutine accepts connections, and one serves each connection. At the limit
+/// of connections, a new one replaces the one that has waited longest for a request: it may have gone silent. The
+/// server, metrics and log must outlive the I/O context.
 class HttpGetServer {
 public:
     /// name: in counters and messages, such as "metrics".
@@ -50,12 +54,16 @@
     boost::asio::awaitable<void> serveConnection(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serveRequests(boost::asio::ip::tcp::socket socket);
 
+    /// Ends the connection that has waited longest for a request. Returns false if none waits.
+    bool closeLongestIdle();
+
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_name;
     Metrics& m_metrics;
     Log& m_log;
     TaskSupervisor m_tasks;
     std::size_t m_connections = 0;
+    std::vector<std::weak_ptr<boost::beast::tcp_stream>> m_idle; ///< wait for a request, the longest first
 };
 
 } // namespace cuminrelay
--- a/src/observe/MetricsServerTest.cpp
+++ b/src/observe/MetricsServerTest.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 namespace cuminrelay {
 namespace {
@@ -42,6 +43,11 @@
             asio::io_context context;
             tcp::socket socket { context };
             socket.connect({ asio::ip::address_v4::loopback(), m_server.localEndpoint().m_port });
+            return callOn(socket, verb, target);
+        }
+
+        static http::response<http::string_body> callOn(tcp::socket& socket, http::verb verb, const std::string& target)
+        {
             http::request<http::empty_body> request { verb, target, 11 };
             request.set(http::field::host, "localhost");
             http::write(socket, request);
@@ -114,6 +120,27 @@
         EXPECT_EQ(m_metrics.total("cuminrelay_task_failures_total"), 100u);
     }
 
+    // The server cannot tell idle connections that went silent from others, and kept them all for 5 s: clients that
+    // replaced theirs found no free one (review/4).
+    TEST_F(MetricsServerTest, aNewConnectionReplacesTheLongestIdleOne)
+    {
+        constexpr std::size_t connections = 64;
+        asio::io_context context;
+        std::vector<tcp::socket> idle;
+        for (std::size_t i = 0; i < connections; ++i) {
+            tcp::socket& socket = idle.emplace_back(context);
+            socket.connect({ asio::ip::address_v4::loopback(), m_server.localEndpoint().m_port });
+        }
+        callOn(idle.front(), http::verb::get, "/metrics"); // now idle for the shortest time
+        EXPECT_EQ(call(http::verb::get, "/metrics").result(), http::status::ok);
+        EXPECT_EQ(m_metrics.total("cuminrelay_idle_connections_closed_total"), 1u);
+        callOn(idle.front(), http::verb::get, "/metrics");
+        char byte = 0;
+        boost::system::error_code failure;
+        idle[1].read_some(asio::buffer(&byte, 1), failure);
+        EXPECT_EQ(failure, asio::error::eof);
+    }
+
     TEST_F(MetricsServerTest, anEndpointInUseIsNamedInTheError)
     {
         MetricsServer second { m_context.get_executor(), m_metrics, m_log };
