exchange: limit the list elements of a store update

Cause: an empty element takes no space in a message, and the decoder's limit counts it as one word.

Change: the lists of a message have at most as many elements as it has bytes, and 50,000 in all.

Tests: StoreUpdateMessageTest.moreEmptyElementsThanBytesAreRefused, which failed before; anUpdateOfTheLargestDeploymentIsDecoded.

--- a/src/exchange/StoreUpdateMessage.cpp
+++ b/src/exchange/StoreUpdateMessage.cpp
@@ -19,6 +19,30 @@
     constexpr int c_nestingLimit = 8;
     constexpr std::uint64_t c_maxStoreUpdateWords = 2'000'000;
 
+    /// Several times the backend servers, labels and services of the largest deployment that the design provides for.
+    constexpr std::size_t c_maxElements = 50'000;
+
+    /// Limits the elements of a message's lists. Empty ones take no space, so that a few bytes could announce millions;
+    /// all that another VM sends take a byte or more. Throws kj::Exception, as the accessors of a message do.
+    class ElementLimit {
+    public:
+        explicit ElementLimit(std::size_t messageBytes)
+            : m_remaining(std::min(messageBytes, c_maxElements))
+        {
+        }
+
+        template <typename List> List checked(List list)
+        {
+            if (list.size() > m_remaining)
+                kj::throwFatalException(KJ_EXCEPTION(FAILED, "too many list elements for the size of the message"));
+            m_remaining -= list.size();
+            return list;
+        }
+
+    private:
+        std::size_t m_remaining;
+    };
+
     void writeBackend(wire::Backend::Builder builder, const AnnouncedBackend& backend, Instant now)
     {
         const BackendServer& server = backend.m_server;
@@ -41,7 +65,7 @@
         }
     }
 
-    AnnouncedBackend readBackend(wire::Backend::Reader reader, Instant now)
+    AnnouncedBackend readBackend(wire::Backend::Reader reader, ElementLimit& limit, Instant now)
     {
         AnnouncedBackend backend;
         backend.m_identity = { reader.getIdentity() };
@@ -54,7 +78,7 @@
         server.m_report = server.m_tunnel;
         server.m_slots = reader.getSlots();
         server.m_draining = reader.getDraining();
-        for (const wire::Label::Reader label : reader.getLabels())
+        for (const wire::Label::Reader label : limit.checked(reader.getLabels()))
             server.m_labels.emplace(label.getKey().cStr(), label.getValue().cStr());
         return backend;
     }
@@ -119,7 +143,8 @@
         }
     }
 
-    Outcome<DeclaredService> readService(wire::Service::Reader reader, std::span<const Selector> selectors)
+    Outcome<DeclaredService> readService(
+        wire::Service::Reader reader, std::span<const Selector> selectors, ElementLimit& limit)
     {
         DeclaredService service;
         service.m_name = reader.getName().cStr();
@@ -128,7 +153,7 @@
         if (service.m_kind > RequestKind::Upload)
             return Error { ErrorKind::InvalidInput,
                 fmt::format("found service kind {}; allowed: 0 to 2", reader.getKind()) };
-        for (const wire::WeightedSelector::Reader weighted : reader.getSelectors()) {
+        for (const wire::WeightedSelector::Reader weighted : limit.checked(reader.getSelectors())) {
             if (weighted.getSelector() >= selectors.size())
                 return Error { ErrorKind::InvalidInput,
                     fmt::format("found selector index {} of {}", weighted.getSelector(), selectors.size()) };
@@ -137,48 +162,48 @@
         return service;
     }
 
-    Outcome<DeclarationUpdate> readDeclarations(wire::Declarations::Reader reader)
+    Outcome<DeclarationUpdate> readDeclarations(wire::Declarations::Reader reader, ElementLimit& limit)
     {
         DeclarationUpdate update;
         update.m_isComplete = reader.getComplete();
         update.m_otherFields.m_version = { reader.getVersion() };
         update.m_otherFields.m_idleTimeout = std::chrono::milliseconds { reader.getSilenceLimitMs() };
         std::vector<Selector> selectors;
-        for (const capnp::Text::Reader text : reader.getSelectors()) {
+        for (const capnp::Text::Reader text : limit.checked(reader.getSelectors())) {
             Outcome<Selector> selector = parseSelector(text.cStr());
             if (!selector)
                 return selector.error();
             selectors.push_back(std::move(selector.value()));
         }
-        for (const wire::HealthCheck::Reader check : reader.getHealthChecks()) {
+        for (const wire::HealthCheck::Reader check : limit.checked(reader.getHealthChecks())) {
             Outcome<Selector> selector = parseSelector(check.getSelector().cStr());
             if (!selector)
                 return selector.error();
             update.m_otherFields.m_healthChecks.push_back({ std::move(selector.value()), check.getPath().cStr() });
         }
-        for (const wire::Service::Reader service : reader.getServices()) {
-            Outcome<DeclaredService> read = readService(service, selectors);
+        for (const wire::Service::Reader service : limit.checked(reader.getServices())) {
+            Outcome<DeclaredService> read = readService(service, selectors, limit);
             if (!read)
                 return read.error();
             update.m_changed.push_back(std::move(read.value()));
         }
-        for (const capnp::Text::Reader name : reader.getRemoved())
+        for (const capnp::Text::Reader name : limit.checked(reader.getRemoved()))
             update.m_removed.emplace_back(name.cStr());
         return update;
     }
 
-    Outcome<StoreUpdate> readStoreUpdate(wire::News::Reader reader, Instant now)
+    Outcome<StoreUpdate> readStoreUpdate(wire::News::Reader reader, ElementLimit limit, Instant now)
     {
         StoreUpdate update;
         update.m_isComplete = reader.getComplete();
         update.m_backendsRevision = { reader.getBackendsRevision() };
-        for (const wire::Backend::Reader backend : reader.getBackends())
-            update.m_backends.push_back(readBackend(backend, now));
-        for (const std::uint64_t identity : reader.getWithdrawn())
+        for (const wire::Backend::Reader backend : limit.checked(reader.getBackends()))
+            update.m_backends.push_back(readBackend(backend, limit, now));
+        for (const std::uint64_t identity : limit.checked(reader.getWithdrawn()))
             update.m_withdrawn.push_back({ identity });
         update.m_declarationsRevision = { reader.getDeclarationsRevision() };
         if (reader.hasDeclarations()) {
-            Outcome<DeclarationUpdate> declarations = readDeclarations(reader.getDeclarations());
+            Outcome<DeclarationUpdate> declarations = readDeclarations(reader.getDeclarations(), limit);
             if (!declarations)
                 return declarations.error();
             update.m_declarations = std::move(declarations.value());
@@ -218,7 +243,7 @@
     try {
         kj::ArrayInputStream packed { { reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size() } };
         capnp::PackedMessageReader message { packed, options };
-        return readStoreUpdate(message.getRoot<wire::News>(), now);
+        return readStoreUpdate(message.getRoot<wire::News>(), ElementLimit { bytes.size() }, now);
     } catch (const kj::Exception& exception) {
         return Error { ErrorKind::InvalidInput, fmt::format("malformed news: {}", exception.getDescription().cStr()) };
     }
