affinity: count the flows that a full table leaves out

Cause: ContestedFlows holds 4,096 flows and PendingResets 10,000; beyond that a flow was left out without a sign.

Change: cuminrelay_flows_over_limit_total by table. What a VM does at the limit is as before: a contested flow stays where its packets point; a flow that may not be reset yet is dropped, and is recorded with a later packet once there is room (4 s after the last packet of another).

Tests: RelayGaugesTest.flowsBeyondALimitAreCounted, PendingResetsTest.beyondTheLimitFlowsAreNotReset.

--- a/src/affinity/ContestedFlows.cpp
+++ b/src/affinity/ContestedFlows.cpp
@@ -56,8 +56,10 @@
     const auto found = m_flows.find(flow.m_flow.m_value);
     if (found != m_flows.end())
         return &found->second;
-    if (m_flows.size() >= s_maxFlows)
+    if (m_flows.size() >= s_maxFlows) {
+        ++m_refused;
         return nullptr;
+    }
     const Entry entry { flow, now + c_departedRetention, false };
     return &m_flows.emplace(flow.m_flow.m_value, entry).first->second;
 }
--- a/src/affinity/ContestedFlows.h
+++ b/src/affinity/ContestedFlows.h
@@ -60,6 +60,9 @@
 
     std::size_t size() const { return m_flows.size(); }
 
+    /// How many times a flow was not recorded because of the limit.
+    std::uint64_t refused() const { return m_refused; }
+
 private:
     struct Entry {
         ContestedFlow m_content;
@@ -75,6 +78,7 @@
     boost::unordered_flat_map<std::uint64_t, Entry> m_flows;
     std::vector<std::uint64_t> m_own; ///< added or resolved here, also some that are removed
     std::vector<std::uint64_t> m_changed; ///< not listed since their last change, up to s_maxChanges
+    std::uint64_t m_refused = 0;
     std::minstd_rand m_random;
 };
 
--- a/src/affinity/PendingResets.cpp
+++ b/src/affinity/PendingResets.cpp
@@ -15,6 +15,8 @@
     if (found == m_flows.end()) {
         if (m_flows.size() < s_maxFlows)
             m_flows.emplace(flow.m_value, PendingReset { now, now });
+        else
+            ++m_refused;
         return false;
     }
     found->second.m_lastSeenAt = now;
@@ -25,6 +27,8 @@
 {
     if (m_flows.size() < s_maxFlows)
         m_flows.insert_or_assign(flow.m_value, PendingReset { Instant::min(), now });
+    else
+        ++m_refused;
 }
 
 void PendingResets::sweep(Instant now)
--- a/src/affinity/PendingResets.h
+++ b/src/affinity/PendingResets.h
@@ -27,6 +27,9 @@
     /// O(flows).
     void sweep(Instant now);
 
+    /// How many times a flow was not recorded because of the limit.
+    std::uint64_t refused() const { return m_refused; }
+
 private:
     struct PendingReset {
         Instant m_firstSeenAt {};
@@ -34,6 +37,7 @@
     };
 
     boost::unordered_flat_map<std::uint64_t, PendingReset> m_flows;
+    std::uint64_t m_refused = 0;
 };
 
 } // namespace cuminrelay
--- a/src/affinity/PendingResetsTest.cpp
+++ b/src/affinity/PendingResetsTest.cpp
@@ -43,6 +43,7 @@
         const Instant later = c_start + milliseconds { 200 };
         EXPECT_FALSE(resets.mayReset({ PendingResets::s_maxFlows }, c_start, c_start));
         EXPECT_FALSE(resets.mayReset({ PendingResets::s_maxFlows }, later, later));
+        EXPECT_EQ(resets.refused(), 2u);
         EXPECT_TRUE(resets.mayReset({ 1 }, later, later));
     }
 
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -116,6 +116,7 @@
     /// Flows whose opening packet may have reached several backend servers, to exchange with the other VMs.
     ContestedFlows& contestedFlows() { return m_contestedFlows; }
     const ContestedFlows& contestedFlows() const { return m_contestedFlows; }
+    const PendingResets& pendingResets() const { return m_pendingResets; }
 
     BackendCatalog& backends() { return m_backends; }
     const BackendCatalog& backends() const { return m_backends; }
--- a/src/relay/RelayGauges.cpp
+++ b/src/relay/RelayGauges.cpp
@@ -54,9 +54,17 @@
     m_metrics.gauge("cuminrelay_unnamed_backends").set(static_cast<double>(router.unnamedBackends()));
     m_metrics.gauge("cuminrelay_tracked_flows").set(static_cast<double>(router.trackedFlows()));
     m_metrics.gauge("cuminrelay_contested_flows").set(static_cast<double>(router.contestedFlows().size()));
+    countOverLimit("contested_flows", router.contestedFlows().refused(), m_countedContestedFlows);
+    countOverLimit("pending_resets", router.pendingResets().refused(), m_countedPendingResets);
     updateBackends(router);
 }
 
+void RelayGauges::countOverLimit(std::string_view limit, std::uint64_t total, std::uint64_t& counted)
+{
+    m_metrics.counter("cuminrelay_flows_over_limit_total", limit).add(total - counted);
+    counted = total;
+}
+
 void RelayGauges::updateBackends(const TokenRouter& router)
 {
     std::array<std::size_t, c_stateNames.size()> counts {};
--- a/src/relay/RelayGauges.h
+++ b/src/relay/RelayGauges.h
@@ -5,6 +5,8 @@
 #include "observe/Metrics.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <string_view>
 
 namespace cuminrelay {
 
@@ -22,7 +24,8 @@
 /// Exports the state of a relay process and its age as gauges: cuminrelay_config_version, cuminrelay_ready,
 /// cuminrelay_backends by state, cuminrelay_unnamed_backends, cuminrelay_peers, cuminrelay_tracked_flows,
 /// cuminrelay_contested_flows, cuminrelay_follows_store, cuminrelay_config_unreadable and
-/// cuminrelay_knowledge_age_seconds (-1: no data). An update costs O(backend servers).
+/// cuminrelay_knowledge_age_seconds (-1: no data). Also counts the flows that the router did not record because of a
+/// limit: cuminrelay_flows_over_limit_total. An update costs O(backend servers).
 class RelayGauges {
 public:
     /// metrics must outlive this object.
@@ -32,8 +35,11 @@
 
 private:
     void updateBackends(const TokenRouter& router);
+    void countOverLimit(std::string_view limit, std::uint64_t total, std::uint64_t& counted);
 
     Metrics& m_metrics;
+    std::uint64_t m_countedContestedFlows = 0;
+    std::uint64_t m_countedPendingResets = 0;
 };
 
 } // namespace cuminrelay
--- a/src/relay/RelayGaugesTest.cpp
+++ b/src/relay/RelayGaugesTest.cpp
@@ -57,5 +57,16 @@
         EXPECT_EQ(gaugeValue("cuminrelay_peers", "all"), 7);
     }
 
+    // Flows beyond the limit were left out without a sign.
+    TEST_F(RelayGaugesTest, flowsBeyondALimitAreCounted)
+    {
+        constexpr std::uint64_t tooMany = 3;
+        for (std::uint64_t flow = 0; flow < ContestedFlows::s_maxFlows + tooMany; ++flow)
+            m_router.contestedFlows().apply({ { flow }, 1, { 1 } }, c_now);
+        m_gauges.update(m_router, {}, c_now);
+        m_gauges.update(m_router, {}, c_now);
+        EXPECT_EQ(m_metrics.counter("cuminrelay_flows_over_limit_total", "contested_flows").value(), tooMany);
+    }
+
 } // namespace
 } // namespace cuminrelay
