--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -44,6 +44,7 @@
     , m_observer(observer)
     , m_flows(m_backends, m_options.m_trackedFlowLimit)
     , m_contestedFlows(hashText(m_options.m_zone, c_contestedSalt))
+    , m_isAwaitingEvacuations(m_options.m_awaitsEvacuations)
 {
 }
 
@@ -77,7 +78,7 @@
         return decideRetransmittedOpening(packet, hash, *stored, now);
     TrackedBackend* const backend = place(*service, hash, BackendToken {}, now);
     if (!backend)
-        return reject(packet, PacketActionKind::Refuse, Reason::NoBackendServer, nullptr, now);
+        return refuseUnplaced(*service, packet, nullptr, now);
     TrackedFlow* const flow
         = m_flows.open(hash, packet.m_flow, backend->m_token, service->m_kind == RequestKind::Idempotent, now);
     if (flow)
@@ -91,6 +92,18 @@
     return forwardTo(*backend);
 }
 
+/// Refuses an opening packet for which no backend server was found.
+PacketAction TokenRouter::refuseUnplaced(
+    const ServiceMap::Entry& service, const PacketSummary& packet, const TrackedBackend* backend, Instant now)
+{
+    const bool isEvacuated = std::ranges::any_of(service.m_targets, [this](const ServiceMap::Target& target) {
+        const Pool& pool = poolOf(target.m_selector);
+        return pool.m_hasEvacuated && pool.m_backends.empty();
+    });
+    const Reason reason = isEvacuated ? Reason::ZoneEvacuated : Reason::NoBackendServer;
+    return reject(packet, PacketActionKind::Refuse, reason, backend, now);
+}
+
 /// Decides on the retransmitted opening packet of a flow placed here. Two backend servers that both answer would
 /// compete for the flow. One missing answer may be a lost packet, so a second backend server is chosen only if the
 /// first was suspected before or accepts no new flows.
@@ -104,14 +117,15 @@
         recordMissingAnswer(*first, flow.m_openedAt, now);
     const bool hasAnswered = first && first->m_liveness.answeredAt() >= flow.m_openedAt;
     const bool mayAnswer = first && first->acceptsNewFlows() && (hasAnswered || !wasSuspected);
-    if (first && (flow.m_isEstablished || !isLate || mayAnswer)) {
+    const bool mayOpen = first && !isEvacuated(*first);
+    if (first && (flow.m_isEstablished || (mayOpen && (!isLate || mayAnswer)))) {
         m_observer.placed(packet, *first, PlacementCause::Retransmission, 1, now);
         return forwardTo(*first);
     }
     const ServiceMap::Entry* const service = m_services.find(packet.m_flow.m_service);
     TrackedBackend* const second = place(*service, hash, flow.m_backend, now);
     if (!second)
-        return reject(packet, PacketActionKind::Refuse, Reason::NoBackendServer, first, now);
+        return refuseUnplaced(*service, packet, first, now);
     if (second->m_token != flow.m_backend) {
         m_flows.move(flow, second->m_token);
         flow.m_openedAt = now;
@@ -237,7 +251,7 @@
         const ServiceMap::Target& target = service.m_targets[(first + i) % service.m_targets.size()];
         if (target.m_weight == 0)
             continue;
-        TrackedBackend* const placed = placeIn(poolOf(target.m_selector), demand, excluded, now);
+        TrackedBackend* const placed = placeIn(poolOf(target.m_selector).m_backends, demand, excluded, now);
         if (placed)
             return placed;
     }
@@ -278,23 +292,46 @@
     return m_eligible[m_placement.choose(m_candidates, demand)];
 }
 
-std::span<TrackedBackend* const> TokenRouter::poolOf(SelectorIndex selector)
+const TokenRouter::Pool& TokenRouter::poolOf(SelectorIndex selector)
 {
     if (!m_poolsValid || m_poolGeneration != m_backends.generation()) {
         m_pools.assign(m_services.selectors().size(), {});
         m_poolGeneration = m_backends.generation();
         m_poolsValid = true;
-        for (std::size_t i = 0; i < m_pools.size(); ++i) {
-            const Selector& wanted = m_services.selectors()[i];
-            m_backends.forEach([&](TrackedBackend& backend) {
-                if (backend.m_presence != Presence::Departed && matches(wanted, backend.m_announced.m_server.m_labels))
-                    m_pools[i].push_back(&backend);
-            });
-        }
+        for (std::size_t i = 0; i < m_pools.size(); ++i)
+            fillPool(static_cast<SelectorIndex>(i), m_pools[i]);
     }
     return m_pools[selector];
 }
 
+void TokenRouter::fillPool(SelectorIndex selector, Pool& pool)
+{
+    const Selector& wanted = m_services.selectors()[selector];
+    m_backends.forEach([&](TrackedBackend& backend) {
+        if (backend.m_presence == Presence::Departed || !matches(wanted, backend.m_announced.m_server.m_labels))
+            return;
+        if (isEvacuated(backend))
+            pool.m_hasEvacuated = true;
+        else
+            pool.m_backends.push_back(&backend);
+    });
+}
+
+bool TokenRouter::isEvacuated(const TrackedBackend& backend) const
+{
+    return !m_evacuatedZones.empty()
+        && std::ranges::find(m_evacuatedZones, hashZone(backend.m_announced.m_server.m_zone)) != m_evacuatedZones.end();
+}
+
+void TokenRouter::setEvacuatedZones(std::span<const ZoneHash> zones)
+{
+    m_isAwaitingEvacuations = false;
+    if (std::ranges::equal(zones, m_evacuatedZones))
+        return;
+    m_evacuatedZones.assign(zones.begin(), zones.end());
+    m_poolsValid = false;
+}
+
 void TokenRouter::recordAnswer(TrackedBackend& backend, Instant now)
 {
     const bool wasUnresponsive = backend.m_confirmedDead || backend.m_liveness.isUnresponsive();
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -51,6 +51,7 @@
         std::string m_zone; ///< zone of this VM; its backend servers are preferred
         std::size_t m_trackedFlowLimit = 100'000;
         Duration m_addressReuse = std::chrono::seconds { 2 }; ///< minimum time until an address gets a new owner
+        bool m_awaitsEvacuations = false; ///< places no flow before the first setEvacuatedZones
     };
 
     /// placement and observer must outlive the router.
@@ -73,6 +74,9 @@
     /// Entries that do not count because the declarations do not name their services.
     std::size_t unnamedBackends() const { return m_unnamedBackends.size(); }
 
+    /// Sets the zones whose backend servers get no new flows and no opening packets; established flows stay.
+    void setEvacuatedZones(std::span<const ZoneHash> zones);
+
     /// Sets the time as of which the declarations and backend servers are known to have been the store's (epoch:
     /// unknown), and whether newer declarations are known to exist. Without a recent confirmation, packets to unknown
     /// services are dropped, and flows that other VMs may have opened under a later state are not reset.
@@ -122,9 +126,18 @@
     const BackendCatalog& backends() const { return m_backends; }
     ConfigVersion configVersion() const { return m_services.version(); }
     std::size_t trackedFlows() const { return m_flows.size(); }
-    bool isConfigured() const { return m_services.version() != ConfigVersion {} && m_backends.size() > 0; }
+    bool isConfigured() const
+    {
+        return m_services.version() != ConfigVersion {} && m_backends.size() > 0 && !m_isAwaitingEvacuations;
+    }
 
 private:
+    /// The backend servers that a selector matches.
+    struct Pool {
+        std::vector<TrackedBackend*> m_backends; ///< not in evacuated zones
+        bool m_hasEvacuated = false; ///< others are in evacuated zones
+    };
+
     struct PeerReports {
         std::vector<BackendLoadReport> m_reports;
         Deadline m_expiresAt;
@@ -145,7 +158,11 @@
     TrackedBackend* place(const ServiceMap::Entry& service, FlowHash hash, BackendToken excluded, Instant now);
     TrackedBackend* placeIn(
         std::span<TrackedBackend* const> pool, const FlowDemand& demand, BackendToken excluded, Instant now);
-    std::span<TrackedBackend* const> poolOf(SelectorIndex selector);
+    PacketAction refuseUnplaced(
+        const ServiceMap::Entry& service, const PacketSummary& packet, const TrackedBackend* backend, Instant now);
+    const Pool& poolOf(SelectorIndex selector);
+    void fillPool(SelectorIndex selector, Pool& pool);
+    bool isEvacuated(const TrackedBackend& backend) const;
     std::optional<AnnouncedBackend> drainedInUse(BackendIdentity identity) const;
     void recordAnswer(TrackedBackend& backend, Instant now);
     bool isSuspected(const TrackedBackend& backend) const;
@@ -164,7 +181,7 @@
     std::map<BackendIdentity, AnnouncedBackend> m_unnamedBackends; ///< of services that the declarations do not name
     TrackedFlows m_flows;
     std::map<Endpoint, PeerReports> m_peerLoad;
-    std::vector<std::vector<TrackedBackend*>> m_pools; ///< by selector, valid at m_poolGeneration
+    std::vector<Pool> m_pools; ///< by selector, valid at m_poolGeneration
     std::uint64_t m_poolGeneration = 0;
     bool m_poolsValid = false;
     std::vector<TrackedBackend*> m_eligible; // reused by each placement
@@ -172,6 +189,8 @@
     std::map<std::string, LivenessTracker, std::less<>> m_zoneLiveness; ///< by name of another zone
     ContestedFlows m_contestedFlows;
     PendingResets m_pendingResets;
+    std::vector<ZoneHash> m_evacuatedZones;
+    bool m_isAwaitingEvacuations;
     Instant m_stateConfirmedAt {};
     bool m_hasNewerDeclarations = false;
     bool m_isConfirmationRequested = false;
--- a/src/discovery/Discovery.h
+++ b/src/discovery/Discovery.h
@@ -6,6 +6,7 @@
 #include "base/Time.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,11 +14,18 @@
 
 namespace cuminrelay {
 
-/// The version of the store's content: grows with each change, and is 0 before the first.
+/// The version of the store's content: grows with each change, and is 0 before the first. A store that comes back from
+/// an older copy begins a new era, in which numbers of the era before are given out again.
 struct StoreRevision {
     std::uint64_t m_number = 0;
-
-    friend constexpr auto operator<=>(StoreRevision, StoreRevision) = default;
+    std::uint32_t m_era = 0; ///< 0: the store does not number its eras
+
+    friend constexpr bool operator==(StoreRevision, StoreRevision) = default;
+    friend constexpr std::strong_ordering operator<=>(StoreRevision left, StoreRevision right)
+    {
+        const std::strong_ordering byEra = left.m_era <=> right.m_era;
+        return byEra != 0 ? byEra : left.m_number <=> right.m_number;
+    }
 };
 
 /// An entry or object that another writer left, or that a newer program wrote, and that cannot be used.
@@ -54,8 +62,27 @@
     StoreRevision m_revision;
 };
 
-/// Reads announced backend servers and declared services from the store. One task at a time may use an instance.
-/// Errors of all calls: Unavailable if no usable answer arrived by the deadline.
+/// The availability zones whose evacuation the operators request.
+struct EvacuationList {
+    std::vector<std::string> m_zones;
+    std::vector<UnreadableEntry> m_unreadable; ///< name no zone
+    StoreRevision m_revision;
+};
+
+/// The last change of the request for each zone.
+struct EvacuationChanges {
+    struct Change {
+        std::string m_zone;
+        bool m_isEvacuated = false; ///< false: the request was removed
+    };
+
+    std::vector<Change> m_changes;
+    std::vector<UnreadableEntry> m_unreadable; ///< name no zone
+    StoreRevision m_revision;
+};
+
+/// Reads announced backend servers, declared services and evacuations from the store. One task at a time may use an
+/// instance. Errors of all calls: Unavailable if no usable answer arrived by the deadline.
 class Discovery {
 public:
     Discovery() = default;
@@ -78,6 +105,13 @@
     virtual boost::asio::awaitable<Outcome<DeclarationState>> watchDeclarations(
         StoreRevision afterRevision, Deadline waitUntil, Deadline deadline)
         = 0;
+
+    virtual boost::asio::awaitable<Outcome<EvacuationList>> listEvacuations(Deadline deadline) = 0;
+
+    /// As watchBackends.
+    virtual boost::asio::awaitable<Outcome<EvacuationChanges>> watchEvacuations(
+        StoreRevision afterRevision, Deadline waitUntil, Deadline deadline)
+        = 0;
 };
 
 } // namespace cuminrelay
--- a/src/discovery/StoreWatchTest.cpp
+++ b/src/discovery/StoreWatchTest.cpp
@@ -56,6 +56,12 @@
             co_return DeclarationState {};
         }
 
+        asio::awaitable<Outcome<EvacuationList>> listEvacuations(Deadline) override { co_return EvacuationList {}; }
+        asio::awaitable<Outcome<EvacuationChanges>> watchEvacuations(StoreRevision, Deadline, Deadline) override
+        {
+            co_return EvacuationChanges {};
+        }
+
         std::vector<ErrorKind> m_failures; ///< of the next watches, in reverse order
         unsigned m_lists = 0;
         std::vector<StoreRevision> m_revisions;
@@ -72,6 +78,8 @@
         void backendsListed(const BackendList&) override { }
         void backendsChanged(const BackendChanges&) override { }
         void declarationsChanged(const ServiceDeclarations&, StoreRevision) override { }
+        void evacuationsListed(const EvacuationList&) override { }
+        void evacuationsChanged(const EvacuationChanges&) override { }
     };
 
     class StoreWatchTest : public testing::Test {
--- a/src/discovery/Watches.cpp
+++ b/src/discovery/Watches.cpp
@@ -4,13 +4,9 @@
 
 namespace asio = boost::asio;
 
-UnreadableEntryLog::UnreadableEntryLog(WatchEnvironment environment)
-    : m_environment(environment)
-{
-}
-
-void UnreadableEntryLog::record(std::span<const UnreadableEntry> entries)
+std::vector<UnreadableEntry> LoggedUnreadableEntries::takeNew(std::span<const UnreadableEntry> entries)
 {
+    std::vector<UnreadableEntry> newEntries;
     for (const UnreadableEntry& entry : entries) {
         const auto logged = m_logged.find(entry.m_name);
         if (logged != m_logged.end() && logged->second == entry.m_revision)
@@ -18,10 +14,9 @@
         if (m_logged.size() >= s_maxNames)
             m_logged.clear();
         m_logged[entry.m_name] = entry.m_revision;
-        m_environment.m_metrics.counter("cuminrelay_unreadable_entries_total", "backend").add();
-        m_environment.m_log.warning("discovery", "backend_unreadable",
-            { { "backend", entry.m_name }, { "revision", entry.m_revision.m_number }, { "error", entry.m_problem } });
+        newEntries.push_back(entry);
     }
+    return newEntries;
 }
 
 BackendsWatch::BackendsWatch(
@@ -29,7 +24,7 @@
     : StoreWatch("backends", environment, seed)
     , m_discovery(discovery)
     , m_listener(listener)
-    , m_unreadableLog(environment)
+    , m_environment(environment)
 {
 }
 
@@ -38,7 +33,7 @@
     const Outcome<BackendList> list = co_await m_discovery.listBackends(deadline);
     if (!list)
         co_return list.error();
-    m_unreadableLog.record(list.value().m_unreadable);
+    recordUnreadable(list.value().m_unreadable);
     m_listener.backendsListed(list.value());
     co_return StoreAnswer { list.value().m_revision, true };
 }
@@ -49,13 +44,22 @@
     const Outcome<BackendChanges> changes = co_await m_discovery.watchBackends(afterRevision, waitUntil, deadline);
     if (!changes)
         co_return changes.error();
-    m_unreadableLog.record(changes.value().m_unreadable);
+    recordUnreadable(changes.value().m_unreadable);
     const bool hasChanges = !changes.value().m_changes.empty() || !changes.value().m_unreadable.empty();
     if (hasChanges)
         m_listener.backendsChanged(changes.value());
     co_return StoreAnswer { changes.value().m_revision, hasChanges };
 }
 
+void BackendsWatch::recordUnreadable(std::span<const UnreadableEntry> entries)
+{
+    for (const UnreadableEntry& entry : m_loggedEntries.takeNew(entries)) {
+        m_environment.m_metrics.counter("cuminrelay_unreadable_entries_total", "backend").add();
+        m_environment.m_log.warning("discovery", "backend_unreadable",
+            { { "backend", entry.m_name }, { "revision", entry.m_revision.m_number }, { "error", entry.m_problem } });
+    }
+}
+
 DeclarationsWatch::DeclarationsWatch(
     Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed)
     : StoreWatch("declarations", environment, seed)
@@ -96,4 +100,46 @@
         { { "revision", m_unreadableRevision.m_number }, { "error", declarations.m_problem } });
 }
 
+EvacuationsWatch::EvacuationsWatch(
+    Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed)
+    : StoreWatch("evacuations", environment, seed)
+    , m_discovery(discovery)
+    , m_listener(listener)
+    , m_environment(environment)
+{
+}
+
+asio::awaitable<Outcome<StoreAnswer>> EvacuationsWatch::readAll(Deadline deadline)
+{
+    const Outcome<EvacuationList> list = co_await m_discovery.listEvacuations(deadline);
+    if (!list)
+        co_return list.error();
+    recordUnreadable(list.value().m_unreadable);
+    m_listener.evacuationsListed(list.value());
+    co_return StoreAnswer { list.value().m_revision, true };
+}
+
+asio::awaitable<Outcome<StoreAnswer>> EvacuationsWatch::readChanges(
+    StoreRevision afterRevision, Deadline waitUntil, Deadline deadline)
+{
+    const Outcome<EvacuationChanges> changes
+        = co_await m_discovery.watchEvacuations(afterRevision, waitUntil, deadline);
+    if (!changes)
+        co_return changes.error();
+    recordUnreadable(changes.value().m_unreadable);
+    const bool hasChanges = !changes.value().m_changes.empty() || !changes.value().m_unreadable.empty();
+    if (hasChanges)
+        m_listener.evacuationsChanged(changes.value());
+    co_return StoreAnswer { changes.value().m_revision, hasChanges };
+}
+
+void EvacuationsWatch::recordUnreadable(std::span<const UnreadableEntry> entries)
+{
+    for (const UnreadableEntry& entry : m_loggedEntries.takeNew(entries)) {
+        m_environment.m_metrics.counter("cuminrelay_unreadable_entries_total", "evacuation").add();
+        m_environment.m_log.warning("discovery", "evacuation_unreadable",
+            { { "zone", entry.m_name }, { "revision", entry.m_revision.m_number }, { "error", entry.m_problem } });
+    }
+}
+
 } // namespace cuminrelay
--- a/src/discovery/Watches.h
+++ b/src/discovery/Watches.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace cuminrelay {
 
@@ -20,20 +21,19 @@
     virtual void backendsListed(const BackendList& list) = 0;
     virtual void backendsChanged(const BackendChanges& changes) = 0;
     virtual void declarationsChanged(const ServiceDeclarations& declarations, StoreRevision revision) = 0;
+    virtual void evacuationsListed(const EvacuationList& list) = 0;
+    virtual void evacuationsChanged(const EvacuationChanges& changes) = 0;
 };
 
-/// Logs and counts unreadable entries, each once per name and revision.
-class UnreadableEntryLog {
+/// Finds the unreadable entries that have not been logged yet, each once per name and revision.
+class LoggedUnreadableEntries {
 public:
-    explicit UnreadableEntryLog(WatchEnvironment environment);
-
-    void record(std::span<const UnreadableEntry> entries);
+    std::vector<UnreadableEntry> takeNew(std::span<const UnreadableEntry> entries);
 
 private:
     /// Maximum number of names to remember; beyond it, all are forgotten and may be logged again.
     static constexpr std::size_t s_maxNames = 256;
 
-    WatchEnvironment m_environment;
     std::map<std::string, StoreRevision, std::less<>> m_logged; ///< revision by name
 };
 
@@ -47,9 +47,12 @@
         StoreRevision afterRevision, Deadline waitUntil, Deadline deadline) override;
 
 private:
+    void recordUnreadable(std::span<const UnreadableEntry> entries);
+
     Discovery& m_discovery;
     DiscoveryListener& m_listener;
-    UnreadableEntryLog m_unreadableLog;
+    WatchEnvironment m_environment;
+    LoggedUnreadableEntries m_loggedEntries;
 };
 
 class DeclarationsWatch final : public StoreWatch {
@@ -75,4 +78,23 @@
     StoreRevision m_unreadableRevision;
 };
 
+class EvacuationsWatch final : public StoreWatch {
+public:
+    EvacuationsWatch(
+        Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed);
+
+protected:
+    boost::asio::awaitable<Outcome<StoreAnswer>> readAll(Deadline deadline) override;
+    boost::asio::awaitable<Outcome<StoreAnswer>> readChanges(
+        StoreRevision afterRevision, Deadline waitUntil, Deadline deadline) override;
+
+private:
+    void recordUnreadable(std::span<const UnreadableEntry> entries);
+
+    Discovery& m_discovery;
+    DiscoveryListener& m_listener;
+    WatchEnvironment m_environment;
+    LoggedUnreadableEntries m_loggedEntries;
+};
+
 } // namespace cuminrelay
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -74,7 +74,7 @@
         return hashPair(peer.packed(), c_rankSalt);
     }
 
-    /// Whether left includes a change that right lacks.
+    /// Whether left includes a change that a store update would bring to right. Evacuations come with load messages.
     bool isNewer(const StoreVersions& left, const StoreVersions& right)
     {
         return left.m_backends > right.m_backends || left.m_declarations > right.m_declarations;
@@ -266,7 +266,10 @@
 Instant ExchangePeers::stateConfirmedAt(const StoreVersions& own)
 {
     for (const auto& [peer, state] : m_peers) {
-        if (!isNewer(state.m_versions, own))
+        // A VM that knows no evacuations confirms nothing about them.
+        const bool hasSameKinds
+            = own.m_evacuations == StoreRevision {} || state.m_versions.m_evacuations != StoreRevision {};
+        if (hasSameKinds && !isNewer(state.m_versions, own) && state.m_versions.m_evacuations <= own.m_evacuations)
             m_stateConfirmedAt = std::max(m_stateConfirmedAt, state.m_confirmedAt);
     }
     return m_stateConfirmedAt;
--- a/src/exchange/LoadExchange.capnp
+++ b/src/exchange/LoadExchange.capnp
@@ -15,6 +15,12 @@
   dead @7 :List(UInt32); # tokens of backend servers that the sender found dead
   contestedFlows @9 :List(ContestedFlow);
   stateAgeMs @8 :UInt32 = 0xffffffff; # time since the store is known to have held these versions; default: unknown
+  backendsEra @10 :UInt32; # era of backendsRevision; 0: the store does not number its eras
+  evacuationsRevision @11 :UInt64; # 0: the sender does not know the evacuations
+  evacuationsEra @12 :UInt32;
+  evacuatedZones @13 :List(UInt32); # hashes of all evacuated zones as of evacuationsRevision
+  retainedZones @14 :List(UInt32); # evacuated before a restore of the store, whose copy does not name them
+  retainedMs @15 :UInt16; # how long they stay evacuated
 }
 
 struct BackendLoad {
--- a/src/exchange/LoadExchange.capnp.h
+++ b/src/exchange/LoadExchange.capnp.h
@@ -35,7 +35,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -130,6 +130,20 @@
   inline bool hasContestedFlows() const;
   inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader getContestedFlows() const;
 
+  inline  ::uint32_t getBackendsEra() const;
+
+  inline  ::uint64_t getEvacuationsRevision() const;
+
+  inline  ::uint32_t getEvacuationsEra() const;
+
+  inline bool hasEvacuatedZones() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getEvacuatedZones() const;
+
+  inline bool hasRetainedZones() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getRetainedZones() const;
+
+  inline  ::uint16_t getRetainedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -205,6 +219,34 @@
   inline void adoptContestedFlows(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>> disownContestedFlows();
 
+  inline  ::uint32_t getBackendsEra();
+  inline void setBackendsEra( ::uint32_t value);
+
+  inline  ::uint64_t getEvacuationsRevision();
+  inline void setEvacuationsRevision( ::uint64_t value);
+
+  inline  ::uint32_t getEvacuationsEra();
+  inline void setEvacuationsEra( ::uint32_t value);
+
+  inline bool hasEvacuatedZones();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getEvacuatedZones();
+  inline void setEvacuatedZones( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEvacuatedZones(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initEvacuatedZones(unsigned int size);
+  inline void adoptEvacuatedZones(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownEvacuatedZones();
+
+  inline bool hasRetainedZones();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getRetainedZones();
+  inline void setRetainedZones( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRetainedZones(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initRetainedZones(unsigned int size);
+  inline void adoptRetainedZones(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownRetainedZones();
+
+  inline  ::uint16_t getRetainedMs();
+  inline void setRetainedMs( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -710,6 +752,138 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t LoadMessage::Reader::getBackendsEra() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadMessage::Builder::getBackendsEra() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setBackendsEra( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LoadMessage::Reader::getEvacuationsRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadMessage::Builder::getEvacuationsRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setEvacuationsRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadMessage::Reader::getEvacuationsEra() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadMessage::Builder::getEvacuationsEra() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setEvacuationsEra( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadMessage::Reader::hasEvacuatedZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadMessage::Builder::hasEvacuatedZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getEvacuatedZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getEvacuatedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadMessage::Builder::setEvacuatedZones( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void LoadMessage::Builder::setEvacuatedZones(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initEvacuatedZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void LoadMessage::Builder::adoptEvacuatedZones(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownEvacuatedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool LoadMessage::Reader::hasRetainedZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadMessage::Builder::hasRetainedZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getRetainedZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getRetainedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void LoadMessage::Builder::setRetainedZones( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void LoadMessage::Builder::setRetainedZones(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initRetainedZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void LoadMessage::Builder::adoptRetainedZones(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownRetainedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t LoadMessage::Reader::getRetainedMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LoadMessage::Builder::getRetainedMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setRetainedMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BackendLoad::Reader::getToken() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/exchange/LoadMessage.cpp
+++ b/src/exchange/LoadMessage.cpp
@@ -33,13 +33,30 @@
         return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, std::numeric_limits<std::uint16_t>::max()));
     }
 
+    void writeEvacuatedZones(const EvacuatedZones& evacuated, wire::LoadMessage::Builder root)
+    {
+        if (evacuated.size() == 0)
+            return;
+        capnp::List<std::uint32_t>::Builder zones
+            = root.initEvacuatedZones(static_cast<unsigned>(evacuated.m_zones.size()));
+        for (unsigned i = 0; i < zones.size(); ++i)
+            zones.set(i, evacuated.m_zones[i].m_value);
+        capnp::List<std::uint32_t>::Builder retained
+            = root.initRetainedZones(static_cast<unsigned>(evacuated.m_retained.size()));
+        for (unsigned i = 0; i < retained.size(); ++i)
+            retained.set(i, evacuated.m_retained[i].m_value);
+        root.setRetainedMs(static_cast<std::uint16_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(evacuated.m_retainedFor).count()));
+    }
+
     LoadMessage readMessage(wire::LoadMessage::Reader reader)
     {
         LoadMessage message;
         message.m_zone = { reader.getZone() };
         message.m_leaving = reader.getLeaving();
         message.m_isReading = reader.getReading();
-        message.m_storeVersions = { { reader.getBackendsRevision() }, { reader.getDeclarationsVersion() } };
+        message.m_storeVersions = { { reader.getBackendsRevision(), reader.getBackendsEra() },
+            { reader.getDeclarationsVersion() }, { reader.getEvacuationsRevision(), reader.getEvacuationsEra() } };
         if (reader.getStateAgeMs() != c_unknownAge)
             message.m_stateAge = std::chrono::milliseconds { reader.getStateAgeMs() };
         for (const wire::BackendLoad::Reader load : reader.getLoads())
@@ -50,14 +67,26 @@
             message.m_peers.push_back({ Endpoint::fromPacked(peer.getExchange()), { peer.getZone() } });
         for (const wire::ContestedFlow::Reader flow : reader.getContestedFlows())
             message.m_contestedFlows.push_back({ { flow.getFlow() }, flow.getOpeningSequence(), { flow.getToken() } });
+        for (const std::uint32_t zone : reader.getEvacuatedZones())
+            message.m_evacuated.m_zones.push_back({ zone });
+        for (const std::uint32_t zone : reader.getRetainedZones())
+            message.m_evacuated.m_retained.push_back({ zone });
+        message.m_evacuated.m_retainedFor = std::chrono::milliseconds { reader.getRetainedMs() };
         return message;
     }
 
 } // namespace
 
+std::size_t maxLoadsBeside(const EvacuatedZones& evacuated)
+{
+    // A load takes 8 bytes, a zone 4 in either list.
+    return c_maxLoads - (evacuated.m_zones.size() + 1) / 2 - (evacuated.m_retained.size() + 1) / 2;
+}
+
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out)
 {
-    CR_ASSERT(message.m_loads.size() <= c_maxLoads && message.m_dead.size() <= c_maxDead
+    CR_ASSERT(message.m_evacuated.size() <= EvacuatedZones::s_maxZones
+            && message.m_loads.size() <= maxLoadsBeside(message.m_evacuated) && message.m_dead.size() <= c_maxDead
             && message.m_peers.size() <= c_maxPeers && message.m_contestedFlows.size() <= c_maxContestedFlows,
         "load message has too many entries");
     capnp::MallocMessageBuilder builder;
@@ -68,6 +97,10 @@
     root.setBackendsRevision(message.m_storeVersions.m_backends.m_number);
     root.setDeclarationsVersion(message.m_storeVersions.m_declarations.m_number);
     root.setStateAgeMs(ageInMilliseconds(message.m_stateAge));
+    root.setBackendsEra(message.m_storeVersions.m_backends.m_era);
+    root.setEvacuationsRevision(message.m_storeVersions.m_evacuations.m_number);
+    root.setEvacuationsEra(message.m_storeVersions.m_evacuations.m_era);
+    writeEvacuatedZones(message.m_evacuated, root);
     capnp::List<wire::BackendLoad>::Builder loads = root.initLoads(static_cast<unsigned>(message.m_loads.size()));
     for (unsigned i = 0; i < loads.size(); ++i) {
         const BackendLoadReport& report = message.m_loads[i];
--- a/src/exchange/LoadMessage.h
+++ b/src/exchange/LoadMessage.h
@@ -5,6 +5,7 @@
 #include "base/Endpoint.h"
 #include "base/Error.h"
 #include "discovery/Discovery.h"
+#include "evacuation/EvacuatedZones.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,10 +23,11 @@
     friend constexpr bool operator==(const ExchangePeer&, const ExchangePeer&) = default;
 };
 
-/// Versions of the store data that an entry VM has.
+/// Versions of the store data that an entry VM has. Declarations are ordered by the version that operators give them.
 struct StoreVersions {
     StoreRevision m_backends;
     ConfigVersion m_declarations;
+    StoreRevision m_evacuations {}; ///< 0: unknown, or not followed
 
     friend constexpr bool operator==(const StoreVersions&, const StoreVersions&) = default;
 };
@@ -43,6 +45,7 @@
     std::vector<BackendToken> m_dead; ///< backend servers that the sender found dead
     std::vector<ExchangePeer> m_peers; ///< some peers of the sender
     std::vector<ContestedFlow> m_contestedFlows; ///< some that the sender added or resolved
+    EvacuatedZones m_evacuated; ///< all, as of m_storeVersions.m_evacuations
 
     friend bool operator==(const LoadMessage&, const LoadMessage&) = default;
 };
@@ -51,13 +54,17 @@
 inline constexpr std::size_t c_maxLoadMessageBytes = 1'400;
 
 /// Maximum numbers of entries in one message.
-inline constexpr std::size_t c_maxLoads = 120;
+inline constexpr std::size_t c_maxLoads = 118;
 inline constexpr std::size_t c_maxDead = 24;
 inline constexpr std::size_t c_maxPeers = 8;
 inline constexpr std::size_t c_maxContestedFlows = 6;
 
-/// Encodes a message to the front of out and returns the written part. Precondition: at most c_maxLoads, c_maxDead,
-/// c_maxPeers and c_maxContestedFlows entries; out has c_maxLoadMessageBytes and is aligned to 8 bytes.
+/// The number of loads that fit into a message that names these evacuated zones.
+std::size_t maxLoadsBeside(const EvacuatedZones& evacuated);
+
+/// Encodes a message to the front of out and returns the written part. Precondition: at most maxLoadsBeside, c_maxDead,
+/// c_maxPeers and c_maxContestedFlows entries; at most s_maxZones evacuated zones; out has c_maxLoadMessageBytes and is
+/// aligned to 8 bytes.
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out);
 
 /// Decodes a datagram, which must be aligned to 8 bytes. Errors: InvalidInput.
--- a/src/exchange/News.capnp
+++ b/src/exchange/News.capnp
@@ -11,6 +11,8 @@
   withdrawn @3 :List(UInt64); # identities of backend servers
   declarationsRevision @4 :UInt64;
   declarations @5 :Declarations; # absent unless newer than the requester's
+  backendsEra @6 :UInt32; # era of backendsRevision; 0: the store does not number its eras
+  declarationsEra @7 :UInt32;
 }
 
 struct Backend {
--- a/src/exchange/News.capnp.h
+++ b/src/exchange/News.capnp.h
@@ -38,7 +38,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa227df647a3cccd, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fa227df647a3cccd, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -169,6 +169,10 @@
   inline bool hasDeclarations() const;
   inline  ::cuminrelay::wire::Declarations::Reader getDeclarations() const;
 
+  inline  ::uint32_t getBackendsEra() const;
+
+  inline  ::uint32_t getDeclarationsEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -228,6 +232,12 @@
   inline void adoptDeclarations(::capnp::Orphan< ::cuminrelay::wire::Declarations>&& value);
   inline ::capnp::Orphan< ::cuminrelay::wire::Declarations> disownDeclarations();
 
+  inline  ::uint32_t getBackendsEra();
+  inline void setBackendsEra( ::uint32_t value);
+
+  inline  ::uint32_t getDeclarationsEra();
+  inline void setDeclarationsEra( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1033,6 +1043,34 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t News::Reader::getBackendsEra() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t News::Builder::getBackendsEra() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void News::Builder::setBackendsEra( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t News::Reader::getDeclarationsEra() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t News::Builder::getDeclarationsEra() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void News::Builder::setDeclarationsEra( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Backend::Reader::getIdentity() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/exchange/StoreUpdateMessage.cpp
+++ b/src/exchange/StoreUpdateMessage.cpp
@@ -196,12 +196,12 @@
     {
         StoreUpdate update;
         update.m_isComplete = reader.getComplete();
-        update.m_backendsRevision = { reader.getBackendsRevision() };
+        update.m_backendsRevision = { reader.getBackendsRevision(), reader.getBackendsEra() };
         for (const wire::Backend::Reader backend : limit.checked(reader.getBackends()))
             update.m_backends.push_back(readBackend(backend, limit, now));
         for (const std::uint64_t identity : limit.checked(reader.getWithdrawn()))
             update.m_withdrawn.push_back({ identity });
-        update.m_declarationsRevision = { reader.getDeclarationsRevision() };
+        update.m_declarationsRevision = { reader.getDeclarationsRevision(), reader.getDeclarationsEra() };
         if (reader.hasDeclarations()) {
             Outcome<DeclarationUpdate> declarations = readDeclarations(reader.getDeclarations(), limit);
             if (!declarations)
@@ -219,6 +219,7 @@
     wire::News::Builder root = builder.initRoot<wire::News>();
     root.setComplete(update.m_isComplete);
     root.setBackendsRevision(update.m_backendsRevision.m_number);
+    root.setBackendsEra(update.m_backendsRevision.m_era);
     capnp::List<wire::Backend>::Builder backends = root.initBackends(static_cast<unsigned>(update.m_backends.size()));
     for (unsigned i = 0; i < backends.size(); ++i)
         writeBackend(backends[i], update.m_backends[i], now);
@@ -227,6 +228,7 @@
     for (unsigned i = 0; i < withdrawn.size(); ++i)
         withdrawn.set(i, update.m_withdrawn[i].m_value);
     root.setDeclarationsRevision(update.m_declarationsRevision.m_number);
+    root.setDeclarationsEra(update.m_declarationsRevision.m_era);
     if (update.m_declarations)
         writeDeclarations(root.initDeclarations(), *update.m_declarations);
     kj::VectorOutputStream packed;
--- a/src/exchange/StoreUpdateServer.h
+++ b/src/exchange/StoreUpdateServer.h
@@ -5,7 +5,8 @@
 
 namespace cuminrelay {
 
-/// Serves store updates to other entry VMs: GET /news?backends=REVISION&declarations=VERSION.
+/// Serves store updates to other entry VMs: GET /news?backends=REVISION&declarations=VERSION[&era=ERA]. Older programs
+/// neither send nor accept the era; without it, it is 0.
 class StoreUpdateServer final : public HttpGetServer {
 public:
     StoreUpdateServer(const boost::asio::any_io_executor& executor, const StoreCache& storeCache, const Clock& clock,
--- a/src/packets/Packet.cpp
+++ b/src/packets/Packet.cpp
@@ -27,6 +27,8 @@
         return "unknown_service";
     case Reason::NoBackendServer:
         return "no_backend_server";
+    case Reason::ZoneEvacuated:
+        return "zone_evacuated";
     case Reason::HopLimit:
         return "hop_limit";
     case Reason::OwnerPartitioned:
--- a/src/packets/Packet.h
+++ b/src/packets/Packet.h
@@ -74,6 +74,7 @@
     None,
     UnknownService,
     NoBackendServer, ///< no eligible backend server in the service
+    ZoneEvacuated, ///< the service's backend servers are all in evacuated zones
     HopLimit, ///< the packet looped because views disagree
     OwnerPartitioned, ///< the owner may be in a partitioned zone
     BackendPartitioned, ///< a datagram that may belong to a flow whose backend server is unreachable
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -37,6 +37,7 @@
 
     constexpr std::uint64_t c_backendsSalt = 1;
     constexpr std::uint64_t c_declarationsSalt = 2;
+    constexpr std::uint64_t c_evacuationsSalt = 3;
 
     udp::endpoint toUdp(Endpoint endpoint)
     {
@@ -68,8 +69,10 @@
     , m_environment(environment)
     , m_tasks(environment.m_context.get_executor(), environment.m_metrics, environment.m_log)
     , m_flowLog(environment.m_log, environment.m_metrics)
-    , m_router({ m_settings.m_zone, s_trackedFlowLimit, m_settings.m_addressReuse }, placement, m_flowLog)
+    , m_router({ m_settings.m_zone, s_trackedFlowLimit, m_settings.m_addressReuse, m_settings.m_followsEvacuations },
+          placement, m_flowLog)
     , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
+    , m_evacuations(m_settings.m_zones)
     , m_storeUpdateClient(environment.m_context.get_executor(), environment.m_clock)
     , m_storeUpdateServer(environment.m_context.get_executor(), m_storeCache, environment.m_clock,
           environment.m_metrics, environment.m_log)
@@ -78,6 +81,9 @@
     , m_declarationsWatch(environment.m_declarations, *this,
           { environment.m_clock, environment.m_metrics, environment.m_log },
           hashText(m_settings.m_name, c_declarationsSalt))
+    , m_evacuationsWatch(environment.m_evacuations, *this,
+          { environment.m_clock, environment.m_metrics, environment.m_log },
+          hashText(m_settings.m_name, c_evacuationsSalt))
     , m_readiness(
           environment.m_context.get_executor(), m_settings.m_readinessPath, environment.m_metrics, environment.m_log)
     , m_metricsServer(environment.m_context.get_executor(), environment.m_metrics, environment.m_log)
@@ -117,6 +123,8 @@
     m_tasks.keepRunning("signals", [this] { return serveSignals(); });
     m_tasks.keepRunning("backends_watch", [this] { return m_backendsWatch.run(); });
     m_tasks.keepRunning("declarations_watch", [this] { return m_declarationsWatch.run(); });
+    if (m_settings.m_followsEvacuations)
+        m_tasks.keepRunning("evacuations_watch", [this] { return m_evacuationsWatch.run(); });
     m_tasks.keepRunning("packets", [this] { return forwardPackets(); });
     m_tasks.keepRunning("load_messages", [this] { return receiveLoadMessages(); });
     m_tasks.keepRunning("periodic", [this] { return runPeriodicTasks(); });
@@ -174,6 +182,11 @@
         message.value().m_stateAge.reset();
     const std::size_t countBefore = m_peers.localZonePeerCount();
     m_peers.recordMessage(peer, message.value(), now);
+    const StoreRevision evacuationsRevision = message.value().m_storeVersions.m_evacuations;
+    if (m_settings.m_followsEvacuations && m_evacuations.apply(message.value().m_evacuated, evacuationsRevision, now)) {
+        m_evacuationsWatch.advanceTo(evacuationsRevision);
+        applyEvacuations();
+    }
     introduceNewPeers(now);
     m_router.applyPeerLoad(peer, message.value().m_loads, now, m_peers.peerTimeout());
     for (const ContestedFlow& flow : message.value().m_contestedFlows)
@@ -194,6 +207,8 @@
         const Instant now = m_environment.m_clock.now();
         detectPause(now);
         m_router.tick(now);
+        if (m_evacuations.tick(now))
+            applyEvacuations();
         updateReadiness();
         startProbes(now);
         chooseReader(now);
@@ -213,12 +228,13 @@
 /// Decides whether this VM follows the store, and fetches a store update from a VM with a newer state.
 void RelayProcess::chooseReader(Instant now)
 {
-    const bool isReading = m_peers.shouldRead(m_storeCache.state(), stateConfirmedAt(), now);
+    const bool isReading = m_peers.shouldRead(storeVersions(), stateConfirmedAt(), now);
     m_backendsWatch.setReading(isReading);
     m_declarationsWatch.setReading(isReading);
+    m_evacuationsWatch.setReading(isReading);
     if (m_isFetching || now < m_nextFetchAt)
         return;
-    const std::optional<Endpoint> peer = m_peers.peerWithNewerState(m_storeCache.state(), now);
+    const std::optional<Endpoint> peer = m_peers.peerWithNewerState(storeVersions(), now);
     if (!peer)
         return;
     m_isFetching = true;
@@ -234,6 +250,14 @@
     m_nextConfirmationAt = now + c_confirmationInterval;
     m_backendsWatch.confirm();
     m_declarationsWatch.confirm();
+    m_evacuationsWatch.confirm();
+}
+
+StoreVersions RelayProcess::storeVersions() const
+{
+    StoreVersions versions = m_storeCache.state();
+    versions.m_evacuations = m_evacuations.revision();
+    return versions;
 }
 
 /// The latest time as of which the state of this VM is known to have been the store's; epoch: unknown.
@@ -241,8 +265,10 @@
 {
     if (m_declarationsWatch.unreadableRevision() > m_storeCache.declarationsRevision())
         return Instant {};
-    const Instant readAt = std::min(m_backendsWatch.confirmedAt(), m_declarationsWatch.confirmedAt());
-    return std::max(readAt, m_peers.stateConfirmedAt(m_storeCache.state()));
+    Instant readAt = std::min(m_backendsWatch.confirmedAt(), m_declarationsWatch.confirmedAt());
+    if (m_settings.m_followsEvacuations)
+        readAt = std::min(readAt, m_evacuationsWatch.confirmedAt());
+    return std::max(readAt, m_peers.stateConfirmedAt(storeVersions()));
 }
 
 asio::awaitable<void> RelayProcess::fetchStoreUpdate(Endpoint peer)
@@ -295,8 +321,7 @@
 {
     std::vector<BackendLoadReport> loads;
     m_router.collectLocalLoad(loads);
-    if (loads.size() > c_maxLoads)
-        loads.resize(c_maxLoads);
+    loads.resize(std::min(loads.size(), maxLoadsBeside(m_evacuations.report(now))));
     std::vector<BackendToken> dead = m_router.deadBackends();
     if (dead.size() > c_maxDead)
         dead.resize(c_maxDead);
@@ -328,8 +353,12 @@
 std::size_t RelayProcess::sendTo(std::span<const Endpoint> targets, std::span<const ExchangePeer> gossiped)
 {
     m_message.m_leaving = m_shutdown.has_value();
-    m_message.m_isReading = !m_shutdown && m_backendsWatch.isFollowing() && m_declarationsWatch.isFollowing();
-    m_message.m_storeVersions = m_storeCache.state();
+    const bool isFollowingEvacuations = !m_settings.m_followsEvacuations || m_evacuationsWatch.isFollowing();
+    m_message.m_isReading
+        = !m_shutdown && m_backendsWatch.isFollowing() && m_declarationsWatch.isFollowing() && isFollowingEvacuations;
+    m_message.m_storeVersions = storeVersions();
+    m_message.m_evacuated = m_evacuations.report(m_environment.m_clock.now());
+    m_message.m_loads.resize(std::min(m_message.m_loads.size(), maxLoadsBeside(m_message.m_evacuated)));
     const Instant confirmedAt = stateConfirmedAt();
     m_message.m_stateAge
         = confirmedAt != Instant {} ? std::optional { m_environment.m_clock.now() - confirmedAt } : std::nullopt;
@@ -448,6 +477,7 @@
     m_router.applyPause(m_resumedAt);
     m_backendsWatch.distrustAnswersBefore(m_resumedAt);
     m_declarationsWatch.distrustAnswersBefore(m_resumedAt);
+    m_evacuationsWatch.distrustAnswersBefore(m_resumedAt);
 }
 
 void RelayProcess::updateReadiness()
@@ -535,4 +565,39 @@
     updateReadiness();
 }
 
+void RelayProcess::evacuationsListed(const EvacuationList& list)
+{
+    if (!m_evacuations.apply(list, m_environment.m_clock.now()))
+        return;
+    m_hasStoreUpdate = true;
+    applyEvacuations();
+}
+
+void RelayProcess::evacuationsChanged(const EvacuationChanges& changes)
+{
+    if (!m_evacuations.apply(changes, m_environment.m_clock.now()))
+        return;
+    m_hasStoreUpdate = true;
+    applyEvacuations();
+}
+
+/// Passes the evacuated zones on to the router, and logs those that began or ended.
+void RelayProcess::applyEvacuations()
+{
+    m_router.setEvacuatedZones(m_evacuations.inForce());
+    for (const std::string& name : m_evacuations.takeIgnored()) {
+        m_environment.m_metrics.counter("cuminrelay_evacuations_total", "ignored").add();
+        m_environment.m_log.warning("evacuation", "evacuation_ignored",
+            { { "zone", name }, { "reason", "no zone of the deployment has this name, or too many are evacuated" } });
+    }
+    for (const EvacuationEvent& event : m_evacuations.takeEvents()) {
+        const std::string_view state = event.m_isEvacuated ? "evacuated" : "ended";
+        m_environment.m_metrics.counter("cuminrelay_evacuations_total", state).add();
+        m_environment.m_log.info("evacuation", "zone_evacuation",
+            { { "zone", event.m_zone }, { "state", state }, { "retained", event.m_isRetained },
+                { "era", m_evacuations.revision().m_era }, { "revision", m_evacuations.revision().m_number } });
+    }
+    updateReadiness();
+}
+
 } // namespace cuminrelay
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -2,6 +2,7 @@
 
 #include "affinity/TokenRouter.h"
 #include "discovery/Watches.h"
+#include "evacuation/Evacuations.h"
 #include "exchange/ExchangePeers.h"
 #include "exchange/LoadMessageSchedule.h"
 #include "exchange/StoreCache.h"
@@ -50,6 +51,7 @@
     PacketFrontEnd& m_packets;
     Discovery& m_backends;
     Discovery& m_declarations;
+    Discovery& m_evacuations;
     BackendProber& m_backendProber;
     SettingsSource& m_settings;
     const Clock& m_clock;
@@ -77,6 +79,8 @@
     void backendsListed(const BackendList& readList) override;
     void backendsChanged(const BackendChanges& readChanges) override;
     void declarationsChanged(const ServiceDeclarations& declarations, StoreRevision revision) override;
+    void evacuationsListed(const EvacuationList& list) override;
+    void evacuationsChanged(const EvacuationChanges& changes) override;
 
     boost::asio::awaitable<void> forwardPackets();
     boost::asio::awaitable<void> receiveLoadMessages();
@@ -87,6 +91,8 @@
 
     void applyLoadMessage(std::span<const std::byte> datagram, Endpoint peer, Instant now);
     void applyStoreUpdate(const StoreUpdate& storeUpdate, Endpoint peer);
+    void applyEvacuations();
+    StoreVersions storeVersions() const;
     void chooseReader(Instant now);
     void confirmState(Instant now);
     Instant stateConfirmedAt();
@@ -113,10 +119,12 @@
     TokenRouter m_router;
     ExchangePeers m_peers;
     StoreCache m_storeCache;
+    Evacuations m_evacuations;
     StoreUpdateClient m_storeUpdateClient;
     StoreUpdateServer m_storeUpdateServer;
     BackendsWatch m_backendsWatch;
     DeclarationsWatch m_declarationsWatch;
+    EvacuationsWatch m_evacuationsWatch; ///< runs if the settings say that evacuations are followed
     ReadinessServer m_readiness;
     MetricsServer m_metricsServer;
     std::optional<boost::asio::ip::udp::socket> m_exchange;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -22,6 +22,8 @@
     std::vector<Endpoint> m_seeds; ///< exchange endpoints of other entry VMs; may be stale
     std::chrono::milliseconds m_stopWithin { 6'000 }; ///< from the stop request to the end of the process
     std::chrono::milliseconds m_addressReuse { 2'000 }; ///< minimum time before an address gets a new owner
+    bool m_followsEvacuations = false; ///< operators may request the evacuation of an availability zone
+    std::vector<std::string> m_zones; ///< all availability zones; empty: unknown
     LogLevel m_logLevel = LogLevel::Info;
 
     friend bool operator==(const RelaySettings&, const RelaySettings&) = default;
