exchange, evacuation: state after the store came back from an older copy

Cause: StoreCache refused a list of a lower revision, so that a restored store was ignored until its revisions had passed the old ones. Change: state is ordered by era and revision; RestoredEntries decides which entries of an older copy count, Evacuations retains missing requests, StateEra withholds resets until the store has settled, a watch lists once more then. Evacuations no longer ask for confirmations of their own.

--- a/src/affinity/Backend.h
+++ b/src/affinity/Backend.h
@@ -30,6 +30,7 @@
     BackendIdentity m_identity;
     BackendServer m_server; ///< packets are sent to its tunnel endpoint
     std::uint64_t m_startedAtUnixMs = 0; ///< distinguishes restarts under one identity; 0: not announced
+    std::uint64_t m_sequence = 0; ///< rises with each write of the entry since the start
     Deadline m_warmAt {}; ///< end of the warm-up, during which it is slower
 };
 
--- a/src/affinity/BackendCatalog.cpp
+++ b/src/affinity/BackendCatalog.cpp
@@ -96,13 +96,30 @@
 void BackendCatalog::withdraw(BackendIdentity identity, Instant now)
 {
     m_shadowed.erase(identity);
+    if (TrackedBackend* const tracked = findAnnounced(identity))
+        remove(*tracked, tracked->m_announced.m_server.m_draining ? Presence::Departed : Presence::Expired, now);
+}
+
+void BackendCatalog::depart(BackendIdentity identity, Instant now)
+{
+    m_shadowed.erase(identity);
+    if (TrackedBackend* const tracked = findAnnounced(identity))
+        remove(*tracked, Presence::Departed, now);
+}
+
+TrackedBackend* BackendCatalog::findAnnounced(BackendIdentity identity)
+{
     TrackedBackend* const tracked = find(tokenOf(identity));
-    if (!tracked || tracked->m_announced.m_identity != identity || tracked->m_presence != Presence::Announced)
-        return;
-    const bool hasLeft = tracked->m_announced.m_server.m_draining;
-    tracked->m_presence = hasLeft ? Presence::Departed : Presence::Expired;
-    tracked->m_withdrawnAt = now;
-    tracked->m_presenceDeadline = now + (hasLeft ? c_departedRetention : c_expiredEntryGrace);
+    const bool isAnnounced
+        = tracked && tracked->m_announced.m_identity == identity && tracked->m_presence == Presence::Announced;
+    return isAnnounced ? tracked : nullptr;
+}
+
+void BackendCatalog::remove(TrackedBackend& tracked, Presence presence, Instant now)
+{
+    tracked.m_presence = presence;
+    tracked.m_withdrawnAt = now;
+    tracked.m_presenceDeadline = now + (presence == Presence::Departed ? c_departedRetention : c_expiredEntryGrace);
     ++m_generation;
 }
 
--- a/src/affinity/BackendCatalog.h
+++ b/src/affinity/BackendCatalog.h
@@ -65,6 +65,9 @@
     /// Applies that an entry has disappeared or become unreadable.
     void withdraw(BackendIdentity identity, Instant now);
 
+    /// Applies that a backend server is gone for good, whose entry disappeared earlier.
+    void depart(BackendIdentity identity, Instant now);
+
     /// Ends grace periods and removes backend servers after c_departedRetention; call at least twice a second.
     void tick(Instant now);
 
@@ -92,6 +95,8 @@
 private:
     /// Marks older backend servers at the same address as departed, despite their entries: an address has one owner.
     void retirePreviousOwner(const AnnouncedBackend& announced, Instant now);
+    TrackedBackend* findAnnounced(BackendIdentity identity);
+    void remove(TrackedBackend& tracked, Presence presence, Instant now);
     void update(TrackedBackend& tracked, const AnnouncedBackend& announced, Instant now);
 
     std::unordered_map<std::uint32_t, TrackedBackend> m_backends; ///< by token; a node-based map keeps references valid
--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -437,6 +437,12 @@
     m_backends.withdraw(identity, now);
 }
 
+void TokenRouter::departBackend(BackendIdentity identity, Instant now)
+{
+    m_unnamedBackends.erase(identity);
+    m_backends.depart(identity, now);
+}
+
 /// The last usable entry of a backend server whose entry has not been withdrawn, draining; nullopt if there is none.
 std::optional<AnnouncedBackend> TokenRouter::drainedInUse(BackendIdentity identity) const
 {
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -71,6 +71,9 @@
     /// Applies that an entry has disappeared or become unreadable.
     void withdrawBackend(BackendIdentity identity, Instant now);
 
+    /// Applies that a backend server, whose entry disappeared earlier, is gone for good.
+    void departBackend(BackendIdentity identity, Instant now);
+
     /// Entries that do not count because the declarations do not name their services.
     std::size_t unnamedBackends() const { return m_unnamedBackends.size(); }
 
--- a/src/discovery/WatchSchedule.cpp
+++ b/src/discovery/WatchSchedule.cpp
@@ -32,6 +32,11 @@
 {
     m_calledAt = now;
     const bool isConfirming = std::exchange(m_isConfirming, false);
+    // What came back unchanged makes no event: only a list shows which entries of an older copy were written again.
+    if (m_readAllAt && now >= *m_readAllAt) {
+        m_readAllAt.reset();
+        m_hasCompleteState = false;
+    }
     if (!m_hasCompleteState) {
         m_call = { true, now, now + c_readTimeout };
         return m_call;
@@ -39,7 +44,8 @@
     // After a failure, a pause, or a time without calls the first call does not wait, so that the store's state is
     // known soon.
     const bool isRecent = isInContact() && now - m_answeredAt < s_maxWait;
-    const Deadline waitUntil = isRecent && !isConfirming ? now + s_maxWait : now;
+    const Deadline longestWait = std::min(now + s_maxWait, m_readAllAt.value_or(Deadline::max()));
+    const Deadline waitUntil = isRecent && !isConfirming ? longestWait : now;
     m_call = { false, waitUntil, waitUntil + c_answerTimeout };
     return m_call;
 }
@@ -47,6 +53,9 @@
 Deadline WatchSchedule::recordAnswer(const StoreAnswer& answer, Instant now)
 {
     const bool hasChanged = m_hasCompleteState && answer.m_revision > m_revision;
+    if (m_revision != StoreRevision {} && answer.m_revision.m_era > m_revision.m_era)
+        m_readAllAt = now + s_restoreSettleTime;
+    beginEra(answer.m_revision);
     m_hasCompleteState = true;
     m_revision = std::max(m_revision, answer.m_revision);
     m_backoff.succeeded();
@@ -70,8 +79,15 @@
     return m_backoff.failed(now);
 }
 
+void WatchSchedule::beginEra(StoreRevision revision)
+{
+    if (revision.m_era > m_revision.m_era)
+        m_confirmedAt = Instant {};
+}
+
 void WatchSchedule::advanceTo(StoreRevision revision)
 {
+    beginEra(revision);
     m_revision = std::max(m_revision, revision);
     m_hasCompleteState = true;
 }
--- a/src/discovery/WatchSchedule.h
+++ b/src/discovery/WatchSchedule.h
@@ -6,6 +6,7 @@
 #include "discovery/Discovery.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cuminrelay {
 
@@ -22,6 +23,10 @@
     /// How long a call waits for changes. The state of a VM that follows the store is confirmed at least this often.
     static constexpr Duration s_maxWait = std::chrono::milliseconds { 1'000 };
 
+    /// After the store came back from an older copy, the backend servers and operators write again what it lacks within
+    /// this time. Live backend servers do so within two seconds.
+    static constexpr Duration s_restoreSettleTime = std::chrono::milliseconds { 2'500 };
+
     struct Call {
         bool m_readsAll = false; ///< read all objects, not the changes after revision()
         Deadline m_waitUntil {}; ///< without changes, the store answers then; the time of the call if it must not wait
@@ -48,7 +53,8 @@
     /// Requests one call that does not wait.
     void confirm() { m_isConfirming = true; }
 
-    /// Records that other VMs have sent all changes up to a revision.
+    /// Records that other VMs have sent all changes up to a revision. Earlier confirmations do not count in a newer
+    /// era.
     void advanceTo(StoreRevision revision);
 
     /// Records that the process was paused: earlier answers may be outdated.
@@ -59,11 +65,13 @@
     /// Whether the watch follows the store and the last call was answered.
     bool isFollowing() const { return m_isReading && isInContact(); }
 
-    /// The latest time as of which the state read is known to have been the store's; epoch: never. Earlier than the
-    /// last answer, which does not tell when the store composed it.
+    /// The latest time as of which the state read is known to have been the store's, in the era of revision(); epoch:
+    /// never. Earlier than the last answer, which does not tell when the store composed it.
     Instant confirmedAt() const { return m_confirmedAt; }
 
 private:
+    /// Begins the era of a revision if it is newer than that of m_revision.
+    void beginEra(StoreRevision revision);
     bool isInContact() const { return m_isAnswered && m_answeredAt >= m_trustedFrom; }
 
     Backoff m_backoff;
@@ -77,6 +85,7 @@
     Instant m_answeredAt {}; ///< last answer; epoch: none
     Instant m_trustedFrom {}; ///< earlier answers may be outdated
     Instant m_confirmedAt {};
+    std::optional<Deadline> m_readAllAt; ///< after a restore, when the store has got what its copy lacked
 };
 
 } // namespace cuminrelay
--- a/src/discovery/Watches.cpp
+++ b/src/discovery/Watches.cpp
@@ -84,8 +84,11 @@
 {
     if (!state)
         return state.error();
-    if (state.value().m_declarations)
+    // A restored copy may hold an earlier readable version in place of an unreadable one.
+    if (state.value().m_declarations) {
+        m_unreadableRevision = {};
         m_listener.declarationsChanged(*state.value().m_declarations, state.value().m_revision);
+    }
     if (state.value().m_unreadable)
         recordUnreadable(*state.value().m_unreadable, state.value().m_revision);
     return StoreAnswer { state.value().m_revision,
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -265,11 +265,14 @@
 
 Instant ExchangePeers::stateConfirmedAt(const StoreVersions& own)
 {
+    const std::uint32_t era = own.m_backends.m_era;
+    if (era != m_confirmedEra) {
+        m_confirmedEra = era;
+        m_stateConfirmedAt = Instant {};
+    }
     for (const auto& [peer, state] : m_peers) {
-        // A VM that knows no evacuations confirms nothing about them.
-        const bool hasSameKinds
-            = own.m_evacuations == StoreRevision {} || state.m_versions.m_evacuations != StoreRevision {};
-        if (hasSameKinds && !isNewer(state.m_versions, own) && state.m_versions.m_evacuations <= own.m_evacuations)
+        const bool isOfEra = state.m_versions.m_backends.m_era == era;
+        if (isOfEra && !isNewer(state.m_versions, own))
             m_stateConfirmedAt = std::max(m_stateConfirmedAt, state.m_confirmedAt);
     }
     return m_stateConfirmedAt;
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -58,8 +58,8 @@
     bool shouldRead(const StoreVersions& own, Instant confirmedAt, Instant now);
 
     /// The latest time as of which this VM's state, of these versions, is known from other VMs to have been the
-    /// store's: one of them said so of a state that this VM has all of. Epoch: never. Call whenever the versions
-    /// change.
+    /// store's: one of them said so of a state of the same era that this VM has all of. Epoch: never. Call whenever the
+    /// versions change.
     Instant stateConfirmedAt(const StoreVersions& own);
 
     /// Whether any VM ever announced newer declarations than these. They exist even if that VM has left since.
@@ -108,6 +108,7 @@
     Deadline m_startupListenUntil {}; ///< set by the first shouldRead; this VM does not follow the store before
     Instant m_lastReaderAt {}; ///< when the zone last had a reader; epoch: unset
     Instant m_stateConfirmedAt {};
+    std::uint32_t m_confirmedEra = 0; ///< of m_stateConfirmedAt
     StoreVersions m_newestVersions; ///< of all messages
     Instant m_newestVersionsAt {}; ///< when m_newestVersions last changed
     Instant m_behindSince {}; ///< since when a newer state than this VM's is known to exist; epoch: none is
--- a/src/exchange/LoadMessage.cpp
+++ b/src/exchange/LoadMessage.cpp
@@ -49,6 +49,18 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(evacuated.m_retainedFor).count()));
     }
 
+    EvacuatedZones readEvacuatedZones(wire::LoadMessage::Reader reader)
+    {
+        EvacuatedZones evacuated;
+        for (const std::uint32_t zone : reader.getEvacuatedZones())
+            evacuated.m_zones.push_back({ zone });
+        for (const std::uint32_t zone : reader.getRetainedZones())
+            evacuated.m_retained.push_back({ zone });
+        if (!evacuated.m_retained.empty())
+            evacuated.m_retainedFor = std::chrono::milliseconds { reader.getRetainedMs() };
+        return evacuated;
+    }
+
     LoadMessage readMessage(wire::LoadMessage::Reader reader)
     {
         LoadMessage message;
@@ -67,11 +79,7 @@
             message.m_peers.push_back({ Endpoint::fromPacked(peer.getExchange()), { peer.getZone() } });
         for (const wire::ContestedFlow::Reader flow : reader.getContestedFlows())
             message.m_contestedFlows.push_back({ { flow.getFlow() }, flow.getOpeningSequence(), { flow.getToken() } });
-        for (const std::uint32_t zone : reader.getEvacuatedZones())
-            message.m_evacuated.m_zones.push_back({ zone });
-        for (const std::uint32_t zone : reader.getRetainedZones())
-            message.m_evacuated.m_retained.push_back({ zone });
-        message.m_evacuated.m_retainedFor = std::chrono::milliseconds { reader.getRetainedMs() };
+        message.m_evacuated = readEvacuatedZones(reader);
         return message;
     }
 
@@ -139,7 +147,13 @@
     options.nestingLimit = c_nestingLimit;
     try {
         capnp::FlatArrayMessageReader message { words, options };
-        return readMessage(message.getRoot<wire::LoadMessage>());
+        LoadMessage decoded = readMessage(message.getRoot<wire::LoadMessage>());
+        // An incomplete set of zones would end the evacuation of the others.
+        if (decoded.m_evacuated.size() > EvacuatedZones::s_maxZones)
+            return Error { ErrorKind::InvalidInput,
+                fmt::format("malformed load message: found {} evacuated zones; allowed: at most {}",
+                    decoded.m_evacuated.size(), EvacuatedZones::s_maxZones) };
+        return decoded;
     } catch (const kj::Exception& exception) {
         return Error { ErrorKind::InvalidInput,
             fmt::format("malformed load message: {}", exception.getDescription().cStr()) };
--- a/src/exchange/LoadMessageTest.cpp
+++ b/src/exchange/LoadMessageTest.cpp
@@ -12,10 +12,18 @@
         std::array<std::byte, c_maxLoadMessageBytes> m_bytes {};
     };
 
-    TEST(LoadMessageTest, theLongestMessageFitsIntoADatagram)
+    class LongestLoadMessageTest : public testing::TestWithParam<std::size_t> { };
+
+    // The loads make room for the evacuated zones, so that the datagram is not fragmented.
+    TEST_P(LongestLoadMessageTest, fitsIntoADatagram)
     {
         LoadMessage message;
-        for (std::uint32_t i = 0; i < c_maxLoads; ++i)
+        message.m_storeVersions = { { 1, 2 }, { 3 }, { 4, 5 } };
+        for (std::uint32_t i = 0; i < GetParam(); ++i)
+            (i % 3 == 0 ? message.m_evacuated.m_retained : message.m_evacuated.m_zones).push_back({ i });
+        if (!message.m_evacuated.m_retained.empty())
+            message.m_evacuated.m_retainedFor = std::chrono::seconds { 10 };
+        for (std::uint32_t i = 0; i < maxLoadsBeside(message.m_evacuated); ++i)
             message.m_loads.push_back({ { i }, { i, i } });
         for (std::uint32_t i = 0; i < c_maxDead; ++i)
             message.m_dead.push_back({ i });
@@ -29,14 +37,20 @@
         EXPECT_EQ(decoded.value(), message);
     }
 
+    INSTANTIATE_TEST_SUITE_P(
+        EvacuatedZones, LongestLoadMessageTest, testing::Values(0, 1, 7, EvacuatedZones::s_maxZones));
+
     RC_GTEST_PROP(LoadMessageTest, decodingReturnsTheEncodedMessage, ())
     {
         LoadMessage message;
         message.m_zone = { *rc::gen::arbitrary<std::uint32_t>() };
         message.m_leaving = *rc::gen::arbitrary<bool>();
         message.m_isReading = *rc::gen::arbitrary<bool>();
-        message.m_storeVersions
-            = { { *rc::gen::arbitrary<std::uint64_t>() }, { *rc::gen::arbitrary<std::uint64_t>() } };
+        message.m_storeVersions = { { *rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint32_t>() },
+            { *rc::gen::arbitrary<std::uint64_t>() },
+            { *rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint32_t>() } };
+        for (int i = *rc::gen::inRange(0, 8); i > 0; --i)
+            message.m_evacuated.m_zones.push_back({ *rc::gen::arbitrary<std::uint32_t>() });
         for (std::size_t i = *rc::gen::inRange<std::size_t>(0, c_maxContestedFlows); i > 0; --i)
             message.m_contestedFlows.push_back({ { *rc::gen::arbitrary<std::uint64_t>() },
                 *rc::gen::arbitrary<std::uint32_t>(), { *rc::gen::arbitrary<std::uint32_t>() } });
--- a/src/exchange/News.capnp
+++ b/src/exchange/News.capnp
@@ -25,6 +25,7 @@
   labels @6 :List(Label);
   startedAtUnixMs @7 :UInt64;
   warmInMs @8 :UInt32;
+  sequence @9 :UInt64; # rises with each write of the entry since the start
 }
 
 struct Label {
--- a/src/exchange/News.capnp.h
+++ b/src/exchange/News.capnp.h
@@ -53,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7acfe68269a4fd2, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f7acfe68269a4fd2, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -303,6 +303,8 @@
 
   inline  ::uint32_t getWarmInMs() const;
 
+  inline  ::uint64_t getSequence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -370,6 +372,9 @@
   inline  ::uint32_t getWarmInMs();
   inline void setWarmInMs( ::uint32_t value);
 
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1257,6 +1262,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Backend::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Backend::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Label::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/exchange/StoreCache.cpp
+++ b/src/exchange/StoreCache.cpp
@@ -75,11 +75,32 @@
     return changes;
 }
 
+BackendList StoreCache::reconciled(BackendList list, Instant now)
+{
+    const bool isRestored = m_backendsRevision != StoreRevision {} && list.m_revision.m_era > m_backendsRevision.m_era;
+    if (isRestored)
+        return m_restored.merge(std::move(list), m_backends, m_withdrawn, now);
+    return list.m_revision < m_backendsRevision ? list : m_restored.filter(std::move(list), m_backends);
+}
+
+BackendChanges StoreCache::reconciled(BackendChanges changes)
+{
+    return changes.m_revision <= m_backendsRevision ? changes : m_restored.filter(std::move(changes), m_backends);
+}
+
+std::vector<BackendIdentity> StoreCache::takeGone(Instant now)
+{
+    std::vector<BackendIdentity> gone = m_restored.takeGone(now);
+    for (const BackendIdentity identity : gone)
+        withdraw(identity, m_backendsRevision);
+    return gone;
+}
+
 bool StoreCache::apply(const BackendList& list)
 {
     if (list.m_revision < m_backendsRevision)
         return false;
-    std::map<BackendIdentity, BackendEntry> listed;
+    std::map<BackendIdentity, CachedBackend> listed;
     for (const AnnouncedBackend& backend : list.m_backends) {
         const auto held = m_backends.find(backend.m_identity);
         const bool isSame = held != m_backends.end() && isSameEntry(held->second.m_backend, backend);
@@ -102,7 +123,8 @@
 
 bool StoreCache::apply(const BackendChanges& changes)
 {
-    if (changes.m_revision <= m_backendsRevision)
+    // Changes of a new era build on its list.
+    if (changes.m_revision <= m_backendsRevision || changes.m_revision.m_era != m_backendsRevision.m_era)
         return false;
     for (const BackendChange& change : changes.m_changes) {
         if (change.m_backend) {
@@ -118,13 +140,18 @@
 
 void StoreCache::withdraw(BackendIdentity identity, StoreRevision revision)
 {
-    m_backends.erase(identity);
-    m_withdrawn[identity] = revision;
+    const auto known = m_backends.find(identity);
+    RemovedBackend& removed = m_withdrawn[identity];
+    removed.m_revision = revision;
+    if (known != m_backends.end()) {
+        removed.m_version = entryVersionOf(known->second.m_backend);
+        m_backends.erase(known);
+    }
     if (m_withdrawn.size() <= s_maxRemovals)
         return;
     const auto oldest = std::min_element(m_withdrawn.begin(), m_withdrawn.end(),
-        [](const auto& left, const auto& right) { return left.second < right.second; });
-    m_backendHistoryStart = std::max(m_backendHistoryStart, oldest->second);
+        [](const auto& left, const auto& right) { return left.second.m_revision < right.second.m_revision; });
+    m_backendHistoryStart = std::max(m_backendHistoryStart, oldest->second.m_revision);
     m_withdrawn.erase(oldest);
 }
 
@@ -208,11 +235,12 @@
     update.m_backendsRevision = m_backendsRevision;
     update.m_isComplete = held.m_backends < m_backendHistoryStart;
     for (const auto& [identity, entry] : m_backends) {
-        if (update.m_isComplete || entry.m_revision > held.m_backends)
+        // The receiver retains what it knows by itself, so that no VM keeps a missing entry beyond its own deadline.
+        if ((update.m_isComplete || entry.m_revision > held.m_backends) && !m_restored.isRetained(identity))
             update.m_backends.push_back(entry.m_backend);
     }
-    for (const auto& [identity, revision] : m_withdrawn) {
-        if (!update.m_isComplete && revision > held.m_backends)
+    for (const auto& [identity, removed] : m_withdrawn) {
+        if (!update.m_isComplete && removed.m_revision > held.m_backends)
             update.m_withdrawn.push_back(identity);
     }
     update.m_declarationsRevision = m_declarationsRevision;
--- a/src/exchange/StoreCache.h
+++ b/src/exchange/StoreCache.h
@@ -3,6 +3,7 @@
 #include "affinity/ServiceMap.h"
 #include "discovery/Discovery.h"
 #include "exchange/LoadMessage.h"
+#include "exchange/RestoredEntries.h"
 
 #include <cstddef>
 #include <map>
@@ -36,7 +37,8 @@
 BackendChanges changesOf(const StoreUpdate& update);
 
 /// This entry VM's copy of the store, received from it or from other VMs, with the version of each entry's last change.
-/// Computes the changes relative to the versions of another VM. Rejects older data from any source.
+/// Computes the changes relative to the versions of another VM. Rejects older data from any source; a newer era of the
+/// store makes data newer, whatever its revision.
 /// Memory: O(backend servers and services), the last s_maxRemovals removals of each, and s_maxVersions versions.
 class StoreCache {
 public:
@@ -50,6 +52,16 @@
     BackendList withoutUnusable(BackendList list) const;
     BackendChanges withoutUnusable(BackendChanges changes) const;
 
+    /// Reconcile a list or changes that the store or another VM sent with what is known, if the store came back from an
+    /// older copy; see RestoredEntries. Call before apply.
+    BackendList reconciled(BackendList list, Instant now);
+    BackendChanges reconciled(BackendChanges changes);
+
+    /// Removes and returns the backend servers whose entries stayed missing after a restore. Each VM does so by itself.
+    std::vector<BackendIdentity> takeGone(Instant now);
+
+    const RestoredEntries& restored() const { return m_restored; }
+
     /// Store newer data, and a list also of the same revision; otherwise return false without effect. Empty changes,
     /// which only another VM sends and never the watch of the store, advance the revision too.
     bool apply(const BackendList& list);
@@ -69,11 +81,6 @@
     StoreRevision declarationsRevision() const { return m_declarationsRevision; }
 
 private:
-    struct BackendEntry {
-        AnnouncedBackend m_backend;
-        StoreRevision m_revision; ///< of the last change
-    };
-
     struct ServiceEntry {
         DeclaredService m_service;
         ConfigVersion m_version; ///< of the last change
@@ -89,8 +96,9 @@
     DeclarationUpdate declarationsSince(ConfigVersion held) const;
     void withdraw(BackendIdentity identity, StoreRevision revision);
 
-    std::map<BackendIdentity, BackendEntry> m_backends;
-    std::map<BackendIdentity, StoreRevision> m_withdrawn;
+    std::map<BackendIdentity, CachedBackend> m_backends;
+    std::map<BackendIdentity, RemovedBackend> m_withdrawn;
+    RestoredEntries m_restored;
     StoreRevision m_backendsRevision;
     StoreRevision m_backendHistoryStart; ///< later changes are tracked one by one
     std::map<std::string, ServiceEntry, std::less<>> m_services; ///< by name
--- a/src/exchange/StoreUpdateMessage.cpp
+++ b/src/exchange/StoreUpdateMessage.cpp
@@ -53,6 +53,7 @@
         builder.setSlots(server.m_slots);
         builder.setDraining(server.m_draining);
         builder.setStartedAtUnixMs(backend.m_startedAtUnixMs);
+        builder.setSequence(backend.m_sequence);
         const Duration warmIn = std::max(backend.m_warmAt - now, Duration::zero());
         builder.setWarmInMs(
             static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(warmIn).count()));
@@ -70,6 +71,7 @@
         AnnouncedBackend backend;
         backend.m_identity = { reader.getIdentity() };
         backend.m_startedAtUnixMs = reader.getStartedAtUnixMs();
+        backend.m_sequence = reader.getSequence();
         backend.m_warmAt = now + std::chrono::milliseconds { reader.getWarmInMs() };
         BackendServer& server = backend.m_server;
         server.m_name = reader.getName().cStr();
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -207,8 +207,7 @@
         const Instant now = m_environment.m_clock.now();
         detectPause(now);
         m_router.tick(now);
-        if (m_evacuations.tick(now))
-            applyEvacuations();
+        endRetention(now);
         updateReadiness();
         startProbes(now);
         chooseReader(now);
@@ -244,13 +243,13 @@
 /// Sets the router's confirmation of the state, and calls the store for a later one if a reset waits for it.
 void RelayProcess::confirmState(Instant now)
 {
-    m_router.setStateConfirmed(stateConfirmedAt(), m_peers.hasNewerDeclarations(m_router.configVersion()));
+    m_router.setStateConfirmed(
+        m_stateEra.settled(stateConfirmedAt()), m_peers.hasNewerDeclarations(m_router.configVersion()));
     if (now < m_nextConfirmationAt || !m_router.takeConfirmationRequest())
         return;
     m_nextConfirmationAt = now + c_confirmationInterval;
     m_backendsWatch.confirm();
     m_declarationsWatch.confirm();
-    m_evacuationsWatch.confirm();
 }
 
 StoreVersions RelayProcess::storeVersions() const
@@ -260,14 +259,13 @@
     return versions;
 }
 
-/// The latest time as of which the state of this VM is known to have been the store's; epoch: unknown.
+/// The latest time as of which the state of this VM is known to have been the store's; epoch: unknown. Evacuations are
+/// left out: resets and refusals do not depend on them, and the messages that confirm the rest carry them.
 Instant RelayProcess::stateConfirmedAt()
 {
     if (m_declarationsWatch.unreadableRevision() > m_storeCache.declarationsRevision())
         return Instant {};
-    Instant readAt = std::min(m_backendsWatch.confirmedAt(), m_declarationsWatch.confirmedAt());
-    if (m_settings.m_followsEvacuations)
-        readAt = std::min(readAt, m_evacuationsWatch.confirmedAt());
+    const Instant readAt = std::min(m_backendsWatch.confirmedAt(), m_declarationsWatch.confirmedAt());
     return std::max(readAt, m_peers.stateConfirmedAt(storeVersions()));
 }
 
@@ -514,11 +512,16 @@
 
 void RelayProcess::backendsListed(const BackendList& readList)
 {
-    const BackendList list = m_storeCache.withoutUnusable(readList);
+    const Instant now = m_environment.m_clock.now();
+    const std::uint32_t era = m_storeCache.state().m_backends.m_era;
+    const BackendList list = m_storeCache.reconciled(m_storeCache.withoutUnusable(readList), now);
     if (!m_storeCache.apply(list))
         return;
+    m_stateEra.record(list.m_revision.m_era, now);
+    if (m_hasBackends && list.m_revision.m_era != era)
+        logRestore(list.m_revision);
     m_hasStoreUpdate = true;
-    m_router.replaceBackends(list.m_backends, m_environment.m_clock.now());
+    m_router.replaceBackends(list.m_backends, now);
     m_hasBackends = true;
     m_environment.m_log.info("discovery", "backends_listed",
         { { "backends", list.m_backends.size() }, { "unreadable", readList.m_unreadable.size() },
@@ -526,9 +529,28 @@
     updateReadiness();
 }
 
+void RelayProcess::logRestore(StoreRevision revision)
+{
+    m_environment.m_metrics.counter("cuminrelay_store_restores_total").add();
+    m_environment.m_log.warning("discovery", "store_restored",
+        { { "era", revision.m_era }, { "revision", revision.m_number },
+            { "retained", m_storeCache.restored().retained() }, { "ignored", m_storeCache.restored().ignored() } });
+}
+
+/// Ends what was kept after a restore of the store and was not written again.
+void RelayProcess::endRetention(Instant now)
+{
+    if (m_evacuations.tick(now))
+        applyEvacuations();
+    for (const BackendIdentity identity : m_storeCache.takeGone(now)) {
+        m_router.departBackend(identity, now);
+        m_environment.m_log.info("discovery", "backend_not_restored", { { "token", tokenOf(identity).m_value } });
+    }
+}
+
 void RelayProcess::backendsChanged(const BackendChanges& readChanges)
 {
-    const BackendChanges changes = m_storeCache.withoutUnusable(readChanges);
+    const BackendChanges changes = m_storeCache.reconciled(m_storeCache.withoutUnusable(readChanges));
     if (!m_storeCache.apply(changes))
         return;
     m_hasStoreUpdate = true;
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -5,6 +5,7 @@
 #include "evacuation/Evacuations.h"
 #include "exchange/ExchangePeers.h"
 #include "exchange/LoadMessageSchedule.h"
+#include "exchange/StateEra.h"
 #include "exchange/StoreCache.h"
 #include "exchange/StoreUpdateClient.h"
 #include "exchange/StoreUpdateServer.h"
@@ -92,6 +93,8 @@
     void applyLoadMessage(std::span<const std::byte> datagram, Endpoint peer, Instant now);
     void applyStoreUpdate(const StoreUpdate& storeUpdate, Endpoint peer);
     void applyEvacuations();
+    void logRestore(StoreRevision revision);
+    void endRetention(Instant now);
     StoreVersions storeVersions() const;
     void chooseReader(Instant now);
     void confirmState(Instant now);
@@ -119,6 +122,7 @@
     TokenRouter m_router;
     ExchangePeers m_peers;
     StoreCache m_storeCache;
+    StateEra m_stateEra;
     Evacuations m_evacuations;
     StoreUpdateClient m_storeUpdateClient;
     StoreUpdateServer m_storeUpdateServer;
