evacuation: tests, gauges, status and the operators' page

A retained zone of another VM's report was inserted with an invalid iterator hint; found by the test.

--- a/src/affinity/TokenRouterTest.cpp
+++ b/src/affinity/TokenRouterTest.cpp
@@ -326,6 +326,101 @@
         }
     }
 
+    /// Two backend servers each in the zones a and b.
+    struct EvacuationVm : Vm {
+        EvacuationVm()
+            : Vm(0)
+        {
+            const std::array announced { makeBackend(1, "a"), makeBackend(2, "a"), makeBackend(3, "b"),
+                makeBackend(4, "b") };
+            m_router.replaceBackends(announced, m_now);
+        }
+
+        void evacuate(const std::vector<std::string>& zones)
+        {
+            std::vector<ZoneHash> hashes;
+            for (const std::string& zone : zones)
+                hashes.push_back(hashZone(zone));
+            m_router.setEvacuatedZones(hashes);
+        }
+
+        std::string_view zoneOf(const PacketAction& action)
+        {
+            return action.m_kind == PacketActionKind::ToBackend
+                ? std::string_view { backend(action.m_token).m_announced.m_server.m_zone }
+                : std::string_view {};
+        }
+    };
+
+    TEST(TokenRouterEvacuationTest, newFlowsAvoidAnEvacuatedZoneAndEstablishedOnesStay)
+    {
+        EvacuationVm vm;
+        const PacketAction before = vm.open(1);
+        ASSERT_EQ(vm.zoneOf(before), "a");
+        vm.data(1, before.m_token, 10);
+        vm.evacuate({ "a" });
+        EXPECT_EQ(vm.data(1, before.m_token, 110).m_target, before.m_target);
+        for (std::uint16_t port = 2; port < 40; ++port)
+            EXPECT_EQ(vm.zoneOf(vm.open(port)), "b");
+        vm.evacuate({});
+        EXPECT_EQ(vm.zoneOf(vm.open(41)), "a");
+    }
+
+    // The backend server that was chosen for the first copy must not get the later ones, whether it is late or not.
+    TEST(TokenRouterEvacuationTest, retransmittedOpeningsLeaveAnEvacuatedZone)
+    {
+        for (const milliseconds delay : { milliseconds { 20 }, milliseconds { 200 } }) {
+            EvacuationVm vm;
+            ASSERT_EQ(vm.zoneOf(vm.open(1)), "a");
+            vm.evacuate({ "a" });
+            vm.wait(delay);
+            EXPECT_EQ(vm.zoneOf(vm.open(1, c_forms, 1)), "b");
+        }
+    }
+
+    TEST(TokenRouterEvacuationTest, aServiceWhoseZonesAreAllEvacuatedIsRefusedAtOnce)
+    {
+        EvacuationVm vm;
+        vm.evacuate({ "a", "b" });
+        const PacketAction refused = vm.open(1);
+        EXPECT_EQ(refused.m_kind, PacketActionKind::Refuse);
+        EXPECT_EQ(refused.m_reason, Reason::ZoneEvacuated);
+        vm.evacuate({ "b" });
+        EXPECT_EQ(vm.zoneOf(vm.open(2)), "a");
+    }
+
+    // Unresponsive and expired backend servers elsewhere come before those of an evacuated zone.
+    TEST(TokenRouterEvacuationTest, noFallbackLeadsToAnEvacuatedZone)
+    {
+        EvacuationVm vm;
+        vm.evacuate({ "a" });
+        vm.m_router.withdrawBackend({ 3 }, vm.m_now);
+        vm.m_router.withdrawBackend({ 4 }, vm.m_now);
+        EXPECT_EQ(vm.zoneOf(vm.open(1)), "b");
+        vm.wait(c_expiredEntryGrace);
+        const PacketAction refused = vm.open(2);
+        EXPECT_EQ(refused.m_kind, PacketActionKind::Refuse);
+        EXPECT_EQ(refused.m_reason, Reason::ZoneEvacuated);
+    }
+
+    // A VM that has just started must not place flows in a zone whose evacuation it does not know yet.
+    TEST(TokenRouterEvacuationTest, nothingIsPlacedBeforeTheEvacuationsAreKnown)
+    {
+        NullRouterObserver observer;
+        LeastWorkPlacement placement;
+        TokenRouter router { { "a", 100, std::chrono::seconds { 2 }, true }, placement, observer };
+        router.applyDeclarations(makeDeclarations(1), c_start);
+        const std::array announced { makeBackend(1) };
+        router.replaceBackends(announced, c_start);
+        const PacketSummary packet = makePacket(PacketKind::Opening, 1);
+        std::array<PacketAction, 1> actions;
+        router.decide({ &packet, 1 }, actions, c_start);
+        EXPECT_EQ(actions[0].m_reason, Reason::NotConfigured);
+        router.setEvacuatedZones({});
+        router.decide({ &packet, 1 }, actions, c_start);
+        EXPECT_EQ(actions[0].m_kind, PacketActionKind::ToBackend);
+    }
+
     TEST(TokenRouterTest, expiredBackendsAreUsedDuringTheGracePeriod)
     {
         Vm vm;
--- a/src/evacuation/Evacuations.cpp
+++ b/src/evacuation/Evacuations.cpp
@@ -1,5 +1,7 @@
 #include "evacuation/Evacuations.h"
 
+#include "configuration/Selector.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <iterator>
@@ -25,7 +27,9 @@
     const ZoneHash hash = hashZone(zone);
     const bool isZone = !m_areZonesKnown || m_names.contains(hash);
     if (isZone && (listed.contains(hash) || listed.size() < EvacuatedZones::s_maxZones)) {
-        m_names.emplace(hash, zone);
+        // Names are labels of metrics.
+        if (checkLabelValue(zone))
+            m_names.emplace(hash, zone);
         return true;
     }
     if (m_ignored.size() >= c_maxIgnoredNames)
@@ -78,8 +82,10 @@
     if (addsRetained && !m_hasRetainedInEra) {
         m_hasRetainedInEra = true;
         m_retainedUntil = now + std::min(reported.m_retainedFor, s_retention);
-        std::ranges::set_difference(
-            Zones { reported.m_retained.begin(), reported.m_retained.end() }, m_listed, std::inserter(m_retained, {}));
+        for (const ZoneHash zone : reported.m_retained) {
+            if (!m_listed.contains(zone))
+                m_retained.insert(zone);
+        }
         updateSince(now);
     }
     return true;
--- a/src/relay/RelayGauges.cpp
+++ b/src/relay/RelayGauges.cpp
@@ -56,9 +56,25 @@
     m_metrics.gauge("cuminrelay_contested_flows").set(static_cast<double>(router.contestedFlows().size()));
     countOverLimit("contested_flows", router.contestedFlows().refused(), m_countedContestedFlows);
     countOverLimit("pending_resets", router.pendingResets().refused(), m_countedPendingResets);
+    m_metrics.gauge("cuminrelay_store_era").set(status.m_storeEra);
+    updateEvacuations(status, now);
     updateBackends(router);
 }
 
+void RelayGauges::updateEvacuations(const RelayStatus& status, Instant now)
+{
+    m_metrics.gauge("cuminrelay_evacuated_zones").set(static_cast<double>(status.m_evacuatedSince.size()));
+    for (const auto& [zone, since] : status.m_evacuatedSince)
+        m_exportedZones.insert(zone);
+    for (const std::string& zone : m_exportedZones) {
+        const auto evacuated = status.m_evacuatedSince.find(zone);
+        const std::chrono::duration<double> age
+            = evacuated != status.m_evacuatedSince.end() ? now - evacuated->second : Duration { 0 };
+        m_metrics.gauge("cuminrelay_evacuation_age_seconds", zone)
+            .set(evacuated != status.m_evacuatedSince.end() ? age.count() : -1);
+    }
+}
+
 void RelayGauges::countOverLimit(std::string_view limit, std::uint64_t total, std::uint64_t& counted)
 {
     m_metrics.counter("cuminrelay_flows_over_limit_total", limit).add(total - counted);
--- a/src/relay/RelayGaugesTest.cpp
+++ b/src/relay/RelayGaugesTest.cpp
@@ -57,6 +57,18 @@
         EXPECT_EQ(gaugeValue("cuminrelay_peers", "all"), 7);
     }
 
+    TEST_F(RelayGaugesTest, anEvacuationHasItsAgeAndItsEndIsShown)
+    {
+        RelayStatus status;
+        status.m_evacuatedSince = { { "b", c_now - std::chrono::seconds { 3 } } };
+        m_gauges.update(m_router, status, c_now);
+        EXPECT_EQ(gaugeValue("cuminrelay_evacuated_zones"), 1);
+        EXPECT_EQ(gaugeValue("cuminrelay_evacuation_age_seconds", "b"), 3);
+        m_gauges.update(m_router, {}, c_now);
+        EXPECT_EQ(gaugeValue("cuminrelay_evacuated_zones"), 0);
+        EXPECT_EQ(gaugeValue("cuminrelay_evacuation_age_seconds", "b"), -1);
+    }
+
     // Flows beyond the limit were left out without a sign.
     TEST_F(RelayGaugesTest, flowsBeyondALimitAreCounted)
     {
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -497,7 +497,8 @@
     const bool followsStore = m_declarationsWatch.isFollowing();
     m_gauges.update(m_router,
         { m_readiness.isReady(), followsStore, stateConfirmedAt(), m_peers.localZonePeerCount(), m_peers.size(),
-            m_declarationsWatch.unreadableRevision() > m_storeCache.declarationsRevision() },
+            m_declarationsWatch.unreadableRevision() > m_storeCache.declarationsRevision(),
+            m_storeCache.state().m_backends.m_era, m_evacuations.sinceByName() },
         now);
 }
 
--- a/src/status/MetricsPage.cpp
+++ b/src/status/MetricsPage.cpp
@@ -54,4 +54,14 @@
     return found != m_values.end() ? std::optional { found->second } : std::nullopt;
 }
 
+std::map<std::string, double> MetricsPage::findAll(std::string_view name) const
+{
+    const std::string prefix = fmt::format("{} ", name);
+    std::map<std::string, double> values;
+    for (auto sample = m_values.lower_bound(prefix); sample != m_values.end() && sample->first.starts_with(prefix);
+         ++sample)
+        values.emplace(sample->first.substr(prefix.size()), sample->second);
+    return values;
+}
+
 } // namespace cuminrelay
--- a/src/status/MetricsPage.h
+++ b/src/status/MetricsPage.h
@@ -15,6 +15,9 @@
     /// The value of a sample, by its name and the value of its only label, if any.
     std::optional<double> find(std::string_view name, std::string_view label = {}) const;
 
+    /// The values of a name's samples, by the value of their label.
+    std::map<std::string, double> findAll(std::string_view name) const;
+
 private:
     void parseLine(std::string_view line);
 
--- a/src/status/StatusTest.cpp
+++ b/src/status/StatusTest.cpp
@@ -68,6 +68,28 @@
         EXPECT_EQ(statusTable(std::array { statusAt(7) }).find("cannot be read"), std::string::npos);
     }
 
+    // An evacuation that some VMs do not know yet has to be seen.
+    TEST(VmStatusTest, theTableShowsEvacuatedZonesAndSinceWhen)
+    {
+        const MetricsPage page { "cuminrelay_config_version 7\ncuminrelay_ready 1\n"
+                                 "cuminrelay_evacuation_age_seconds{state=\"b\"} 12.5\n"
+                                 "cuminrelay_evacuation_age_seconds{state=\"c\"} -1\n" };
+        const std::array vms { statusFrom(c_vm, page), statusAt(7) };
+        const std::string text = statusTable(vms);
+        EXPECT_NE(text.find("zone b is evacuated on 1 of 2 VMs, for 12.5 s"), std::string::npos) << text;
+        EXPECT_EQ(text.find("zone c"), std::string::npos);
+        EXPECT_NE(statusJson(vms).find("\"evacuation_age_s\":{\"b\":1.25E1}"), std::string::npos) << statusJson(vms);
+    }
+
+    TEST(VmStatusTest, theTableListsVmsWithTheStateOfAnEarlierEra)
+    {
+        VmStatus restored = statusAt(7);
+        restored.m_storeEra = 2;
+        const std::string text = statusTable(std::array { restored, statusAt(7) });
+        EXPECT_NE(text.find("before the store was restored: 10.1.0.1:9464"), std::string::npos) << text;
+        EXPECT_EQ(statusTable(std::array { restored, restored }).find("restored"), std::string::npos);
+    }
+
     /// Serves the metrics page of an entry VM on loopback.
     class StatusClientTest : public testing::Test {
     protected:
--- a/src/status/VmStatus.cpp
+++ b/src/status/VmStatus.cpp
@@ -5,6 +5,8 @@
 #include <boost/json/serialize.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <map>
+#include <utility>
 
 namespace cuminrelay {
 
@@ -33,6 +35,39 @@
         return names;
     }
 
+    /// The evacuated zones, with the VMs where each is evacuated and the longest time of it.
+    std::string evacuationLines(std::span<const VmStatus> vms)
+    {
+        std::map<std::string, std::pair<std::size_t, double>> zones;
+        std::size_t answering = 0;
+        for (const VmStatus& vm : vms) {
+            answering += vm.m_problem.empty() ? 1 : 0;
+            for (const auto& [zone, age] : vm.m_evacuationAges) {
+                std::pair<std::size_t, double>& seen = zones[zone];
+                ++seen.first;
+                seen.second = std::max(seen.second, age);
+            }
+        }
+        std::string text;
+        for (const auto& [zone, seen] : zones)
+            text += fmt::format(
+                "zone {} is evacuated on {} of {} VMs, for {:.1f} s\n", zone, seen.first, answering, seen.second);
+        return text;
+    }
+
+    std::vector<std::string> vmsOfEarlierEra(std::span<const VmStatus> vms)
+    {
+        std::uint64_t latest = 0;
+        for (const VmStatus& vm : vms)
+            latest = std::max(latest, vm.m_storeEra);
+        std::vector<std::string> names;
+        for (const VmStatus& vm : vms) {
+            if (vm.m_problem.empty() && vm.m_storeEra < latest)
+                names.push_back(formatEndpoint(vm.m_metrics));
+        }
+        return names;
+    }
+
     std::vector<std::string> vmsWithoutVersion(std::span<const VmStatus> vms, ConfigVersion version)
     {
         std::vector<std::string> names;
@@ -64,6 +99,11 @@
     status.m_peers = gaugeValue(page, "cuminrelay_peers", "all");
     status.m_flows = gaugeValue(page, "cuminrelay_tracked_flows");
     status.m_isStoredConfigUnreadable = page.find("cuminrelay_config_unreadable") == 1;
+    status.m_storeEra = gaugeValue(page, "cuminrelay_store_era");
+    for (const auto& [zone, age] : page.findAll("cuminrelay_evacuation_age_seconds")) {
+        if (age >= 0)
+            status.m_evacuationAges.emplace(zone, age);
+    }
     return status;
 }
 
@@ -93,6 +133,10 @@
     const std::vector<std::string> unreadable = vmsThatCannotReadStoredConfig(vms);
     if (!unreadable.empty())
         text += fmt::format("the store's latest configuration cannot be read by: {}\n", fmt::join(unreadable, ", "));
+    const std::vector<std::string> earlierEra = vmsOfEarlierEra(vms);
+    if (!earlierEra.empty())
+        text += fmt::format("with the state of before the store was restored: {}\n", fmt::join(earlierEra, ", "));
+    text += evacuationLines(vms);
     return text;
 }
 
@@ -113,6 +157,11 @@
             row["peers"] = vm.m_peers;
             row["flows"] = vm.m_flows;
             row["stored_config_unreadable"] = vm.m_isStoredConfigUnreadable;
+            row["store_era"] = vm.m_storeEra;
+            boost::json::object evacuations;
+            for (const auto& [zone, age] : vm.m_evacuationAges)
+                evacuations[zone] = age;
+            row["evacuation_age_s"] = std::move(evacuations);
         }
         rows.push_back(std::move(row));
     }
--- a/src/status/VmStatus.h
+++ b/src/status/VmStatus.h
@@ -6,6 +6,7 @@
 #include "status/MetricsPage.h"
 
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
     std::uint64_t m_peers = 0;
     std::uint64_t m_flows = 0;
     bool m_isStoredConfigUnreadable = false; ///< the store holds a later configuration that this VM cannot read
+    std::uint64_t m_storeEra = 0; ///< 0: the store does not number its eras
+    std::map<std::string, double> m_evacuationAges; ///< seconds since this VM evacuated a zone, by name
 };
 
 /// Sets m_problem if the page is not from a relay process.
@@ -33,7 +36,8 @@
 /// True if all VMs answered, are ready and have at least the version in force.
 bool isInForce(std::span<const VmStatus> vms, ConfigVersion version);
 
-/// One row for each VM, and a line that lists the VMs without the highest version.
+/// One row for each VM, a line that lists the VMs without the highest version, and lines for the evacuated zones and
+/// for VMs whose state is of an earlier era of the store.
 std::string statusTable(std::span<const VmStatus> vms);
 
 /// The same statuses as one JSON object.
