--- a/src/discovery/StoreWatch.cpp
+++ b/src/discovery/StoreWatch.cpp
@@ -22,10 +22,10 @@
 
 } // namespace
 
-StoreWatch::StoreWatch(std::string name, WatchEnvironment environment, std::uint64_t seed)
+StoreWatch::StoreWatch(std::string name, WatchEnvironment environment, std::uint64_t seed, Duration maxWait)
     : m_name(std::move(name))
     , m_environment(environment)
-    , m_schedule(seed, environment.m_clock.now())
+    , m_schedule(seed, environment.m_clock.now(), maxWait)
 {
 }
 
--- a/src/discovery/StoreWatch.h
+++ b/src/discovery/StoreWatch.h
@@ -28,7 +28,9 @@
 /// the last revision after an exponential backoff; the state read before stays in force.
 class StoreWatch {
 public:
-    StoreWatch(std::string name, WatchEnvironment environment, std::uint64_t seed);
+    /// maxWait: how long a call waits for changes.
+    StoreWatch(std::string name, WatchEnvironment environment, std::uint64_t seed,
+        Duration maxWait = WatchSchedule::s_maxWait);
     StoreWatch(const StoreWatch&) = delete;
     StoreWatch& operator=(const StoreWatch&) = delete;
     virtual ~StoreWatch() = default;
--- a/src/discovery/WatchSchedule.cpp
+++ b/src/discovery/WatchSchedule.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-WatchSchedule::WatchSchedule(std::uint64_t seed, Instant now)
-    : m_backoff(c_retryLimits, seed, now)
+WatchSchedule::WatchSchedule(std::uint64_t seed, Instant now, Duration maxWait)
+    : m_maxWait(maxWait)
+    , m_backoff(c_retryLimits, seed, now)
 {
 }
 
@@ -43,8 +44,8 @@
     }
     // After a failure, a pause, or a time without calls the first call does not wait, so that the store's state is
     // known soon.
-    const bool isRecent = isInContact() && now - m_answeredAt < s_maxWait;
-    const Deadline longestWait = std::min(now + s_maxWait, m_readAllAt.value_or(Deadline::max()));
+    const bool isRecent = isInContact() && now - m_answeredAt < m_maxWait;
+    const Deadline longestWait = std::min(now + m_maxWait, m_readAllAt.value_or(Deadline::max()));
     const Deadline waitUntil = isRecent && !isConfirming ? longestWait : now;
     m_call = { false, waitUntil, waitUntil + c_answerTimeout };
     return m_call;
--- a/src/discovery/WatchSchedule.h
+++ b/src/discovery/WatchSchedule.h
@@ -20,7 +20,8 @@
 /// the store, its calls wait for changes; the end of a wait without changes confirms that the state is current.
 class WatchSchedule {
 public:
-    /// How long a call waits for changes. The state of a VM that follows the store is confirmed at least this often.
+    /// How long a call waits for changes, unless the constructor says otherwise. The state of a VM that follows the
+    /// store is confirmed at least this often.
     static constexpr Duration s_maxWait = std::chrono::milliseconds { 1'000 };
 
     /// After the store came back from an older copy, the backend servers and operators write again what it lacks within
@@ -33,7 +34,7 @@
         Deadline m_deadline {};
     };
 
-    WatchSchedule(std::uint64_t seed, Instant now);
+    WatchSchedule(std::uint64_t seed, Instant now, Duration maxWait = s_maxWait);
 
     /// Whether a call is due once the last one has ended and its pause is over.
     bool needsCall() const { return !m_hasCompleteState || m_isReading || m_isConfirming; }
@@ -74,6 +75,7 @@
     void beginEra(StoreRevision revision);
     bool isInContact() const { return m_isAnswered && m_answeredAt >= m_trustedFrom; }
 
+    const Duration m_maxWait; ///< of a call that waits for changes
     Backoff m_backoff;
     StoreRevision m_revision;
     Call m_call;
--- a/src/discovery/Watches.cpp
+++ b/src/discovery/Watches.cpp
@@ -105,7 +105,7 @@
 
 EvacuationsWatch::EvacuationsWatch(
     Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed)
-    : StoreWatch("evacuations", environment, seed)
+    : StoreWatch("evacuations", environment, seed, EvacuationsWatch::s_maxWait)
     , m_discovery(discovery)
     , m_listener(listener)
     , m_environment(environment)
@@ -114,9 +114,13 @@
 
 asio::awaitable<Outcome<StoreAnswer>> EvacuationsWatch::readAll(Deadline deadline)
 {
-    const Outcome<EvacuationList> list = co_await m_discovery.listEvacuations(deadline);
+    // A started VM gets later changes from other VMs, or as the reader from its first watch. Each VM reads at its
+    // start, so that this is most of what evacuations cost.
+    const ReadConsistency consistency = m_hasRead ? ReadConsistency::Latest : ReadConsistency::MayBeStale;
+    const Outcome<EvacuationList> list = co_await m_discovery.listEvacuations(deadline, consistency);
     if (!list)
         co_return list.error();
+    m_hasRead = true;
     recordUnreadable(list.value().m_unreadable);
     m_listener.evacuationsListed(list.value());
     co_return StoreAnswer { list.value().m_revision, true };
--- a/src/discovery/Watches.h
+++ b/src/discovery/Watches.h
@@ -80,6 +80,10 @@
 
 class EvacuationsWatch final : public StoreWatch {
 public:
+    /// How long a call waits for changes. An unanswered watch has to be noticed, and the change to reach all VMs,
+    /// within the 5 s in which an evacuation has to be in force.
+    static constexpr Duration s_maxWait = std::chrono::milliseconds { 2'000 };
+
     EvacuationsWatch(
         Discovery& discovery, DiscoveryListener& listener, WatchEnvironment environment, std::uint64_t seed);
 
@@ -95,6 +99,7 @@
     DiscoveryListener& m_listener;
     WatchEnvironment m_environment;
     LoggedUnreadableEntries m_loggedEntries;
+    bool m_hasRead = false;
 };
 
 } // namespace cuminrelay
