exchange, discovery: tests of the state after a restore; three faults mended

Cause: an entry that had been removed came back when the first list of the new era was another VM's, which ignored it, and the store's list followed; a removal of an entry that the VM never knew counted as an earlier start. An answer of an earlier era that arrived after another VM's newer state confirmed that state. A VM that was cut off after the restore dropped the backend servers whose entries were missing without being able to learn that they were written again. Change: later lists are compared with the removals of earlier eras, such an answer is a failure, and a missing entry is gone once a state confirmed as of the end of the settle time lacks it. Tests for each rule, with a property of two VMs that read and exchange the two eras in any order, which found the first.

--- a/src/discovery/WatchSchedule.cpp
+++ b/src/discovery/WatchSchedule.cpp
@@ -53,6 +53,9 @@
 
 Deadline WatchSchedule::recordAnswer(const StoreAnswer& answer, Instant now)
 {
+    // Other VMs sent the state of a newer era during the call. The answer says nothing about that era.
+    if (answer.m_revision.m_era < m_revision.m_era)
+        return recordFailure(ErrorKind::Unavailable, now);
     const bool hasChanged = m_hasCompleteState && answer.m_revision > m_revision;
     if (m_revision != StoreRevision {} && answer.m_revision.m_era > m_revision.m_era)
         m_readAllAt = now + s_restoreSettleTime;
--- a/src/discovery/WatchSchedule.h
+++ b/src/discovery/WatchSchedule.h
@@ -42,7 +42,8 @@
     /// Begins a call. Report its outcome to recordAnswer or recordFailure.
     Call begin(Instant now);
 
-    /// Applies the answer to the current call. Returns the earliest time of the next call.
+    /// Applies the answer to the current call. Returns the earliest time of the next call. An answer of an earlier era
+    /// than that of revision() counts as a failure.
     Deadline recordAnswer(const StoreAnswer& answer, Instant now);
 
     /// As recordAnswer, for a call that failed. Stale: the store no longer holds the changes since revision().
--- a/src/exchange/ExchangePeersTest.cpp
+++ b/src/exchange/ExchangePeersTest.cpp
@@ -287,5 +287,38 @@
         EXPECT_EQ(peers.stateConfirmedAt({ { 41 }, { 7 } }), confirmedAt); // an older word takes nothing back
     }
 
+    // After a restore, a VM that has not read the new era yet confirms a state that lacks nothing, and one that has
+    // read it confirms a state that this VM does not have.
+    TEST(ExchangePeersTest, aStateIsConfirmedOnlyByPeersOfItsEra)
+    {
+        const Instant now { std::chrono::seconds { 100 } };
+        ExchangePeers peers { { 1, c_port }, { 1 }, {} };
+        LoadMessage message;
+        message.m_zone = { 1 };
+        message.m_stateAge = milliseconds { 300 };
+        message.m_storeVersions = { { 40 }, { 7 } };
+        peers.recordMessage({ 2, c_port }, message, now);
+        const StoreVersions restored { { 30, 1 }, { 7 } };
+        EXPECT_NE(peers.stateConfirmedAt({ { 40 }, { 7 } }), Instant {});
+        EXPECT_EQ(peers.stateConfirmedAt(restored), Instant {});
+        message.m_storeVersions = restored;
+        peers.recordMessage({ 3, c_port }, message, now);
+        EXPECT_NE(peers.stateConfirmedAt(restored), Instant {});
+        EXPECT_EQ(peers.stateConfirmedAt({ { 29, 1 }, { 7 } }), peers.stateConfirmedAt(restored)); // takes nothing back
+        EXPECT_EQ(peers.stateConfirmedAt({ { 30, 2 }, { 7 } }), Instant {}); // a second restore
+    }
+
+    TEST(ExchangePeersTest, aStateOfANewerEraIsRequestedThoughItsRevisionIsLower)
+    {
+        const Instant now { std::chrono::seconds { 100 } };
+        ExchangePeers peers { { 1, c_port }, { 1 }, {} };
+        LoadMessage message;
+        message.m_zone = { 1 };
+        message.m_storeVersions = { { 30, 1 }, { 7 } };
+        peers.recordMessage({ 2, c_port }, message, now);
+        EXPECT_EQ(peers.peerWithNewerState({ { 40 }, { 7 } }, now), (Endpoint { 2, c_port }));
+        EXPECT_EQ(peers.peerWithNewerState({ { 1, 2 }, { 7 } }, now), std::nullopt);
+    }
+
 } // namespace
 } // namespace cuminrelay
--- a/src/exchange/RestoredEntries.cpp
+++ b/src/exchange/RestoredEntries.cpp
@@ -21,8 +21,8 @@
         listed.insert(backend.m_identity);
         keepNewer(backend, known);
         const auto gone = removed.find(backend.m_identity);
-        const bool isNewStart
-            = gone != removed.end() && backend.m_startedAtUnixMs > gone->second.m_version.m_startedAtUnixMs;
+        const bool isNewStart = gone != removed.end() && gone->second.m_version != EntryVersion {}
+            && backend.m_startedAtUnixMs > gone->second.m_version.m_startedAtUnixMs;
         if (!known.contains(backend.m_identity) && gone != removed.end() && !isNewStart)
             m_ignored.emplace(backend.m_identity, entryVersionOf(backend));
     }
@@ -44,11 +44,18 @@
         backend = held->second.m_backend;
 }
 
-BackendList RestoredEntries::filter(BackendList list, const Known& known)
+BackendList RestoredEntries::filter(BackendList list, const Known& known, const Removed& removed)
 {
     if (!m_hasMerged)
         return list;
-    std::erase_if(list.m_backends, [this](const AnnouncedBackend& backend) { return isIgnored(backend); });
+    // The first list may have come from a VM that ignores the entry, too: then it lacked it.
+    const auto wasRemovedBefore = [&](const AnnouncedBackend& backend) {
+        const auto gone = removed.find(backend.m_identity);
+        return gone != removed.end() && gone->second.m_revision.m_era < list.m_revision.m_era
+            && entryVersionOf(backend) <= gone->second.m_version;
+    };
+    std::erase_if(list.m_backends,
+        [&](const AnnouncedBackend& backend) { return isIgnored(backend) || wasRemovedBefore(backend); });
     for (AnnouncedBackend& backend : list.m_backends) {
         keepNewer(backend, known);
         m_retained.erase(backend.m_identity);
@@ -86,11 +93,11 @@
     return false;
 }
 
-std::vector<BackendIdentity> RestoredEntries::takeGone(Instant now)
+std::vector<BackendIdentity> RestoredEntries::takeGone(Instant confirmedAt)
 {
     std::vector<BackendIdentity> gone;
-    std::erase_if(m_retained, [&gone, now](const auto& entry) {
-        const bool isOver = now >= entry.second;
+    std::erase_if(m_retained, [&gone, confirmedAt](const auto& entry) {
+        const bool isOver = confirmedAt >= entry.second;
         if (isOver)
             gone.push_back(entry.first);
         return isOver;
--- a/src/exchange/RestoredEntries.h
+++ b/src/exchange/RestoredEntries.h
@@ -29,7 +29,7 @@
 /// A removed entry, with the revision of its removal.
 struct RemovedBackend {
     StoreRevision m_revision;
-    EntryVersion m_version;
+    EntryVersion m_version; ///< {}: this VM never knew the entry
 };
 
 /// Decides which entries count after the store came back from an older copy, in which the newest writes are missing and
@@ -38,7 +38,8 @@
 /// - An entry that is older than the one known counts as the one known: a draining backend server goes on draining.
 /// - An entry that had been removed counts once it was written again. Until then the backend server may be gone and its
 ///   address may have a new owner.
-/// - A missing entry stays for WatchSchedule::s_restoreSettleTime, then its backend server is gone.
+/// - A missing entry stays for WatchSchedule::s_restoreSettleTime. If a state confirmed as of then still lacks it, its
+///   backend server is gone.
 ///
 /// Memory: O(entries that differ from the copy).
 class RestoredEntries {
@@ -50,11 +51,13 @@
     BackendList merge(BackendList list, const Known& known, const Removed& removed, Instant now);
 
     /// Applies the decisions to a later list, or to changes, of the same era. Without effect before the first merge.
-    BackendList filter(BackendList list, const Known& known);
+    BackendList filter(BackendList list, const Known& known, const Removed& removed);
     BackendChanges filter(BackendChanges changes, const Known& known);
 
-    /// Removes and returns the backend servers whose entries stayed missing.
-    std::vector<BackendIdentity> takeGone(Instant now);
+    /// Removes and returns the backend servers whose entries stayed missing in a state that is confirmed as of this
+    /// time. A VM that has lost the store and its peers keeps them: it would not learn of the entries that are written
+    /// again.
+    std::vector<BackendIdentity> takeGone(Instant confirmedAt);
 
     /// Whether an entry counts although the store does not hold it.
     bool isRetained(BackendIdentity identity) const { return m_retained.contains(identity); }
--- a/src/exchange/StoreCache.cpp
+++ b/src/exchange/StoreCache.cpp
@@ -80,7 +80,7 @@
     const bool isRestored = m_backendsRevision != StoreRevision {} && list.m_revision.m_era > m_backendsRevision.m_era;
     if (isRestored)
         return m_restored.merge(std::move(list), m_backends, m_withdrawn, now);
-    return list.m_revision < m_backendsRevision ? list : m_restored.filter(std::move(list), m_backends);
+    return list.m_revision < m_backendsRevision ? list : m_restored.filter(std::move(list), m_backends, m_withdrawn);
 }
 
 BackendChanges StoreCache::reconciled(BackendChanges changes)
@@ -88,9 +88,9 @@
     return changes.m_revision <= m_backendsRevision ? changes : m_restored.filter(std::move(changes), m_backends);
 }
 
-std::vector<BackendIdentity> StoreCache::takeGone(Instant now)
+std::vector<BackendIdentity> StoreCache::takeGone(Instant confirmedAt)
 {
-    std::vector<BackendIdentity> gone = m_restored.takeGone(now);
+    std::vector<BackendIdentity> gone = m_restored.takeGone(confirmedAt);
     for (const BackendIdentity identity : gone)
         withdraw(identity, m_backendsRevision);
     return gone;
--- a/src/exchange/StoreCache.h
+++ b/src/exchange/StoreCache.h
@@ -57,8 +57,9 @@
     BackendList reconciled(BackendList list, Instant now);
     BackendChanges reconciled(BackendChanges changes);
 
-    /// Removes and returns the backend servers whose entries stayed missing after a restore. Each VM does so by itself.
-    std::vector<BackendIdentity> takeGone(Instant now);
+    /// Removes and returns the backend servers whose entries stayed missing after a restore, in a state that is
+    /// confirmed as of this time. Each VM does so by itself.
+    std::vector<BackendIdentity> takeGone(Instant confirmedAt);
 
     const RestoredEntries& restored() const { return m_restored; }
 
--- a/src/exchange/StoreCacheTest.cpp
+++ b/src/exchange/StoreCacheTest.cpp
@@ -1,10 +1,15 @@
 #include "exchange/StoreCache.h"
+
+#include "discovery/WatchSchedule.h"
 #include "exchange/StoreUpdateMessage.h"
 #include "exchange/StoreUpdateServer.h"
 
+#include <array>
 #include <gtest/gtest.h>
+#include <map>
 #include <rapidcheck/gtest.h>
 #include <string>
+#include <utility>
 
 namespace cuminrelay {
 namespace {
@@ -37,15 +42,16 @@
     }
 
     /// Stores the changes as a receiving VM does, encoded and decoded.
-    void applyStoreUpdate(StoreCache& storeCache, const StoreUpdate& sent)
+    void applyStoreUpdate(StoreCache& storeCache, const StoreUpdate& sent, Instant now = c_now)
     {
-        const Outcome<StoreUpdate> decoded = decodeStoreUpdate(encodeStoreUpdate(sent, c_now), c_now);
+        const Outcome<StoreUpdate> decoded = decodeStoreUpdate(encodeStoreUpdate(sent, now), now);
         ASSERT_TRUE(decoded.has_value()) << decoded.error().m_message;
         const StoreUpdate& update = decoded.value();
         if (update.m_isComplete) {
-            storeCache.apply(BackendList { update.m_backends, {}, update.m_backendsRevision });
+            storeCache.apply(
+                storeCache.reconciled(BackendList { update.m_backends, {}, update.m_backendsRevision }, now));
         } else {
-            storeCache.apply(changesOf(update));
+            storeCache.apply(storeCache.reconciled(changesOf(update)));
         }
         if (update.m_declarations) {
             const std::optional<ServiceDeclarations> merged = storeCache.merged(*update.m_declarations);
@@ -221,12 +227,187 @@
         EXPECT_TRUE(identitiesOf(storeCache).empty());
     }
 
+    /// Takes over a list of the store as an entry VM does.
+    bool read(StoreCache& storeCache, const BackendList& list, Instant now = c_now)
+    {
+        return storeCache.apply(storeCache.reconciled(list, now));
+    }
+
+    AnnouncedBackend makeWritten(std::uint64_t identity, std::uint64_t sequence, bool isDraining = false)
+    {
+        AnnouncedBackend backend = makeBackend(identity);
+        backend.m_startedAtUnixMs = 50;
+        backend.m_sequence = sequence;
+        backend.m_server.m_draining = isDraining;
+        return backend;
+    }
+
+    // By revision alone, the restored store is ignored until it passes the revisions that it had before.
+    TEST(StoreCacheTest, listsAndChangesAreOrderedByEraFirst)
+    {
+        StoreCache storeCache;
+        ASSERT_TRUE(read(storeCache, { { makeWritten(1, 1) }, {}, { 40 } }));
+        EXPECT_FALSE(
+            storeCache.apply(BackendChanges { { { { 2 }, makeWritten(2, 1) } }, {}, { 12, 1 } })); // no list yet
+        ASSERT_TRUE(read(storeCache, { { makeWritten(1, 1) }, {}, { 10, 1 } }));
+        EXPECT_EQ(storeCache.state().m_backends, (StoreRevision { 10, 1 }));
+        EXPECT_FALSE(read(storeCache, { {}, {}, { 90 } }));
+        EXPECT_FALSE(storeCache.apply(BackendChanges { { { { 1 }, {} } }, {}, { 90 } }));
+        EXPECT_TRUE(storeCache.apply(BackendChanges { { { { 2 }, makeWritten(2, 1) } }, {}, { 12, 1 } }));
+        EXPECT_EQ(identitiesOf(storeCache), (std::vector<std::uint64_t> { 1, 2 }));
+    }
+
+    // Changes relative to a revision that was given out again would be those of another history.
+    TEST(StoreCacheTest, aVmOfAnEarlierEraGetsACompleteUpdate)
+    {
+        StoreCache storeCache;
+        read(storeCache, { { makeWritten(1, 1), makeWritten(2, 1) }, {}, { 10 } });
+        read(storeCache, { { makeWritten(1, 1), makeWritten(2, 1) }, {}, { 5, 1 } });
+        for (const std::uint64_t number : { 5U, 10U, 90U })
+            EXPECT_TRUE(storeCache.updateSince({ { number }, {} }).m_isComplete) << number;
+        EXPECT_EQ(storeCache.updateSince({ { 90 }, {} }).m_backends.size(), 2u);
+        EXPECT_FALSE(storeCache.updateSince({ { 5, 1 }, {} }).m_isComplete);
+    }
+
+    // A VM that keeps a missing entry because another one does would pass it on and on.
+    TEST(StoreCacheTest, aRetainedEntryIsNotSent)
+    {
+        StoreCache storeCache;
+        read(storeCache, { { makeWritten(1, 1), makeWritten(2, 1) }, {}, { 10 } });
+        read(storeCache, { { makeWritten(1, 1) }, {}, { 5, 1 } });
+        EXPECT_EQ(storeCache.restored().retained(), 1u);
+        EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
+        EXPECT_TRUE(storeCache.updateSince({ { 4, 1 }, {} }).m_withdrawn.empty());
+        storeCache.apply(storeCache.reconciled(BackendChanges { { { { 2 }, makeWritten(2, 2) } }, {}, { 6, 1 } }));
+        EXPECT_EQ(identitiesOf(storeCache), (std::vector<std::uint64_t> { 1, 2 }));
+        EXPECT_TRUE(storeCache.takeGone(c_now + std::chrono::seconds { 10 }).empty());
+    }
+
+    TEST(StoreCacheTest, anEntryThatStaysMissingIsWithdrawn)
+    {
+        StoreCache storeCache;
+        read(storeCache, { { makeWritten(1, 1), makeWritten(2, 1) }, {}, { 10 } });
+        read(storeCache, { { makeWritten(1, 1) }, {}, { 5, 1 } });
+        EXPECT_TRUE(storeCache.takeGone(c_now + std::chrono::seconds { 2 }).empty());
+        EXPECT_EQ(storeCache.takeGone(c_now + WatchSchedule::s_restoreSettleTime),
+            std::vector<BackendIdentity> { BackendIdentity { 2 } });
+        // A second copy that holds it again does not bring it back.
+        read(
+            storeCache, { { makeWritten(1, 1), makeWritten(2, 1) }, {}, { 5, 2 } }, c_now + std::chrono::seconds { 3 });
+        EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
+    }
+
+    // A program without eras announces the revisions of before the restore, which are higher.
+    TEST(StoreCacheTest, anUpdateWithoutAnEraIsRejectedAfterANewerEra)
+    {
+        StoreCache older;
+        read(older, { { makeWritten(1, 1), makeWritten(3, 1) }, {}, { 90 } });
+        StoreCache storeCache;
+        read(storeCache, { { makeWritten(1, 2, true) }, {}, { 10, 1 } });
+        applyStoreUpdate(storeCache, older.updateSince(storeCache.state()));
+        applyStoreUpdate(storeCache, older.updateSince({ { 90 }, {} }));
+        EXPECT_EQ(storeCache.state().m_backends, (StoreRevision { 10, 1 }));
+        EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
+        EXPECT_EQ(isDraining(storeCache, 1), true);
+    }
+
+    // An acknowledged version stays in force although the copy holds an earlier one.
+    TEST(StoreCacheTest, declarationsOfTheCopyDoNotReplaceNewerOnes)
+    {
+        StoreCache storeCache;
+        storeCache.apply(makeDeclarations(7, { "a", "bb" }), { 40 });
+        EXPECT_FALSE(storeCache.apply(makeDeclarations(6, { "a" }), { 10, 1 }));
+        EXPECT_EQ(storeCache.state().m_declarations, (ConfigVersion { 7 }));
+        EXPECT_TRUE(storeCache.apply(makeDeclarations(8, { "a" }), { 11, 1 }));
+    }
+
+    std::vector<std::pair<std::uint64_t, bool>> contentOf(const StoreCache& storeCache)
+    {
+        std::vector<std::pair<std::uint64_t, bool>> content;
+        for (const AnnouncedBackend& backend : storeCache.updateSince({}).m_backends)
+            content.emplace_back(backend.m_identity.m_value, backend.m_server.m_draining);
+        return content;
+    }
+
+    // Whoever reads the new era first, and whatever each VM knew of the old one, both get to the content of the store.
+    RC_GTEST_PROP(StoreCacheRestoreTest, vmsOfTwoErasConverge, (bool firstKnowsAll, bool secondKnowsAll))
+    {
+        const BackendList copy { { makeWritten(1, 1), makeWritten(2, 1), makeWritten(3, 1) }, {}, { 20 } };
+        // After the copy, 1 drains, 2 leaves and 4 and 5 start. 5 ends with the restore.
+        const BackendChanges lost { { { { 1 }, makeWritten(1, 2, true) }, { { 2 }, {} }, { { 4 }, makeWritten(4, 1) },
+                                        { { 5 }, makeWritten(5, 1) } },
+            {}, { 30 } };
+        std::array<StoreCache, 2> vms;
+        const std::array<bool, 2> knowsAll { firstKnowsAll, secondKnowsAll };
+        for (std::size_t i = 0; i < vms.size(); ++i) {
+            read(vms[i], copy);
+            if (knowsAll[i])
+                vms[i].apply(vms[i].reconciled(lost));
+        }
+        std::map<std::uint64_t, AnnouncedBackend> stored;
+        for (const AnnouncedBackend& backend : copy.m_backends)
+            stored.emplace(backend.m_identity.m_value, backend);
+        std::uint64_t revision = 20;
+        Instant now = c_now;
+        const auto listStore = [&] {
+            BackendList list { {}, {}, { revision, 1 } };
+            for (const auto& [identity, backend] : stored)
+                list.m_backends.push_back(backend);
+            return list;
+        };
+        const auto exchange = [&](std::size_t receiver) {
+            StoreCache& sender = vms[1 - receiver];
+            if (sender.state().m_backends > vms[receiver].state().m_backends)
+                applyStoreUpdate(vms[receiver], sender.updateSince(vms[receiver].state()), now);
+        };
+        const std::vector<AnnouncedBackend> rewritten { makeWritten(1, 3, true), makeWritten(3, 2), makeWritten(4, 2) };
+        std::size_t writes = 0;
+        for (int step = 0; step < 10; ++step) {
+            now += std::chrono::milliseconds { 200 };
+            const std::size_t vm = *rc::gen::inRange<std::size_t>(0, 2);
+            const int action = *rc::gen::inRange(0, 3);
+            if (action == 0)
+                read(vms[vm], listStore(), now);
+            else if (action == 1)
+                exchange(vm);
+            else if (writes < rewritten.size()) {
+                stored[rewritten[writes].m_identity.m_value] = rewritten[writes];
+                ++writes;
+                ++revision;
+            }
+            for (const StoreCache& storeCache : vms) {
+                // 1 drains, 2 has left: whoever knows it does not use them for new flows.
+                if (&storeCache == &vms[0] ? firstKnowsAll : secondKnowsAll) {
+                    RC_ASSERT(isDraining(storeCache, 1) == std::optional { true });
+                    RC_ASSERT(!isDraining(storeCache, 2).has_value());
+                }
+            }
+        }
+        for (; writes < rewritten.size(); ++writes, ++revision)
+            stored[rewritten[writes].m_identity.m_value] = rewritten[writes];
+        stored.erase(2); // expires, as nobody writes it
+        ++revision;
+        const std::size_t reader = *rc::gen::inRange<std::size_t>(0, 2);
+        read(vms[reader], listStore(), now);
+        exchange(1 - reader);
+        for (StoreCache& storeCache : vms)
+            storeCache.takeGone(now + WatchSchedule::s_restoreSettleTime);
+        const std::vector<std::pair<std::uint64_t, bool>> expected { { 1, true }, { 3, false }, { 4, false } };
+        RC_ASSERT(contentOf(vms[0]) == expected);
+        RC_ASSERT(contentOf(vms[1]) == expected);
+        RC_ASSERT(vms[0].state() == vms[1].state());
+    }
+
     TEST(StoreUpdateServerTest, theTargetHoldsTheStoreVersions)
     {
-        const StoreVersions held { { 12 }, { 34 } };
-        const Outcome<StoreVersions> parsed = parseStoreUpdateTarget(storeUpdateTarget(held));
-        ASSERT_TRUE(parsed.has_value());
-        EXPECT_EQ(parsed.value(), held);
+        for (const StoreVersions& held : { StoreVersions { { 12 }, { 34 } }, StoreVersions { { 12, 3 }, { 34 } } }) {
+            const Outcome<StoreVersions> parsed = parseStoreUpdateTarget(storeUpdateTarget(held));
+            ASSERT_TRUE(parsed.has_value());
+            EXPECT_EQ(parsed.value(), held);
+        }
+        // A program without eras names none.
+        EXPECT_EQ(
+            parseStoreUpdateTarget("/news?backends=12&declarations=34").value(), (StoreVersions { { 12 }, { 34 } }));
         for (const char* const target : { "/", "/news", "/news?backends=&declarations=1", "/news?backends=x" })
             EXPECT_FALSE(parseStoreUpdateTarget(target).has_value());
     }
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -543,7 +543,7 @@
 {
     if (m_evacuations.tick(now))
         applyEvacuations();
-    for (const BackendIdentity identity : m_storeCache.takeGone(now)) {
+    for (const BackendIdentity identity : m_storeCache.takeGone(stateConfirmedAt())) {
         m_router.departBackend(identity, now);
         m_environment.m_log.info("discovery", "backend_not_restored", { { "token", tokenOf(identity).m_value } });
     }
