--- a/src/exchange/RestoredEntriesTest.cpp
+++ b/src/exchange/RestoredEntriesTest.cpp
@@ -216,6 +216,16 @@
             std::vector<BackendIdentity> { BackendIdentity { 2 } });
     }
 
+    // The second copy holds a write of the first era that this VM missed: its backend server may have left since.
+    TEST_F(RestoredEntriesTest, aRemovedEntryThatASecondCopyHoldsInALaterVersionDoesNotCount)
+    {
+        remove(1, { 50, 7 });
+        merge({ makeBackend(1, { 50, 6 }) });
+        EXPECT_TRUE(merge({ makeBackend(1, { 50, 9 }) }, { 10, 2 }).m_backends.empty());
+        EXPECT_TRUE(list({ makeBackend(1, { 50, 9 }) }).m_backends.empty());
+        EXPECT_EQ(list({ makeBackend(1, { 50, 10 }) }).m_backends.size(), 1u);
+    }
+
     // Stores that were never restored keep their former behavior: also an entry of an earlier start replaces the known.
     TEST_F(RestoredEntriesTest, withoutARestoreNothingIsKeptOrIgnored)
     {
