exchange: properties of a fleet whose store comes back from older copies

StoreFollowers restores its store, at once or at the end of the waits, once or twice. A confirmed state is of the era that the store had then, and a restore is known within the time limit of a change while readers are cut off. Declarations that the restore lost are not due. A call now names the revision that the VM had when it began, as the request does.

--- a/src/exchange/StoreFollowersTest.cpp
+++ b/src/exchange/StoreFollowersTest.cpp
@@ -1,6 +1,8 @@
 #include "exchange/StoreFollowersTest.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace cuminrelay {
 
@@ -59,6 +61,7 @@
     vm.m_hasKeptConnection = false;
     vm.m_isKeptConnectionSilent = false;
     vm.m_versions = {};
+    vm.m_declarationsRevision = {};
     vm.m_confirmedAt = {};
     vm.m_hasUpdate = false;
     vm.m_isRunning = true;
@@ -79,7 +82,26 @@
 void StoreFollowers::change(std::size_t kind)
 {
     ++m_revision;
-    m_changes[kind].push_back({ m_revision, m_now });
+    ++m_declarationsVersion;
+    Content& content = m_contents.back();
+    content.m_changes[kind].push_back({ { m_revision, content.m_era }, { m_declarationsVersion }, m_now });
+}
+
+void StoreFollowers::restoreStore(Duration copyAge, bool endsWaits)
+{
+    Content content = m_contents.back();
+    ++content.m_era;
+    content.m_beganAt = m_now;
+    content.m_endsWaits = endsWaits;
+    m_revision = 0;
+    for (std::vector<Change>& changes : content.m_changes) {
+        std::erase_if(changes, [&](const Change& change) { return change.m_acceptedAt > m_now - copyAge; });
+        for (Change& change : changes) {
+            change.m_revision.m_era = content.m_era;
+            m_revision = std::max(m_revision, change.m_revision.m_number);
+        }
+    }
+    m_contents.push_back(std::move(content));
 }
 
 void StoreFollowers::kill(std::size_t vm)
@@ -146,22 +168,30 @@
 
 StoreVersions StoreFollowers::versionsAt(Instant time) const
 {
-    return { { revisionAt(0, time) }, { revisionAt(1, time) } };
+    StoreVersions versions { lastChangeAt(0, time).m_revision, {} };
+    for (const Change& change : m_contents.back().m_changes[1]) {
+        if (change.m_acceptedAt <= time)
+            versions.m_declarations = change.m_version;
+    }
+    return versions;
 }
 
-std::uint64_t StoreFollowers::revisionAt(std::size_t kind, Instant time) const
+const StoreFollowers::Content& StoreFollowers::contentAt(Instant time) const
 {
-    std::uint64_t revision = 0;
-    for (const Change& change : m_changes[kind]) {
-        if (change.m_acceptedAt <= time)
-            revision = change.m_revision;
-    }
-    return revision;
+    const auto later = std::ranges::upper_bound(m_contents, time, {}, &Content::m_beganAt);
+    return later == m_contents.begin() ? *later : *std::prev(later);
 }
 
-std::uint64_t StoreFollowers::heldRevision(const Vm& vm, std::size_t kind)
+StoreFollowers::Change StoreFollowers::lastChangeAt(std::size_t kind, Instant time) const
 {
-    return kind == 0 ? vm.m_versions.m_backends.m_number : vm.m_versions.m_declarations.m_number;
+    const Content& content = contentAt(time);
+    Change last;
+    last.m_revision.m_era = content.m_era;
+    for (const Change& change : content.m_changes[kind]) {
+        if (change.m_acceptedAt <= time)
+            last = change;
+    }
+    return last;
 }
 
 Instant StoreFollowers::confirmedAt(Vm& vm) const
@@ -202,6 +232,7 @@
             return;
         watch.m_call = watch.m_schedule.begin(m_now);
         watch.m_calledAt = m_now;
+        watch.m_callRevision = watch.m_schedule.revision();
         ++vm.m_calls;
         return;
     }
@@ -215,20 +246,29 @@
     }
     // The answer that arrives now was composed one delay ago.
     const Instant composedAt = m_now - c_storeDelay;
-    const std::uint64_t newest = revisionAt(kind, composedAt);
-    const std::uint64_t held = watch.m_call->m_readsAll ? 0 : watch.m_schedule.revision().m_number;
-    const bool hasChanges = newest > held;
+    const Change newest = lastChangeAt(kind, composedAt);
+    const bool readsAll = watch.m_call->m_readsAll;
+    // The revision that the call named: others may have sent a newer one since.
+    const StoreRevision held = watch.m_callRevision;
+    const bool isOtherEra = !readsAll && newest.m_revision.m_era != held.m_era;
+    const bool hasChanges = readsAll ? newest.m_revision.m_number > 0 : newest.m_revision.m_number > held.m_number;
+    const bool endsWait = isOtherEra
+        && (contentAt(composedAt).m_endsWaits || contentAt(watch.m_calledAt + c_storeDelay).m_era != held.m_era);
     const bool isDue = composedAt >= watch.m_calledAt + c_storeDelay
-        && (hasChanges || composedAt >= watch.m_call->m_waitUntil + c_storeDelay);
+        && (endsWait || hasChanges || composedAt >= watch.m_call->m_waitUntil + c_storeDelay);
     if (!isDue || vm.m_storePath != StorePath::Works || watch.m_isConnectionSilent)
         return;
-    const std::uint64_t asOf = std::max(revisionAt(0, composedAt), revisionAt(1, composedAt));
-    const bool readsAll = watch.m_call->m_readsAll;
     watch.m_call.reset();
-    watch.m_nextCallAt = watch.m_schedule.recordAnswer({ { asOf }, hasChanges }, m_now);
+    if (isOtherEra) {
+        const bool isNewer = newest.m_revision.m_era > held.m_era;
+        watch.m_nextCallAt = watch.m_schedule.recordFailure(isNewer ? ErrorKind::Stale : ErrorKind::Unavailable, m_now);
+        return;
+    }
+    const StoreRevision asOf = std::max(lastChangeAt(0, composedAt).m_revision, lastChangeAt(1, composedAt).m_revision);
+    watch.m_nextCallAt = watch.m_schedule.recordAnswer({ asOf, hasChanges }, m_now);
     // After recordAnswer, which pauses the watch if the answer is newer than what it had.
     if (hasChanges || readsAll)
-        advance(vm, kind == 0 ? StoreVersions { { asOf }, {} } : StoreVersions { {}, { newest } });
+        advance(vm, kind == 0 ? StoreVersions { asOf, {} } : StoreVersions { {}, newest.m_version }, newest.m_revision);
 }
 
 void StoreFollowers::stepFetch(Vm& vm)
@@ -241,7 +281,8 @@
         vm.m_hasKeptConnection = true;
         vm.m_isKeptConnectionSilent = false;
         vm.m_fetchSchedule.keepConnection(fetch.m_peer, m_now);
-        advance(vm, find(fetch.m_peer).m_versions);
+        const Vm& peer = find(fetch.m_peer);
+        advance(vm, peer.m_versions, peer.m_declarationsRevision);
         return;
     }
     const std::optional<FetchSchedule::Attempt> next = FetchSchedule::next(fetch.m_attempt, m_now);
@@ -263,14 +304,16 @@
     vm.m_fetch = Vm::Fetch { peer, attempt, endsAt, isAnswered };
 }
 
-void StoreFollowers::advance(Vm& vm, const StoreVersions& versions)
+void StoreFollowers::advance(Vm& vm, const StoreVersions& versions, StoreRevision declarationsRevision)
 {
     const StoreVersions held = vm.m_versions;
     vm.m_versions.m_backends = std::max(held.m_backends, versions.m_backends);
     vm.m_versions.m_declarations = std::max(held.m_declarations, versions.m_declarations);
     vm.m_hasUpdate = vm.m_hasUpdate || vm.m_versions != held;
-    for (std::size_t kind = 0; kind < s_kinds; ++kind)
-        vm.m_watches[kind].m_schedule.advanceTo({ heldRevision(vm, kind) });
+    if (vm.m_versions.m_declarations > held.m_declarations)
+        vm.m_declarationsRevision = declarationsRevision;
+    vm.m_watches[0].m_schedule.advanceTo(vm.m_versions.m_backends);
+    vm.m_watches[1].m_schedule.advanceTo(vm.m_declarationsRevision);
 }
 
 void StoreFollowers::tick(Vm& vm)
--- a/src/exchange/StoreFollowersTest.h
+++ b/src/exchange/StoreFollowersTest.h
@@ -53,6 +53,7 @@
         bool m_canFetch = true; ///< false: connections to other VMs fail, while messages still arrive
         Instant m_disturbedAt {}; ///< last time that it was not running undisturbed; see disturb()
         StoreVersions m_versions {};
+        StoreRevision m_declarationsRevision {}; ///< at which m_versions.m_declarations were stored
         Instant m_confirmedAt {};
         std::uint64_t m_calls = 0; ///< to the store
 
@@ -69,6 +70,7 @@
             WatchSchedule m_schedule;
             std::optional<WatchSchedule::Call> m_call;
             Instant m_calledAt {};
+            StoreRevision m_callRevision {};
             bool m_isConnectionSilent = false; ///< the call's connection went silent
             Deadline m_nextCallAt {};
         };
@@ -99,6 +101,10 @@
     /// Adds a change of a kind, which the store accepts now.
     void change(std::size_t kind);
 
+    /// The store comes back from a copy of this age: later changes are missing, and their revisions are given out
+    /// again. endsWaits: calls that wait are answered at once, otherwise at the end of their wait.
+    void restoreStore(Duration copyAge, bool endsWaits);
+
     void kill(std::size_t vm);
     void restart(std::size_t vm);
     void leave(std::size_t vm);
@@ -115,7 +121,8 @@
     /// When the VM's watch of a kind began to wait, if it waits.
     std::optional<Instant> waitingSince(std::size_t vm, std::size_t kind) const;
 
-    /// The versions of the changes that the store accepted up to a time.
+    /// The versions of the changes that the store held at a time, except for declarations that a later restore lost:
+    /// a VM need not have got them.
     StoreVersions versionsAt(Instant time) const;
 
     std::vector<std::unique_ptr<Vm>> m_vms;
@@ -123,10 +130,19 @@
 
 private:
     struct Change {
-        std::uint64_t m_revision = 0;
+        StoreRevision m_revision;
+        ConfigVersion m_version; ///< of the declarations
         Instant m_acceptedAt {};
     };
 
+    /// The changes that the store holds in one era, by kind.
+    struct Content {
+        std::array<std::vector<Change>, s_kinds> m_changes;
+        std::uint32_t m_era = 0;
+        Instant m_beganAt {};
+        bool m_endsWaits = false; ///< of the era before
+    };
+
     struct Message {
         std::size_t m_receiver = 0;
         Endpoint m_sender;
@@ -143,14 +159,17 @@
     void tick(Vm& vm);
     void send(Vm& vm, const std::vector<Endpoint>& targets, bool isLeaving = false);
     void deliverMessages();
-    void advance(Vm& vm, const StoreVersions& versions);
-    std::uint64_t revisionAt(std::size_t kind, Instant time) const;
-    static std::uint64_t heldRevision(const Vm& vm, std::size_t kind);
+    void advance(Vm& vm, const StoreVersions& versions, StoreRevision declarationsRevision);
+    const Content& contentAt(Instant time) const;
+
+    /// The last change of a kind that the store held at a time; {} if there was none.
+    Change lastChangeAt(std::size_t kind, Instant time) const;
     Instant confirmedAt(Vm& vm) const;
     bool happens(double probability);
 
-    std::array<std::vector<Change>, s_kinds> m_changes;
+    std::vector<Content> m_contents { Content {} }; ///< by era
     std::uint64_t m_revision = 10;
+    std::uint64_t m_declarationsVersion = 10;
     std::deque<Message> m_messages;
     std::mt19937 m_random;
     double m_messageLoss;
--- a/src/exchange/StoreFollowingTest.cpp
+++ b/src/exchange/StoreFollowingTest.cpp
@@ -100,6 +100,66 @@
         }
     }
 
+    /// The store comes back from a copy, at times twice in a row.
+    void restoreAny(StoreFollowers& fleet)
+    {
+        for (int restores = *rc::gen::element(1, 1, 2); restores > 0; --restores) {
+            fleet.restoreStore(milliseconds { *rc::gen::inRange(0, 5'000) }, *rc::gen::arbitrary<bool>());
+            if (restores > 1)
+                fleet.run(milliseconds { *rc::gen::inRange(0, 1'500) });
+        }
+    }
+
+    // In a new era the same revision stands for another state: what was confirmed of the earlier one says nothing of
+    // it.
+    RC_GTEST_PROP(StoreFollowingTest, aConfirmedStateIsOfTheEraThatTheStoreHadThen, ())
+    {
+        StoreFollowers fleet { generateZones(), *rc::gen::arbitrary<std::uint32_t>(), 0.02 };
+        fleet.run(seconds { 2 });
+        for (int event = *rc::gen::inRange(5, 40); event > 0; --event) {
+            const int kind = *rc::gen::inRange(0, 5);
+            if (kind == 0)
+                disturbAny(fleet);
+            else if (kind == 1)
+                restoreAny(fleet);
+            else
+                fleet.change(*rc::gen::inRange<std::size_t>(0, StoreFollowers::s_kinds));
+            for (int i = *rc::gen::inRange(1, 100); i > 0; --i) {
+                fleet.run(milliseconds { 10 });
+                for (const std::unique_ptr<StoreFollowers::Vm>& vm : fleet.m_vms)
+                    RC_ASSERT(includes(vm->m_versions, fleet.versionsAt(vm->m_confirmedAt)));
+            }
+        }
+    }
+
+    // A reader that is cut off keeps the earlier era, whose revisions are higher, and goes on sending its messages.
+    RC_GTEST_PROP(StoreFollowingTest, aRestoreIsKnownInTimeWhileReadersArePartitionedFromTheStore, ())
+    {
+        StoreFollowers fleet { generateZones(), *rc::gen::arbitrary<std::uint32_t>(), 0.02 };
+        fleet.run(c_startTime);
+        for (int changes = *rc::gen::inRange(0, 6); changes > 0; --changes) {
+            fleet.change(*rc::gen::inRange<std::size_t>(0, StoreFollowers::s_kinds));
+            fleet.run(milliseconds { *rc::gen::inRange(0, 1'000) });
+        }
+        std::vector<std::size_t> partitioned;
+        for (std::uint32_t zone = 0; zone < 3; ++zone) {
+            const std::optional<std::size_t> reader = fleet.readerOf({ zone });
+            if (reader && *rc::gen::arbitrary<bool>())
+                partitioned.push_back(*reader);
+        }
+        const StorePath path = *rc::gen::element(StorePath::Silent, StorePath::Refused);
+        for (const std::size_t vm : partitioned)
+            fleet.m_vms[vm]->m_storePath = path;
+        runDisturbed(fleet, partitioned, milliseconds { *rc::gen::inRange(0, 2'500) });
+        restoreAny(fleet);
+        runDisturbed(fleet, partitioned, milliseconds { *rc::gen::inRange(0, 1'500) });
+        fleet.change(*rc::gen::inRange<std::size_t>(0, StoreFollowers::s_kinds));
+        runDisturbed(fleet, partitioned, milliseconds { 3'500 });
+        const StoreVersions stored = fleet.versionsAt(fleet.m_now);
+        for (const std::unique_ptr<StoreFollowers::Vm>& vm : fleet.m_vms)
+            RC_ASSERT(vm->m_versions.m_backends.m_era == stored.m_backends.m_era || !vm->isInTouch(fleet.m_now));
+    }
+
     // A reader that is partitioned from the store says that it follows the store until its watch times out (review/3).
     // The phase of its watch, and the time from the partition to the change, decide how long the others wait.
     RC_GTEST_PROP(StoreFollowingTest, aChangeIsInForceInTimeWhileReadersArePartitionedFromTheStore, ())
