--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -196,6 +196,15 @@
         m_peers.begin(), m_peers.end(), [this](const auto& entry) { return entry.second.m_zone == m_zone; }));
 }
 
+void ExchangePeers::collectLocalZoneMembers(std::vector<ZoneMember>& members) const
+{
+    members.clear();
+    for (const auto& [peer, state] : m_peers) {
+        if (state.m_zone == m_zone)
+            members.push_back({ peer, state.m_expiresAt - c_peerExpiry });
+    }
+}
+
 std::int64_t ExchangePeers::messagesPerRound() const
 {
     return static_cast<std::int64_t>((localZonePeerCount() + c_localZoneFanout - 1) / c_localZoneFanout);
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "discovery/WatchSchedule.h"
 #include "exchange/LoadMessage.h"
+#include "warmup/WarmupBudget.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,6 +41,10 @@
 
     std::size_t localZonePeerCount() const;
 
+    /// Replaces members by the VMs of the local zone and when each was last heard of: its last message, or the first
+    /// one of a peer that listed it. Allocates only if members grows.
+    void collectLocalZoneMembers(std::vector<ZoneMember>& members) const;
+
     /// Time without a message before a VM of the local zone times out; longer in a large zone, where each VM gets fewer
     /// messages.
     Duration peerTimeout() const;
--- /dev/null
+++ b/src/warmup/WarmupBudgetTest.cpp
@@ -0,0 +1,147 @@
+#include "warmup/WarmupBudget.h"
+
+#include <array>
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace cuminrelay {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr Instant c_start { seconds { 100 } };
+    constexpr Endpoint c_self { 0x0a000001, 7720 };
+    constexpr WarmupBounds c_bounds { 1.5, 5 };
+    constexpr double c_rate = 10; // five VMs open flows, each every 500 ms
+
+    ColdBackend coldBackend(std::uint64_t identity, double rate = c_rate)
+    {
+        return { identity, rate, true };
+    }
+
+    std::vector<ZoneMember> members(std::uint32_t count, Instant heardAt)
+    {
+        std::vector<ZoneMember> listed;
+        for (std::uint32_t i = 0; i < count; ++i)
+            listed.push_back({ { 0x0a000002 + i, 7720 }, heardAt });
+        return listed;
+    }
+
+    /// Number of backend servers of 1,000 at which a VM may open a flow.
+    int openAt(const WarmupBudget& budget, Instant now)
+    {
+        int count = 0;
+        for (std::uint64_t identity = 1; identity <= 1'000; ++identity) {
+            WarmupPermits permits;
+            count += budget.mayOpen(coldBackend(identity), permits, now) ? 1 : 0;
+        }
+        return count;
+    }
+
+    TEST(WarmupBudgetTest, withoutADeclaredRateEveryVmMayOpen)
+    {
+        const WarmupBudget budget { c_self, c_bounds, c_start };
+        WarmupPermits permits;
+        const ColdBackend backend { 7, 0, false };
+        for (int i = 0; i < 3; ++i) {
+            EXPECT_TRUE(budget.mayOpen(backend, permits, c_start));
+            budget.recordOpening(backend, permits, c_start);
+        }
+    }
+
+    // A VM that has just started does not know the others yet, and they do not know it.
+    TEST(WarmupBudgetTest, aStartedVmWaits)
+    {
+        WarmupBudget budget { c_self, c_bounds, c_start };
+        budget.updateMembers(members(2, c_start), c_start);
+        WarmupPermits permits;
+        EXPECT_FALSE(budget.mayOpen(coldBackend(7), permits, c_start + milliseconds { 2'999 }));
+        EXPECT_TRUE(budget.mayOpen(coldBackend(7), permits, c_start + seconds { 3 }));
+    }
+
+    // A VM that is cut off when it starts would take itself for the only one and use the whole rate.
+    TEST(WarmupBudgetTest, aVmThatHasHeardOfNoOtherWaitsForTheMemberTimeout)
+    {
+        const WarmupBudget budget { c_self, c_bounds, c_start };
+        WarmupPermits permits;
+        EXPECT_FALSE(budget.mayOpen(coldBackend(7), permits, c_start + milliseconds { 62'999 }));
+        EXPECT_TRUE(budget.mayOpen(coldBackend(7), permits, c_start + seconds { 63 }));
+    }
+
+    TEST(WarmupBudgetTest, unusedPermitsDoNotAccumulate)
+    {
+        WarmupBudget budget { c_self, c_bounds, c_start };
+        budget.updateMembers(members(4, c_start), c_start);
+        WarmupPermits permits;
+        Instant now = c_start + seconds { 30 };
+        ASSERT_TRUE(budget.mayOpen(coldBackend(7), permits, now));
+        budget.recordOpening(coldBackend(7), permits, now);
+        EXPECT_FALSE(budget.mayOpen(coldBackend(7), permits, now + milliseconds { 499 }));
+        now += milliseconds { 500 };
+        EXPECT_TRUE(budget.mayOpen(coldBackend(7), permits, now));
+    }
+
+    // In a large zone few VMs share the budget, or the flows that all of them may open in a second exceed it.
+    TEST(WarmupBudgetTest, fiveOfEightyVmsOpenAtABackendServer)
+    {
+        WarmupBudget budget { c_self, c_bounds, c_start };
+        budget.updateMembers(members(79, c_start), c_start);
+        const int count = openAt(budget, c_start + seconds { 10 });
+        EXPECT_GT(count, 40); // 62.5 are expected
+        EXPECT_LT(count, 90);
+    }
+
+    TEST(WarmupBudgetTest, aVmOfAnotherZoneOpensNothing)
+    {
+        WarmupBudget budget { c_self, c_bounds, c_start };
+        budget.updateMembers(members(2, c_start), c_start);
+        WarmupPermits permits;
+        EXPECT_FALSE(budget.mayOpen({ 7, c_rate, false }, permits, c_start + seconds { 30 }));
+    }
+
+    // A VM that is not heard of may be cut off and go on to open flows for as long as it remembers the others.
+    TEST(WarmupBudgetTest, aSilentVmKeepsItsShareUntilTheTakeoverDelayAfterItIsForgotten)
+    {
+        WarmupBudget budget { c_self, c_bounds, c_start };
+        budget.updateMembers(members(79, c_start), c_start);
+        const std::vector<ZoneMember> heard = members(3, c_start + seconds { 30 });
+        const int before = openAt(budget, c_start + seconds { 10 });
+        budget.updateMembers(heard, c_start + milliseconds { 62'999 });
+        EXPECT_EQ(budget.members(), 80u);
+        EXPECT_EQ(openAt(budget, c_start + milliseconds { 62'999 }), before);
+        budget.updateMembers(heard, c_start + seconds { 63 });
+        EXPECT_EQ(budget.members(), 4u);
+        EXPECT_EQ(openAt(budget, c_start + seconds { 63 }), 1'000);
+    }
+
+    // A VM whose rank falls because another one was added stops at once.
+    TEST(WarmupBudgetTest, anAddedVmDisplacesAnotherAtOnce)
+    {
+        WarmupBudget budget { c_self, c_bounds, c_start };
+        budget.updateMembers(members(4, c_start), c_start);
+        EXPECT_EQ(openAt(budget, c_start + seconds { 10 }), 1'000);
+        budget.updateMembers(members(9, c_start + seconds { 10 }), c_start + seconds { 10 });
+        EXPECT_LT(openAt(budget, c_start + seconds { 10 }), 600); // 500 are expected
+    }
+
+    TEST(WarmupBudgetTest, theNumberOfOpenersFollowsTheDeclaredRate)
+    {
+        WarmupBudget budget { c_self, c_bounds, c_start };
+        budget.updateMembers(members(79, c_start), c_start);
+        const Instant now = c_start + seconds { 10 };
+        for (const auto& [rate, openers] : std::vector<std::pair<double, std::uint32_t>> {
+                 { 0.001, 2 }, { 1, 2 }, { 2.5, 3 }, { 10, 5 }, { 40, 12 }, { 1e6, 80 } }) {
+            WarmupPermits permits;
+            budget.recordOpening(coldBackend(7, rate), permits, now);
+            EXPECT_EQ(permits.m_openers, openers) << rate;
+            EXPECT_GT(permits.m_nextAt, now) << rate;
+        }
+        WarmupBudget strict { c_self, { 1, 0 }, c_start };
+        WarmupPermits permits;
+        strict.recordOpening(coldBackend(7), permits, now);
+        EXPECT_EQ(permits.m_openers, 1u);
+    }
+
+} // namespace
+} // namespace cuminrelay
