--- a/src/affinity/ServiceMap.cpp
+++ b/src/affinity/ServiceMap.cpp
@@ -9,6 +9,9 @@
 ServiceMap::ServiceMap(const ServiceDeclarations& declarations)
     : m_version(declarations.m_version)
     , m_healthChecks(declarations.m_healthChecks)
+    , m_warmups(declarations.m_warmups)
+    , m_hasWarmupRates(std::ranges::any_of(
+          m_warmups, [](const WarmupDeclaration& warmup) { return warmup.m_requestsPerSecond > 0; }))
 {
     m_entries.reserve(declarations.m_services.size());
     for (const DeclaredService& service : declarations.m_services) {
@@ -32,6 +35,13 @@
     return found != m_healthChecks.end() ? std::string_view { found->m_path } : std::string_view {};
 }
 
+double ServiceMap::warmupRate(const Labels& labels) const
+{
+    const auto found = std::ranges::find_if(
+        m_warmups, [&labels](const WarmupDeclaration& warmup) { return matches(warmup.m_selector, labels); });
+    return found != m_warmups.end() ? found->m_requestsPerSecond : 0;
+}
+
 bool ServiceMap::names(const Labels& labels) const
 {
     return std::ranges::any_of(m_selectors, [&labels](const Selector& selector) { return matches(selector, labels); })
--- a/src/affinity/ServiceMap.h
+++ b/src/affinity/ServiceMap.h
@@ -45,11 +45,24 @@
     friend bool operator==(const HealthCheck&, const HealthCheck&) = default;
 };
 
+/// Maximum of WarmupDeclaration::m_requestsPerSecond: more than any backend server handles.
+inline constexpr double c_maxWarmupRate = 1e6;
+
+/// What the selected backend servers can take while they are cold.
+struct WarmupDeclaration {
+    Selector m_selector;
+    std::chrono::milliseconds m_duration { 0 }; ///< of the warm-up after a start; 0: not declared
+    double m_requestsPerSecond = 0; ///< that a cold backend server can handle; 0: not declared
+
+    friend bool operator==(const WarmupDeclaration&, const WarmupDeclaration&) = default;
+};
+
 /// All declared services under one version.
 struct ServiceDeclarations {
     ConfigVersion m_version;
     std::vector<DeclaredService> m_services;
     std::vector<HealthCheck> m_healthChecks; ///< the first match for a backend server applies
+    std::vector<WarmupDeclaration> m_warmups; ///< the first match for a backend server applies
     std::size_t m_unknownKinds = 0; ///< services that were declared with an unknown kind; not sent to other VMs
     std::chrono::milliseconds m_idleTimeout { 0 }; ///< flows idle for longer may be removed; 0: not declared
 };
@@ -82,6 +95,13 @@
     /// Returns the health check path of a backend server with these labels; empty if none is declared.
     std::string_view healthPath(const Labels& labels) const;
 
+    /// Returns the requests per second that a backend server with these labels can handle while it is cold; 0 if not
+    /// declared. Cost: O(declarations of warm-ups).
+    double warmupRate(const Labels& labels) const;
+
+    /// Whether any rate is declared that warmupRate may return.
+    bool hasWarmupRates() const { return m_hasWarmupRates; }
+
     /// Whether the declarations name the service of a backend server with these labels: a selector or a health check
     /// matches it.
     bool names(const Labels& labels) const;
@@ -95,6 +115,8 @@
     ConfigVersion m_version;
     std::vector<Selector> m_selectors;
     std::vector<HealthCheck> m_healthChecks;
+    std::vector<WarmupDeclaration> m_warmups;
+    bool m_hasWarmupRates = false;
     boost::unordered_flat_map<std::uint64_t, Entry> m_entries;
 };
 
--- a/src/exchange/News.capnp
+++ b/src/exchange/News.capnp
@@ -41,6 +41,14 @@
   removed @4 :List(Text); # names of services
   selectors @5 :List(Text); # referred to by services
   healthChecks @6 :List(HealthCheck);
+  warmups @7 :List(Warmup);
+}
+
+# What the selected backend servers can take while they are cold.
+struct Warmup {
+  selector @0 :Text;
+  durationMs @1 :UInt32; # 0: not declared
+  requestsPerSecond @2 :Float64; # 0: not declared
 }
 
 struct HealthCheck {
--- a/src/exchange/News.capnp.h
+++ b/src/exchange/News.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(f7acfe68269a4fd2);
 CAPNP_DECLARE_SCHEMA(ef1b49bdcf1b6752);
 CAPNP_DECLARE_SCHEMA(bf70c546cea41dd0);
+CAPNP_DECLARE_SCHEMA(d010046f3ae0348d);
 CAPNP_DECLARE_SCHEMA(bdf9c972c04ed324);
 CAPNP_DECLARE_SCHEMA(8c398bf0139d0cd0);
 CAPNP_DECLARE_SCHEMA(ac6d6bf4bd85956f);
@@ -83,7 +84,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bf70c546cea41dd0, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bf70c546cea41dd0, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Warmup {
+  Warmup() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d010046f3ae0348d, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -527,6 +543,9 @@
   inline bool hasHealthChecks() const;
   inline  ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>::Reader getHealthChecks() const;
 
+  inline bool hasWarmups() const;
+  inline  ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>::Reader getWarmups() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -594,6 +613,13 @@
   inline void adoptHealthChecks(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::HealthCheck,  ::capnp::Kind::STRUCT>> disownHealthChecks();
 
+  inline bool hasWarmups();
+  inline  ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>::Builder getWarmups();
+  inline void setWarmups( ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>::Builder initWarmups(unsigned int size);
+  inline void adoptWarmups(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>> disownWarmups();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -620,6 +646,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Warmup::Reader {
+public:
+  typedef Warmup Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSelector() const;
+  inline  ::capnp::Text::Reader getSelector() const;
+
+  inline  ::uint32_t getDurationMs() const;
+
+  inline double getRequestsPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Warmup::Builder {
+public:
+  typedef Warmup Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSelector();
+  inline  ::capnp::Text::Builder getSelector();
+  inline void setSelector( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSelector(unsigned int size);
+  inline void adoptSelector(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSelector();
+
+  inline  ::uint32_t getDurationMs();
+  inline void setDurationMs( ::uint32_t value);
+
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Warmup::Pipeline {
+public:
+  typedef Warmup Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HealthCheck::Reader {
 public:
   typedef HealthCheck Reads;
@@ -1530,6 +1647,102 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Declarations::Reader::hasWarmups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Declarations::Builder::hasWarmups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>::Reader Declarations::Reader::getWarmups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>::Builder Declarations::Builder::getWarmups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Declarations::Builder::setWarmups( ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>::Builder Declarations::Builder::initWarmups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Declarations::Builder::adoptWarmups(
+    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>> Declarations::Builder::disownWarmups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::Warmup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Warmup::Reader::hasSelector() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Warmup::Builder::hasSelector() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Warmup::Reader::getSelector() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Warmup::Builder::getSelector() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Warmup::Builder::setSelector( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Warmup::Builder::initSelector(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Warmup::Builder::adoptSelector(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Warmup::Builder::disownSelector() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Warmup::Reader::getDurationMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Warmup::Builder::getDurationMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Warmup::Builder::setDurationMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Warmup::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double Warmup::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Warmup::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HealthCheck::Reader::hasSelector() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/exchange/StoreUpdateMessage.cpp
+++ b/src/exchange/StoreUpdateMessage.cpp
@@ -143,6 +143,13 @@
             checks[i].setSelector(formatSelector(healthChecks[i].m_selector));
             checks[i].setPath(healthChecks[i].m_path);
         }
+        const std::vector<WarmupDeclaration>& warmups = update.m_otherFields.m_warmups;
+        capnp::List<wire::Warmup>::Builder wireWarmups = builder.initWarmups(static_cast<unsigned>(warmups.size()));
+        for (unsigned i = 0; i < wireWarmups.size(); ++i) {
+            wireWarmups[i].setSelector(formatSelector(warmups[i].m_selector));
+            wireWarmups[i].setDurationMs(static_cast<std::uint32_t>(warmups[i].m_duration.count()));
+            wireWarmups[i].setRequestsPerSecond(warmups[i].m_requestsPerSecond);
+        }
     }
 
     Outcome<DeclaredService> readService(
@@ -164,6 +171,20 @@
         return service;
     }
 
+    Outcome<WarmupDeclaration> readWarmup(wire::Warmup::Reader reader)
+    {
+        Outcome<Selector> selector = parseSelector(reader.getSelector().cStr());
+        if (!selector)
+            return selector.error();
+        const double rate = reader.getRequestsPerSecond();
+        // Also refuses a value that is not a number.
+        if (!(rate >= 0 && rate <= c_maxWarmupRate))
+            return Error { ErrorKind::InvalidInput,
+                fmt::format("found warm-up rate {}; allowed: 0 to {}", rate, c_maxWarmupRate) };
+        return WarmupDeclaration { std::move(selector.value()), std::chrono::milliseconds { reader.getDurationMs() },
+            rate };
+    }
+
     Outcome<DeclarationUpdate> readDeclarations(wire::Declarations::Reader reader, ElementLimit& limit)
     {
         DeclarationUpdate update;
@@ -183,6 +204,12 @@
                 return selector.error();
             update.m_otherFields.m_healthChecks.push_back({ std::move(selector.value()), check.getPath().cStr() });
         }
+        for (const wire::Warmup::Reader warmup : limit.checked(reader.getWarmups())) {
+            Outcome<WarmupDeclaration> read = readWarmup(warmup);
+            if (!read)
+                return read.error();
+            update.m_otherFields.m_warmups.push_back(std::move(read.value()));
+        }
         for (const wire::Service::Reader service : limit.checked(reader.getServices())) {
             Outcome<DeclaredService> read = readService(service, selectors, limit);
             if (!read)
--- a/src/exchange/StoreUpdateMessageTest.cpp
+++ b/src/exchange/StoreUpdateMessageTest.cpp
@@ -5,6 +5,7 @@
 #include <capnp/serialize-packed.h>
 #include <gtest/gtest.h>
 #include <kj/io.h>
+#include <limits>
 #include <string>
 
 namespace cuminrelay {
@@ -31,6 +32,22 @@
         EXPECT_EQ(update.error().m_kind, ErrorKind::InvalidInput);
     }
 
+    // VMs that get the declarations from another VM would keep no budget.
+    TEST(StoreUpdateMessageTest, warmupsAreDecodedAndOddRatesAreRefused)
+    {
+        const Selector selector { { { "app", SelectorOperator::Equals, { "feeds" } } } };
+        StoreUpdate update;
+        DeclarationUpdate& declarations = update.m_declarations.emplace();
+        declarations.m_otherFields.m_warmups = { { selector, std::chrono::milliseconds { 2'500 }, 7.25 } };
+        const Outcome<StoreUpdate> decoded = decodeStoreUpdate(encodeStoreUpdate(update, {}), {});
+        ASSERT_TRUE(decoded.has_value()) << decoded.error().m_message;
+        EXPECT_EQ(decoded.value().m_declarations->m_otherFields.m_warmups, declarations.m_otherFields.m_warmups);
+        for (const double rate : { -1.0, 1e300, std::numeric_limits<double>::quiet_NaN() }) {
+            declarations.m_otherFields.m_warmups[0].m_requestsPerSecond = rate;
+            EXPECT_FALSE(decodeStoreUpdate(encodeStoreUpdate(update, {}), {}).has_value()) << rate;
+        }
+    }
+
     // The limits leave room for the largest deployment that the design provides for.
     TEST(StoreUpdateMessageTest, anUpdateOfTheLargestDeploymentIsDecoded)
     {
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -2,8 +2,10 @@
 
 #include "base/Endpoint.h"
 #include "observe/Log.h"
+#include "warmup/WarmupBudget.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,7 @@
     std::chrono::milliseconds m_stopWithin { 6'000 }; ///< from the stop request to the end of the process
     std::chrono::milliseconds m_addressReuse { 2'000 }; ///< minimum time before an address gets a new owner
     bool m_followsEvacuations = false; ///< operators may request the evacuation of an availability zone
+    std::optional<WarmupBounds> m_warmupBounds; ///< of the flows to cold backend servers; absent: not limited
     std::vector<std::string> m_zones; ///< all availability zones; empty: unknown
     LogLevel m_logLevel = LogLevel::Info;
 
--- a/src/settings/JsonFields.cpp
+++ b/src/settings/JsonFields.cpp
@@ -97,6 +97,20 @@
     return fallback;
 }
 
+double JsonFields::number(std::string_view key, double fallback, double minimum, double maximum)
+{
+    const boost::json::value* const value = lookUp(key);
+    if (!value)
+        return fallback;
+    if (value->is_number()) {
+        const double number = value->to_number<double>();
+        if (number >= minimum && number <= maximum)
+            return number;
+    }
+    failType(key, *value, fmt::format("a number from {} to {}", minimum, maximum));
+    return fallback;
+}
+
 Endpoint JsonFields::requiredEndpoint(std::string_view key)
 {
     const std::string found = requiredText(key);
--- a/src/settings/JsonFields.h
+++ b/src/settings/JsonFields.h
@@ -38,6 +38,9 @@
     std::uint64_t requiredInteger(std::string_view key, std::uint64_t minimum, std::uint64_t maximum);
     std::uint64_t integer(std::string_view key, std::uint64_t fallback, std::uint64_t minimum, std::uint64_t maximum);
 
+    /// An optional number, which may have a fraction.
+    double number(std::string_view key, double fallback, double minimum, double maximum);
+
     /// A required "a.b.c.d:port".
     Endpoint requiredEndpoint(std::string_view key);
 
--- a/src/settings/JsonFieldsTest.cpp
+++ b/src/settings/JsonFieldsTest.cpp
@@ -38,6 +38,22 @@
         EXPECT_TRUE(lenient.finish().has_value());
     }
 
+    TEST(JsonFields, aNumberMayHaveAFractionAndIsLimited)
+    {
+        const boost::json::value value
+            = parsed(R"({"whole": 2, "part": 2.5, "huge": 1e300, "negative": -0.1, "text": "2", "bool": true})");
+        JsonFields fields { value, "test", Ignore };
+        EXPECT_EQ(fields.number("whole", 0, 0, 9), 2);
+        EXPECT_EQ(fields.number("part", 0, 0, 9), 2.5);
+        EXPECT_EQ(fields.number("absent", 7, 0, 9), 7);
+        EXPECT_TRUE(fields.finish().has_value());
+        for (const char* const key : { "huge", "negative", "text", "bool" }) {
+            JsonFields odd { value, "test", Ignore };
+            EXPECT_EQ(odd.number(key, 7, 0, 9), 7) << key;
+            EXPECT_FALSE(odd.finish().has_value()) << key;
+        }
+    }
+
     TEST(JsonFields, aValueOtherThanAnObjectIsAnError)
     {
         for (const char* const text : { "1", "[]", "null", "\"x\"" }) {
