--- a/src/warmup/WarmupBudget.cpp
+++ b/src/warmup/WarmupBudget.cpp
@@ -30,12 +30,20 @@
     , m_bounds(bounds)
     , m_opensFrom(startedAt + s_takeoverDelay)
     , m_opensAloneFrom(startedAt + s_memberTimeout + s_takeoverDelay)
+    , m_lastHeardAt(startedAt)
 {
 }
 
 void WarmupBudget::updateMembers(std::span<const ZoneMember> heardOf, Instant now)
 {
-    const auto isForgotten = [now](const ZoneMember& member) { return now - member.m_heardAt >= c_memberRetention; };
+    const Instant previousContact = m_lastHeardAt;
+    for (const ZoneMember& member : heardOf)
+        m_lastHeardAt = std::max(m_lastHeardAt, member.m_heardAt);
+    // After it was cut off or paused, this VM knows as little of the others as after its start.
+    if (m_lastHeardAt - previousContact >= s_takeoverDelay)
+        m_opensFrom = std::max(m_opensFrom, now + s_takeoverDelay);
+    const auto isForgotten
+        = [this](const ZoneMember& member) { return m_lastHeardAt - member.m_heardAt >= c_memberRetention; };
     bool hasChanged = std::erase_if(m_members, isForgotten) > 0;
     for (const ZoneMember& member : heardOf) {
         if (member.m_vm == m_self || isForgotten(member))
--- a/src/warmup/WarmupBudget.h
+++ b/src/warmup/WarmupBudget.h
@@ -46,7 +46,9 @@
 /// these are at most rate + k flows. The rest of the bound, another k, covers VMs whose views of the zone differ.
 ///
 /// A VM that this one has not heard of recently may be cut off and go on to open flows. It keeps its share until it is
-/// forgotten, and no other VM takes the share over before s_takeoverDelay has passed.
+/// forgotten, and no other VM takes the share over before s_takeoverDelay has passed. A VM that hears of no other
+/// forgets none: it is more likely to be cut off itself than to be the last one, and would otherwise use the whole
+/// rate.
 class WarmupBudget {
 public:
     /// Time without any message after which a VM is no longer a member of the zone.
@@ -57,8 +59,8 @@
 
     WarmupBudget(Endpoint self, WarmupBounds bounds, Instant startedAt);
 
-    /// Updates the VMs of the local zone; VMs that are not listed stay members until they are forgotten. Call at least
-    /// every second.
+    /// Updates the VMs of the local zone; VMs that are not listed stay members until they are forgotten. Call whenever
+    /// one was heard of, or several times per second.
     void updateMembers(std::span<const ZoneMember> heardOf, Instant now);
 
     /// Whether this VM may open one more flow at a backend server now. permits: those of the backend server. Cost:
@@ -79,8 +81,9 @@
 
     Endpoint m_self;
     WarmupBounds m_bounds;
-    Deadline m_opensFrom; ///< other VMs know of this one by then
+    Deadline m_opensFrom; ///< this VM and the others know of each other by then
     Deadline m_opensAloneFrom; ///< as long as no other member is known: this VM may be cut off since its start
+    Instant m_lastHeardAt; ///< when any member was last heard of; the start of this VM if none was
     std::vector<ZoneMember> m_members; ///< others, sorted by endpoint
     std::uint64_t m_generation = 1; ///< increases when a VM is added to m_members or removed
 };
--- a/src/warmup/WarmupBudgetTest.cpp
+++ b/src/warmup/WarmupBudgetTest.cpp
@@ -105,16 +105,35 @@
     {
         WarmupBudget budget { c_self, c_bounds, c_start };
         budget.updateMembers(members(79, c_start), c_start);
-        const std::vector<ZoneMember> heard = members(3, c_start + seconds { 30 });
         const int before = openAt(budget, c_start + seconds { 10 });
-        budget.updateMembers(heard, c_start + milliseconds { 62'999 });
+        for (Instant now = c_start; now <= c_start + seconds { 62 }; now += seconds { 1 })
+            budget.updateMembers(members(3, now), now);
         EXPECT_EQ(budget.members(), 80u);
-        EXPECT_EQ(openAt(budget, c_start + milliseconds { 62'999 }), before);
-        budget.updateMembers(heard, c_start + seconds { 63 });
+        EXPECT_EQ(openAt(budget, c_start + seconds { 62 }), before);
+        budget.updateMembers(members(3, c_start + seconds { 63 }), c_start + seconds { 63 });
         EXPECT_EQ(budget.members(), 4u);
         EXPECT_EQ(openAt(budget, c_start + seconds { 63 }), 1'000);
     }
 
+    // A VM that is cut off for longer than the member time-out would take itself for the only one and use the whole
+    // rate. When it hears of the first other VM again, it would take itself for one of two.
+    TEST(WarmupBudgetTest, aCutOffVmKeepsItsShareAndWaitsWhenItHearsOfOthersAgain)
+    {
+        WarmupBudget budget { c_self, c_bounds, c_start };
+        budget.updateMembers(members(79, c_start), c_start);
+        const int before = openAt(budget, c_start + seconds { 10 });
+        const Instant later = c_start + seconds { 300 };
+        budget.updateMembers({}, later);
+        EXPECT_EQ(budget.members(), 80u);
+        EXPECT_EQ(openAt(budget, later), before);
+        budget.updateMembers(members(1, later), later);
+        EXPECT_EQ(budget.members(), 2u);
+        EXPECT_EQ(openAt(budget, later + milliseconds { 2'999 }), 0);
+        budget.updateMembers(members(79, later + milliseconds { 2'900 }), later + milliseconds { 2'900 });
+        const int after = openAt(budget, later + seconds { 3 });
+        EXPECT_EQ(after, before);
+    }
+
     // A VM whose rank falls because another one was added stops at once.
     TEST(WarmupBudgetTest, anAddedVmDisplacesAnotherAtOnce)
     {
--- a/src/warmup/WarmupFleetTest.cpp
+++ b/src/warmup/WarmupFleetTest.cpp
@@ -69,7 +69,7 @@
     for (Vm& vm : m_vms) {
         if (std::uniform_real_distribution<double> {}(m_random) >= m_plan.m_cutOffShare)
             continue;
-        const Duration length = uniform(seconds { 5 }, seconds { 60 });
+        const Duration length = uniform(seconds { 5 }, m_plan.m_longestCutOff);
         vm.m_cutOffFrom = c_faultsFrom + uniform(Duration::zero(), c_faultsUntil - c_faultsFrom - length);
         vm.m_cutOffUntil = vm.m_cutOffFrom + length;
     }
@@ -289,6 +289,10 @@
         plan.m_cutOffShare = 0.4;
         plan.m_partitionsZone = true;
         expectWithinBound("cut off", plan);
+        plan.m_cutOffShare = 0.05;
+        plan.m_longestCutOff = seconds { 75 };
+        plan.m_demand = 10;
+        expectWithinBound("cut off for longer", plan);
     }
 
     // VMs that start again know no other VM at first.
--- a/src/warmup/WarmupFleetTest.h
+++ b/src/warmup/WarmupFleetTest.h
@@ -22,7 +22,8 @@
     WarmupBounds m_usedBounds { 1.5, 5 }; ///< that the VMs use
     bool m_hasBudget = true;
     bool m_simulatesOtherZones = true; ///< otherwise, the VMs of the cold zone only
-    double m_cutOffShare = 0; ///< share of the VMs that are cut off alone once, for 5 to 60 s
+    double m_cutOffShare = 0; ///< share of the VMs that are cut off alone once, for 5 s or longer
+    Duration m_longestCutOff = std::chrono::seconds { 60 };
     bool m_partitionsZone = false; ///< cuts the cold zone off the others for 60 s
     bool m_restartsHalf = false; ///< of the VMs, together
     std::size_t m_added = 0; ///< VMs added to the cold zone while others are cut off
