affinity, relay: cold backend servers get new flows within the warm-up budget

An opening is refused at once with the reason warmup_budget if only cold backend servers without a permit are left. The backend servers of a zone that returns count as cold until the state is confirmed as of a later time.

--- a/src/affinity/BackendCatalog.cpp
+++ b/src/affinity/BackendCatalog.cpp
@@ -85,6 +85,8 @@
         tracked.m_liveness.clearSuspicion();
         tracked.m_confirmedDead = false;
     }
+    if (tracked.m_announced.m_server.m_labels != announced.m_server.m_labels)
+        tracked.m_warmupRate.reset();
     tracked.m_presence = Presence::Announced;
     tracked.m_withdrawnAt = Instant {};
     tracked.m_presenceDeadline = Deadline {};
--- a/src/affinity/BackendCatalog.h
+++ b/src/affinity/BackendCatalog.h
@@ -3,9 +3,11 @@
 #include "affinity/Backend.h"
 #include "affinity/LivenessTracker.h"
 #include "base/Time.h"
+#include "warmup/WarmupBudget.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +42,8 @@
     Duration m_recheckDelay {}; ///< grows with each recheck that finds it still dead
     BackendLoad m_localLoad; ///< from flows that pass this VM
     BackendLoad m_peerLoad; ///< as reported by other VMs
+    std::optional<double> m_warmupRate; ///< declared; empty: not looked up yet
+    WarmupPermits m_warmupPermits;
 
     /// Whether its entry permits new flows.
     bool acceptsNewFlows() const { return m_presence != Presence::Departed && !m_announced.m_server.m_draining; }
--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -46,6 +46,8 @@
     , m_contestedFlows(hashText(m_options.m_zone, c_contestedSalt))
     , m_isAwaitingEvacuations(m_options.m_awaitsEvacuations)
 {
+    if (m_options.m_warmupBounds)
+        m_warmupBudget.emplace(m_options.m_self, *m_options.m_warmupBounds, m_options.m_startedAt);
 }
 
 void TokenRouter::decide(std::span<const PacketSummary> packets, std::span<PacketAction> actions, Instant now)
@@ -100,7 +102,9 @@
         const Pool& pool = poolOf(target.m_selector);
         return pool.m_hasEvacuated && pool.m_backends.empty();
     });
-    const Reason reason = isEvacuated ? Reason::ZoneEvacuated : Reason::NoBackendServer;
+    const Reason reason = m_hasLeftOut ? Reason::WarmupBudget
+        : isEvacuated                  ? Reason::ZoneEvacuated
+                                       : Reason::NoBackendServer;
     return reject(packet, PacketActionKind::Refuse, reason, backend, now);
 }
 
@@ -236,6 +240,7 @@
 
 TrackedBackend* TokenRouter::place(const ServiceMap::Entry& service, FlowHash hash, BackendToken excluded, Instant now)
 {
+    m_hasLeftOut = false;
     FlowDemand demand;
     demand.m_isLong = service.m_kind == RequestKind::Idempotent;
     demand.m_draw = hash.m_value;
@@ -261,10 +266,16 @@
 TrackedBackend* TokenRouter::placeIn(
     std::span<TrackedBackend* const> pool, const FlowDemand& demand, BackendToken excluded, Instant now)
 {
-    const auto collect = [this, pool, excluded](const auto& accepts) {
+    std::uint64_t leftOut = 0;
+    const auto collect = [&](const auto& accepts) {
         m_eligible.clear();
+        leftOut = 0;
         for (TrackedBackend* const backend : pool) {
-            if (backend->acceptsNewFlows() && backend->m_token != excluded && accepts(*backend))
+            if (!backend->acceptsNewFlows() || backend->m_token == excluded || !accepts(*backend))
+                continue;
+            if (m_keepsWarmupBudget && lacksPermit(*backend, now))
+                ++leftOut;
+            else
                 m_eligible.push_back(backend);
         }
         return !m_eligible.empty();
@@ -278,18 +289,79 @@
         = collect([&](const TrackedBackend& backend) { return isListed(backend) && isResponsive(backend); })
         || collect([&](const TrackedBackend& backend) { return isResponsive(backend); })
         || collect([](const TrackedBackend&) { return true; });
+    m_hasLeftOut = m_hasLeftOut || leftOut > 0;
+    m_warmupCounts.m_leftOut += leftOut;
     if (!found)
         return nullptr;
     m_candidates.clear();
     for (const TrackedBackend* const backend : m_eligible) {
         FlowCandidate& candidate = m_candidates.emplace_back();
         candidate.m_isInLocalZone = backend->m_announced.m_server.m_zone == m_options.m_zone;
-        candidate.m_isCold = now < backend->m_announced.m_warmAt;
+        candidate.m_isCold = isCold(*backend, now);
         candidate.m_slots = backend->m_announced.m_server.m_slots;
         candidate.m_activeRequests = backend->m_localLoad.m_activeRequests + backend->m_peerLoad.m_activeRequests;
         candidate.m_longFlows = backend->m_localLoad.m_longFlows + backend->m_peerLoad.m_longFlows;
     }
-    return m_eligible[m_placement.choose(m_candidates, demand)];
+    TrackedBackend* const chosen = m_eligible[m_placement.choose(m_candidates, demand)];
+    if (m_keepsWarmupBudget && isCold(*chosen, now)) {
+        const ColdBackend budget = budgetOf(*chosen);
+        m_warmupBudget->recordOpening(budget, chosen->m_warmupPermits, now);
+        m_warmupCounts.m_permitsUsed += budget.m_rate > 0 ? 1 : 0;
+    }
+    return chosen;
+}
+
+/// Whether a backend server is cold, or may be without this VM's knowledge.
+bool TokenRouter::isCold(const TrackedBackend& backend, Instant now) const
+{
+    if (now < backend.m_announced.m_warmAt)
+        return true;
+    return m_keepsWarmupBudget && !m_returnedZones.empty()
+        && std::ranges::find(m_returnedZones, hashZone(backend.m_announced.m_server.m_zone), &ReturnedZone::m_zone)
+        != m_returnedZones.end();
+}
+
+double TokenRouter::warmupRateOf(const TrackedBackend& backend) const
+{
+    return backend.m_warmupRate ? *backend.m_warmupRate : m_services.warmupRate(backend.m_announced.m_server.m_labels);
+}
+
+ColdBackend TokenRouter::budgetOf(TrackedBackend& backend) const
+{
+    backend.m_warmupRate = warmupRateOf(backend);
+    return { backend.m_announced.m_identity.m_value, *backend.m_warmupRate,
+        backend.m_announced.m_server.m_zone == m_options.m_zone };
+}
+
+/// Whether the budget forbids one more flow at a backend server. Precondition: m_keepsWarmupBudget.
+bool TokenRouter::lacksPermit(TrackedBackend& backend, Instant now) const
+{
+    return isCold(backend, now) && !m_warmupBudget->mayOpen(budgetOf(backend), backend.m_warmupPermits, now);
+}
+
+std::size_t TokenRouter::budgetedBackends(Instant now) const
+{
+    std::size_t count = 0;
+    if (!m_keepsWarmupBudget)
+        return count;
+    m_backends.forEach([&](const TrackedBackend& backend) {
+        const bool isInUse = backend.m_presence != Presence::Departed && isCold(backend, now);
+        count += isInUse && warmupRateOf(backend) > 0 ? 1 : 0;
+    });
+    return count;
+}
+
+void TokenRouter::updateZoneMembers(std::span<const ZoneMember> heardOf, Instant now)
+{
+    if (m_warmupBudget)
+        m_warmupBudget->updateMembers(heardOf, now);
+}
+
+/// Applies that the declared rates have changed.
+void TokenRouter::updateKeepsWarmupBudget()
+{
+    m_keepsWarmupBudget = m_warmupBudget && m_services.hasWarmupRates();
+    m_backends.forEach([](TrackedBackend& backend) { backend.m_warmupRate.reset(); });
 }
 
 const TokenRouter::Pool& TokenRouter::poolOf(SelectorIndex selector)
@@ -323,11 +395,17 @@
         && std::ranges::find(m_evacuatedZones, hashZone(backend.m_announced.m_server.m_zone)) != m_evacuatedZones.end();
 }
 
-void TokenRouter::setEvacuatedZones(std::span<const ZoneHash> zones)
+void TokenRouter::setEvacuatedZones(std::span<const ZoneHash> zones, Instant now)
 {
     m_isAwaitingEvacuations = false;
     if (std::ranges::equal(zones, m_evacuatedZones))
         return;
+    for (const ZoneHash zone : m_evacuatedZones) {
+        if (m_warmupBudget && std::ranges::find(zones, zone) == zones.end()) {
+            std::erase_if(m_returnedZones, [zone](const ReturnedZone& returned) { return returned.m_zone == zone; });
+            m_returnedZones.push_back({ zone, now });
+        }
+    }
     m_evacuatedZones.assign(zones.begin(), zones.end());
     m_poolsValid = false;
 }
@@ -392,6 +470,7 @@
         return false;
     m_services = ServiceMap { declarations };
     m_poolsValid = false;
+    updateKeepsWarmupBudget();
     for (auto position = m_unnamedBackends.begin(); position != m_unnamedBackends.end();) {
         if (m_services.names(position->second.m_server.m_labels)) {
             m_backends.announce(position->second, now);
@@ -599,6 +678,7 @@
 void TokenRouter::setStateConfirmed(Instant confirmedAt, bool hasNewerDeclarations)
 {
     m_stateConfirmedAt = confirmedAt;
+    std::erase_if(m_returnedZones, [confirmedAt](const ReturnedZone& zone) { return confirmedAt > zone.m_endedAt; });
     m_hasNewerDeclarations = hasNewerDeclarations;
 }
 
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -38,6 +38,12 @@
 /// Time after which a peer's load reports expire. Peers in a small zone send several within it.
 inline constexpr Duration c_peerLoadTimeout = std::chrono::milliseconds { 600 };
 
+/// The budget of new flows at cold backend servers, as it worked at this VM.
+struct WarmupCounts {
+    std::uint64_t m_permitsUsed = 0; ///< flows opened at a cold backend server with a budget
+    std::uint64_t m_leftOut = 0; ///< times that a placement left out a candidate without a permit
+};
+
 /// Routes the packets of one entry VM by their flow's backend token, which they carry. Any VM with the list of backend
 /// servers can route any packet, so that no flow state is replicated, or handed over when VMs join or leave. Flow
 /// records only serve to place new flows and to detect failed backend servers.
@@ -52,6 +58,9 @@
         std::size_t m_trackedFlowLimit = 100'000;
         Duration m_addressReuse = std::chrono::seconds { 2 }; ///< minimum time until an address gets a new owner
         bool m_awaitsEvacuations = false; ///< places no flow before the first setEvacuatedZones
+        std::optional<WarmupBounds> m_warmupBounds {}; ///< absent: new flows to cold backend servers are not limited
+        Endpoint m_self {}; ///< of this VM, as the other VMs name it; for m_warmupBounds
+        Instant m_startedAt {}; ///< of this VM; for m_warmupBounds
     };
 
     /// placement and observer must outlive the router.
@@ -77,8 +86,22 @@
     /// Entries that do not count because the declarations do not name their services.
     std::size_t unnamedBackends() const { return m_unnamedBackends.size(); }
 
-    /// Sets the zones whose backend servers get no new flows and no opening packets; established flows stay.
-    void setEvacuatedZones(std::span<const ZoneHash> zones);
+    /// Sets the zones whose backend servers get no new flows and no opening packets; established flows stay. While the
+    /// budget for cold backend servers is kept, those of a zone whose evacuation ends count as cold until a later
+    /// setStateConfirmed: the store may announce their warm-up at the same time.
+    void setEvacuatedZones(std::span<const ZoneHash> zones, Instant now);
+
+    /// Sets the entry VMs of the local zone and when they were last heard of. They share the budget for cold backend
+    /// servers. Call several times per second if there are warm-up bounds.
+    void updateZoneMembers(std::span<const ZoneMember> heardOf, Instant now);
+
+    const WarmupCounts& warmupCounts() const { return m_warmupCounts; }
+
+    /// Cold backend servers whose new flows are limited.
+    std::size_t budgetedBackends(Instant now) const;
+
+    /// Whether new flows to some cold backend servers are limited.
+    bool keepsWarmupBudget() const { return m_keepsWarmupBudget; }
 
     /// Sets the time as of which the declarations and backend servers are known to have been the store's (epoch:
     /// unknown), and whether newer declarations are known to exist. Without a recent confirmation, packets to unknown
@@ -141,6 +164,12 @@
         bool m_hasEvacuated = false; ///< others are in evacuated zones
     };
 
+    /// A zone whose evacuation ended, and whose backend servers may have become cold unknown to this VM.
+    struct ReturnedZone {
+        ZoneHash m_zone;
+        Instant m_endedAt {};
+    };
+
     struct PeerReports {
         std::vector<BackendLoadReport> m_reports;
         Deadline m_expiresAt;
@@ -166,6 +195,11 @@
     const Pool& poolOf(SelectorIndex selector);
     void fillPool(SelectorIndex selector, Pool& pool);
     bool isEvacuated(const TrackedBackend& backend) const;
+    bool isCold(const TrackedBackend& backend, Instant now) const;
+    double warmupRateOf(const TrackedBackend& backend) const;
+    ColdBackend budgetOf(TrackedBackend& backend) const;
+    bool lacksPermit(TrackedBackend& backend, Instant now) const;
+    void updateKeepsWarmupBudget();
     std::optional<AnnouncedBackend> drainedInUse(BackendIdentity identity) const;
     void recordAnswer(TrackedBackend& backend, Instant now);
     bool isSuspected(const TrackedBackend& backend) const;
@@ -194,6 +228,11 @@
     PendingResets m_pendingResets;
     std::vector<ZoneHash> m_evacuatedZones;
     bool m_isAwaitingEvacuations;
+    std::optional<WarmupBudget> m_warmupBudget;
+    bool m_keepsWarmupBudget = false; ///< m_warmupBudget has a value and a rate is declared
+    bool m_hasLeftOut = false; ///< the last call of place left out a candidate without a permit
+    std::vector<ReturnedZone> m_returnedZones; ///< empty unless m_warmupBudget has a value
+    WarmupCounts m_warmupCounts;
     Instant m_stateConfirmedAt {};
     bool m_hasNewerDeclarations = false;
     bool m_isConfirmationRequested = false;
--- a/src/affinity/TokenRouterTest.cpp
+++ b/src/affinity/TokenRouterTest.cpp
@@ -779,5 +779,169 @@
         }
     }
 
+    /// Entry VM in zone a, with one other there, that keeps a budget. Both open flows at each cold backend server, at
+    /// intervals of 200 ms.
+    struct BudgetVm {
+        static constexpr double s_rate = 10;
+
+        explicit BudgetVm(std::optional<WarmupBounds> bounds = WarmupBounds { 1.5, 5 }, double rate = s_rate)
+            : m_router({ "a", 1'000, std::chrono::seconds { 2 }, false, bounds, { 0x0a010001, 7720 }, c_start },
+                m_placement, m_observer)
+        {
+            ServiceDeclarations declarations = makeDeclarations(1);
+            declarations.m_warmups
+                = { { declarations.m_services[0].m_selectors[0].m_selector, std::chrono::seconds { 2 }, rate } };
+            m_router.applyDeclarations(declarations, m_now);
+            wait(std::chrono::seconds { 10 });
+        }
+
+        /// Passes time in which the other VM is heard of once a second.
+        void wait(Duration duration)
+        {
+            for (const Instant end = m_now + duration; m_now < end;) {
+                m_now = std::min<Instant>(m_now + std::chrono::seconds { 1 }, end);
+                const ZoneMember other { { 0x0a010002, 7720 }, m_now };
+                m_router.updateZoneMembers({ &other, 1 }, m_now);
+                m_router.tick(m_now);
+            }
+            m_router.setStateConfirmed(m_now, false);
+        }
+
+        void announce(std::uint64_t identity, bool isCold, std::string_view zone = "a")
+        {
+            AnnouncedBackend backend = makeBackend(identity, zone);
+            backend.m_warmAt = isCold ? m_now + std::chrono::seconds { 60 } : m_now;
+            m_router.announceBackend(backend, m_now);
+        }
+
+        PacketAction open(std::uint16_t port, std::uint8_t retransmissions = 0)
+        {
+            PacketSummary packet = makePacket(PacketKind::Opening, port);
+            packet.m_retransmissions = retransmissions;
+            std::array<PacketAction, 1> actions;
+            m_router.decide({ &packet, 1 }, actions, m_now);
+            return actions[0];
+        }
+
+        /// Whether this VM can open a flow. Each call uses a port of its own.
+        bool canOpen() { return open(++m_port).m_kind == PacketActionKind::ToBackend; }
+
+        LeastWorkPlacement m_placement;
+        NullRouterObserver m_observer;
+        Instant m_now = c_start;
+        TokenRouter m_router;
+        std::uint16_t m_port = 1'000;
+    };
+
+    // All VMs together overloaded a backend server that had just started.
+    TEST(TokenRouterTest, openingsBeyondTheWarmupBudgetAreRefusedAtOnce)
+    {
+        BudgetVm vm;
+        vm.announce(1, true);
+        EXPECT_EQ(vm.open(1).m_kind, PacketActionKind::ToBackend);
+        const PacketAction refused = vm.open(2);
+        EXPECT_EQ(refused.m_kind, PacketActionKind::Refuse);
+        EXPECT_EQ(refused.m_reason, Reason::WarmupBudget);
+        vm.wait(milliseconds { 199 });
+        EXPECT_FALSE(vm.canOpen());
+        vm.wait(milliseconds { 1 });
+        EXPECT_TRUE(vm.canOpen());
+        EXPECT_FALSE(vm.canOpen());
+        EXPECT_EQ(vm.m_router.warmupCounts().m_permitsUsed, 2u);
+        EXPECT_EQ(vm.m_router.warmupCounts().m_leftOut, 3u);
+        EXPECT_EQ(vm.m_router.budgetedBackends(vm.m_now), 1u);
+        vm.wait(std::chrono::seconds { 60 });
+        EXPECT_EQ(vm.m_router.budgetedBackends(vm.m_now), 0u);
+        for (int i = 0; i < 10; ++i)
+            EXPECT_TRUE(vm.canOpen());
+    }
+
+    TEST(TokenRouterTest, coldBackendServersWithoutAPermitAreLeftOut)
+    {
+        BudgetVm vm;
+        vm.announce(1, true);
+        vm.announce(2, false);
+        vm.announce(3, true, "b"); // only VMs of its zone have permits for it
+        int atCold = 0;
+        for (int i = 0; i < 20; ++i) {
+            const PacketAction action = vm.open(static_cast<std::uint16_t>(i + 1));
+            ASSERT_EQ(action.m_kind, PacketActionKind::ToBackend);
+            EXPECT_NE(action.m_identity, 3u);
+            atCold += action.m_identity == 1 ? 1 : 0;
+        }
+        EXPECT_EQ(atCold, 1);
+    }
+
+    TEST(TokenRouterTest, aRetransmittedOpeningNeedsNoSecondPermitUnlessItGoesElsewhere)
+    {
+        BudgetVm vm;
+        vm.announce(1, true);
+        vm.announce(2, true);
+        const PacketAction first = vm.open(1);
+        ASSERT_EQ(first.m_kind, PacketActionKind::ToBackend);
+        EXPECT_EQ(vm.open(1, 1).m_identity, first.m_identity);
+        EXPECT_EQ(vm.m_router.warmupCounts().m_permitsUsed, 1u);
+        // The first one is about to leave, and the permit for the second one is used up.
+        ASSERT_TRUE(vm.canOpen());
+        AnnouncedBackend draining = makeBackend(first.m_identity);
+        draining.m_server.m_draining = true;
+        draining.m_warmAt = vm.m_now + std::chrono::seconds { 60 };
+        vm.m_router.announceBackend(draining, vm.m_now);
+        vm.m_now += milliseconds { 160 };
+        const PacketAction second = vm.open(1, 2);
+        EXPECT_EQ(second.m_kind, PacketActionKind::Refuse);
+        EXPECT_EQ(second.m_reason, Reason::WarmupBudget);
+        vm.wait(milliseconds { 40 });
+        EXPECT_EQ(vm.open(1, 3).m_kind, PacketActionKind::ToBackend);
+        EXPECT_EQ(vm.m_router.warmupCounts().m_permitsUsed, 3u);
+    }
+
+    // The settings and the declarations of most deployments request no budget.
+    TEST(TokenRouterTest, withoutBoundsOrADeclaredRateColdBackendServersAreNotLimited)
+    {
+        BudgetVm withoutBounds { std::nullopt };
+        BudgetVm withoutRate { WarmupBounds { 1.5, 5 }, 0 };
+        for (BudgetVm* const vm : { &withoutBounds, &withoutRate }) {
+            vm->announce(1, true);
+            vm->announce(2, true, "b");
+            vm->m_router.setEvacuatedZones(std::array { hashZone("b") }, vm->m_now);
+            vm->m_router.setEvacuatedZones({}, vm->m_now);
+            for (int i = 0; i < 20; ++i)
+                EXPECT_TRUE(vm->canOpen());
+            EXPECT_EQ(vm->m_router.warmupCounts().m_leftOut, 0u);
+        }
+    }
+
+    // The backend servers of a zone that returns become cold. This VM may learn of the return before it learns of that.
+    TEST(TokenRouterTest, aZoneThatReturnsCountsAsColdUntilTheStateIsConfirmed)
+    {
+        BudgetVm vm;
+        vm.announce(1, false);
+        vm.m_router.setEvacuatedZones(std::array { hashZone("a") }, vm.m_now);
+        EXPECT_EQ(vm.open(1).m_reason, Reason::ZoneEvacuated);
+        const Instant endedAt = vm.m_now + std::chrono::seconds { 1 };
+        vm.m_now = endedAt;
+        vm.m_router.setEvacuatedZones({}, vm.m_now);
+        EXPECT_TRUE(vm.canOpen());
+        EXPECT_EQ(vm.open(2).m_reason, Reason::WarmupBudget);
+        vm.m_router.setStateConfirmed(endedAt, false); // of the same time, so possibly before the warm-up was written
+        EXPECT_EQ(vm.open(3).m_reason, Reason::WarmupBudget);
+        vm.m_router.setStateConfirmed(endedAt + milliseconds { 1 }, false);
+        for (int i = 0; i < 10; ++i)
+            EXPECT_TRUE(vm.canOpen());
+    }
+
+    // Labels decide which declaration applies; a later version may change the rate.
+    TEST(TokenRouterTest, aChangedRateAppliesAtOnce)
+    {
+        BudgetVm vm;
+        vm.announce(1, true);
+        EXPECT_TRUE(vm.canOpen());
+        EXPECT_FALSE(vm.canOpen());
+        ASSERT_TRUE(vm.m_router.applyDeclarations(makeDeclarations(2), vm.m_now));
+        EXPECT_TRUE(vm.canOpen());
+        EXPECT_TRUE(vm.canOpen());
+    }
+
 } // namespace
 } // namespace cuminrelay
--- a/src/packets/Packet.cpp
+++ b/src/packets/Packet.cpp
@@ -29,6 +29,8 @@
         return "no_backend_server";
     case Reason::ZoneEvacuated:
         return "zone_evacuated";
+    case Reason::WarmupBudget:
+        return "warmup_budget";
     case Reason::HopLimit:
         return "hop_limit";
     case Reason::OwnerPartitioned:
--- a/src/packets/Packet.h
+++ b/src/packets/Packet.h
@@ -75,6 +75,7 @@
     UnknownService,
     NoBackendServer, ///< no eligible backend server in the service
     ZoneEvacuated, ///< the service's backend servers are all in evacuated zones
+    WarmupBudget, ///< the service's backend servers are all cold, and this VM has no permit for one
     HopLimit, ///< the packet looped because views disagree
     OwnerPartitioned, ///< the owner may be in a partitioned zone
     BackendPartitioned, ///< a datagram that may belong to a flow whose backend server is unreachable
--- a/src/relay/RelayGauges.cpp
+++ b/src/relay/RelayGauges.cpp
@@ -58,6 +58,7 @@
     countOverLimit("pending_resets", router.pendingResets().refused(), m_countedPendingResets);
     m_metrics.gauge("cuminrelay_store_era").set(status.m_storeEra);
     updateEvacuations(status, now);
+    updateWarmup(router, now);
     updateBackends(router);
 }
 
@@ -75,6 +76,16 @@
     }
 }
 
+void RelayGauges::updateWarmup(const TokenRouter& router, Instant now)
+{
+    const WarmupCounts& counts = router.warmupCounts();
+    m_metrics.gauge("cuminrelay_cold_backends").set(static_cast<double>(router.budgetedBackends(now)));
+    m_metrics.counter("cuminrelay_warmup_total", "permit_used")
+        .add(counts.m_permitsUsed - m_countedWarmup.m_permitsUsed);
+    m_metrics.counter("cuminrelay_warmup_total", "left_out").add(counts.m_leftOut - m_countedWarmup.m_leftOut);
+    m_countedWarmup = counts;
+}
+
 void RelayGauges::countOverLimit(std::string_view limit, std::uint64_t total, std::uint64_t& counted)
 {
     m_metrics.counter("cuminrelay_flows_over_limit_total", limit).add(total - counted);
--- a/src/relay/RelayGauges.h
+++ b/src/relay/RelayGauges.h
@@ -31,7 +31,8 @@
 /// cuminrelay_contested_flows, cuminrelay_follows_store, cuminrelay_config_unreadable, cuminrelay_store_era,
 /// cuminrelay_evacuated_zones, cuminrelay_evacuation_age_seconds by zone (-1: has ended) and
 /// cuminrelay_knowledge_age_seconds (-1: no data). Also counts the flows that the router did not record because of a
-/// limit: cuminrelay_flows_over_limit_total. An update costs O(backend servers).
+/// limit: cuminrelay_flows_over_limit_total, and the budget of flows to cold backend servers:
+/// cuminrelay_cold_backends and cuminrelay_warmup_total. An update costs O(backend servers).
 class RelayGauges {
 public:
     /// metrics must outlive this object.
@@ -42,12 +43,14 @@
 private:
     void updateBackends(const TokenRouter& router);
     void updateEvacuations(const RelayStatus& status, Instant now);
+    void updateWarmup(const TokenRouter& router, Instant now);
     void countOverLimit(std::string_view limit, std::uint64_t total, std::uint64_t& counted);
 
     Metrics& m_metrics;
     std::set<std::string> m_exportedZones; ///< that were evacuated at an update
     std::uint64_t m_countedContestedFlows = 0;
     std::uint64_t m_countedPendingResets = 0;
+    WarmupCounts m_countedWarmup;
 };
 
 } // namespace cuminrelay
--- a/src/relay/RelayGaugesTest.cpp
+++ b/src/relay/RelayGaugesTest.cpp
@@ -80,5 +80,33 @@
         EXPECT_EQ(m_metrics.counter("cuminrelay_flows_over_limit_total", "contested_flows").value(), tooMany);
     }
 
+    TEST_F(RelayGaugesTest, theWarmupBudgetIsShown)
+    {
+        constexpr Endpoint service { 0xc6120001, 443 };
+        const Selector selector { { { "app", SelectorOperator::Equals, { "feeds" } } } };
+        TokenRouter router { { "a", 10, std::chrono::seconds { 2 }, false, WarmupBounds { 1.5, 5 }, {}, c_now },
+            m_placement, m_observer };
+        ServiceDeclarations declarations;
+        declarations.m_version = { 1 };
+        declarations.m_services = { { "feeds", service, RequestKind::Idempotent, { { selector, 1 } } } };
+        declarations.m_warmups = { { selector, std::chrono::seconds { 2 }, 10 } };
+        router.applyDeclarations(declarations, c_now);
+        AnnouncedBackend backend = backendOf(1, false);
+        backend.m_server.m_labels.emplace("app", "feeds");
+        backend.m_warmAt = c_now + std::chrono::seconds { 2 };
+        router.announceBackend(backend, c_now);
+        PacketSummary packet;
+        packet.m_flow.m_service = service;
+        packet.m_kind = PacketKind::Opening;
+        PacketAction action;
+        router.decide({ &packet, 1 }, { &action, 1 }, c_now); // this VM has just started, and has no permit
+        m_gauges.update(router, {}, c_now);
+        m_gauges.update(router, {}, c_now);
+        EXPECT_EQ(action.m_reason, Reason::WarmupBudget);
+        EXPECT_EQ(gaugeValue("cuminrelay_cold_backends"), 1);
+        EXPECT_EQ(m_metrics.counter("cuminrelay_warmup_total", "left_out").value(), 1u);
+        EXPECT_EQ(m_metrics.counter("cuminrelay_warmup_total", "permit_used").value(), 0u);
+    }
+
 } // namespace
 } // namespace cuminrelay
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -69,7 +69,8 @@
     , m_environment(environment)
     , m_tasks(environment.m_context.get_executor(), environment.m_metrics, environment.m_log)
     , m_flowLog(environment.m_log, environment.m_metrics)
-    , m_router({ m_settings.m_zone, s_trackedFlowLimit, m_settings.m_addressReuse, m_settings.m_followsEvacuations },
+    , m_router({ m_settings.m_zone, s_trackedFlowLimit, m_settings.m_addressReuse, m_settings.m_followsEvacuations,
+                   m_settings.m_warmupBounds, m_settings.m_exchange, environment.m_clock.now() },
           placement, m_flowLog)
     , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
     , m_evacuations(m_settings.m_zones)
@@ -207,6 +208,7 @@
         const Instant now = m_environment.m_clock.now();
         detectPause(now);
         m_router.tick(now);
+        updateZoneMembers(now);
         endRetention(now);
         updateReadiness();
         startProbes(now);
@@ -224,6 +226,14 @@
     m_environment.m_context.stop();
 }
 
+void RelayProcess::updateZoneMembers(Instant now)
+{
+    if (!m_settings.m_warmupBounds)
+        return;
+    m_peers.collectLocalZoneMembers(m_zoneMembers);
+    m_router.updateZoneMembers(m_zoneMembers, now);
+}
+
 /// Decides whether this VM follows the store, and fetches a store update from a VM with a newer state.
 void RelayProcess::chooseReader(Instant now)
 {
@@ -585,6 +595,10 @@
     m_environment.m_log.info("discovery", isApplied ? "declarations_taken" : "declarations_refused",
         { { "config", declarations.m_version.m_number }, { "services", declarations.m_services.size() },
             { "in_force", m_router.configVersion().m_number } });
+    if (isApplied && m_router.keepsWarmupBudget())
+        m_environment.m_log.info("warmup", "warmup_budget",
+            { { "config", declarations.m_version.m_number }, { "declared", declarations.m_warmups.size() },
+                { "overage", m_settings.m_warmupBounds->m_overage }, { "slack", m_settings.m_warmupBounds->m_slack } });
     updateReadiness();
 }
 
@@ -607,7 +621,7 @@
 /// Passes the evacuated zones on to the router, and logs those that began or ended.
 void RelayProcess::applyEvacuations()
 {
-    m_router.setEvacuatedZones(m_evacuations.inForce());
+    m_router.setEvacuatedZones(m_evacuations.inForce(), m_environment.m_clock.now());
     for (const std::string& name : m_evacuations.takeIgnored()) {
         m_environment.m_metrics.counter("cuminrelay_evacuations_total", "ignored").add();
         m_environment.m_log.warning("evacuation", "evacuation_ignored",
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -95,6 +95,7 @@
     void applyEvacuations();
     void logRestore(StoreRevision revision);
     void endRetention(Instant now);
+    void updateZoneMembers(Instant now);
     StoreVersions storeVersions() const;
     void chooseReader(Instant now);
     void confirmState(Instant now);
@@ -136,6 +137,7 @@
     PauseDetector m_pauseDetector;
     std::optional<GracefulShutdown> m_shutdown;
     bool m_hasBackends = false; ///< the list was applied at least once
+    std::vector<ZoneMember> m_zoneMembers; // reused for each update
     LoadMessage m_message; // reused for each message
     LoadMessageSchedule m_loadMessageSchedule { c_exchangeBytesPerSecond };
     bool m_hasStoreUpdate = false; ///< to announce to the local zone
