--- a/src/affinity/TokenRouterTest.cpp
+++ b/src/affinity/TokenRouterTest.cpp
@@ -341,7 +341,7 @@
             std::vector<ZoneHash> hashes;
             for (const std::string& zone : zones)
                 hashes.push_back(hashZone(zone));
-            m_router.setEvacuatedZones(hashes);
+            m_router.setEvacuatedZones(hashes, m_now);
         }
 
         std::string_view zoneOf(const PacketAction& action)
@@ -416,7 +416,7 @@
         std::array<PacketAction, 1> actions;
         router.decide({ &packet, 1 }, actions, c_start);
         EXPECT_EQ(actions[0].m_reason, Reason::NotConfigured);
-        router.setEvacuatedZones({});
+        router.setEvacuatedZones({}, c_start);
         router.decide({ &packet, 1 }, actions, c_start);
         EXPECT_EQ(actions[0].m_kind, PacketActionKind::ToBackend);
     }
