--- a/src/warmup/WarmupFleetTest.cpp
+++ b/src/warmup/WarmupFleetTest.cpp
@@ -289,9 +289,11 @@
         plan.m_cutOffShare = 0.4;
         plan.m_partitionsZone = true;
         expectWithinBound("cut off", plan);
+        plan.m_cutOffShare = 0.8;
+        plan.m_demand = 10; // the openers use their permits as soon as they may
+        expectWithinBound("most cut off", plan);
         plan.m_cutOffShare = 0.05;
         plan.m_longestCutOff = seconds { 75 };
-        plan.m_demand = 10;
         expectWithinBound("cut off for longer", plan);
     }
 
