pace: new flows by the pace of backend servers that have started or recovered

Cause: a backend server that has just started or recovered got all new flows of every VM, as its load was 0 (24 openings in one second), or too few for good if its announced warm-up was wrong. Change: PaceTracker learns from answer times, AnswerBaseline holds a service's mean; LeastWorkPlacement weighs candidates by the pace. Off by default.

--- a/src/affinity/BackendCatalog.cpp
+++ b/src/affinity/BackendCatalog.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+    /// Time from the first backend server that a new entry VM learns of until it has learned of all.
+    constexpr Duration c_firstListTime = std::chrono::seconds { 3 };
+
     /// Whether left, not right, keeps the token that both share.
     bool isOlder(const AnnouncedBackend& left, const AnnouncedBackend& right)
     {
@@ -44,6 +47,7 @@
     if (isNew) {
         tracked.m_token = token;
         tracked.m_announced = announced;
+        recordStart(tracked, now);
         ++m_generation;
         return;
     }
@@ -60,9 +64,18 @@
     tracked = TrackedBackend {};
     tracked.m_token = token;
     tracked.m_announced = announced;
+    recordStart(tracked, now);
     ++m_generation;
 }
 
+void BackendCatalog::recordStart(TrackedBackend& tracked, Instant now)
+{
+    if (m_startsCountFrom == Deadline {})
+        m_startsCountFrom = now + c_firstListTime;
+    if (now >= m_startsCountFrom || now < tracked.m_announced.m_warmAt)
+        tracked.m_pace.recordStart(tracked.m_announced.m_warmAt, now);
+}
+
 void BackendCatalog::retirePreviousOwner(const AnnouncedBackend& announced, Instant now)
 {
     for (auto& [token, tracked] : m_backends) {
@@ -87,11 +100,17 @@
     }
     if (tracked.m_announced.m_server.m_labels != announced.m_server.m_labels)
         tracked.m_warmupRate.reset();
+    const bool gotNoFlows = !tracked.acceptsNewFlows();
     tracked.m_presence = Presence::Announced;
     tracked.m_withdrawnAt = Instant {};
     tracked.m_presenceDeadline = Deadline {};
     tracked.m_announced = announced;
     tracked.m_announced.m_warmAt = std::max(announced.m_warmAt, now);
+    if (hasRestarted)
+        tracked.m_pace.recordStart(tracked.m_announced.m_warmAt, now);
+    else if (gotNoFlows && tracked.acceptsNewFlows())
+        tracked.m_pace.recordRecovery(now);
+    tracked.m_pace.setWarmAt(tracked.m_announced.m_warmAt);
     ++m_generation;
 }
 
--- a/src/affinity/BackendCatalog.h
+++ b/src/affinity/BackendCatalog.h
@@ -3,6 +3,7 @@
 #include "affinity/Backend.h"
 #include "affinity/LivenessTracker.h"
 #include "base/Time.h"
+#include "pace/PaceTracker.h"
 #include "warmup/WarmupBudget.h"
 
 #include <cstdint>
@@ -44,6 +45,8 @@
     BackendLoad m_peerLoad; ///< as reported by other VMs
     std::optional<double> m_warmupRate; ///< declared; empty: not looked up yet
     WarmupPermits m_warmupPermits;
+    PaceTracker m_pace;
+    PaceReason m_reportedPace = PaceReason::Steady; ///< the last one that the observer was told
 
     /// Whether its entry permits new flows.
     bool acceptsNewFlows() const { return m_presence != Presence::Departed && !m_announced.m_server.m_draining; }
@@ -58,7 +61,7 @@
 
 /// Backend servers announced to this entry VM, by the token that packets carry. When two share a token, the older one
 /// keeps it and the younger one is not used until the older one is removed, on every VM alike. References stay valid
-/// until the backend server is removed. Memory: some 500 bytes for each backend server.
+/// until the backend server is removed. Memory: some 600 bytes for each backend server.
 class BackendCatalog {
 public:
     /// Applies the complete list: entries that are not in it are withdrawn.
@@ -101,11 +104,13 @@
     void retirePreviousOwner(const AnnouncedBackend& announced, Instant now);
     TrackedBackend* findAnnounced(BackendIdentity identity);
     void remove(TrackedBackend& tracked, Presence presence, Instant now);
+    void recordStart(TrackedBackend& tracked, Instant now);
     void update(TrackedBackend& tracked, const AnnouncedBackend& announced, Instant now);
 
     std::unordered_map<std::uint32_t, TrackedBackend> m_backends; ///< by token; a node-based map keeps references valid
     std::map<BackendIdentity, AnnouncedBackend> m_shadowed; ///< not used: an older one has the token
     std::uint64_t m_generation = 0;
+    Deadline m_startsCountFrom {}; ///< backend servers first seen earlier may have started long ago; epoch: none seen
 };
 
 } // namespace cuminrelay
--- a/src/affinity/RouterObserver.h
+++ b/src/affinity/RouterObserver.h
@@ -33,6 +33,9 @@
         = 0;
 
     virtual void livenessChanged(const TrackedBackend& backend, bool isUnresponsive, Instant now) = 0;
+
+    /// Reports that the reason of a backend server's pace has changed.
+    virtual void paceChanged(const TrackedBackend& backend, const Pace& pace) = 0;
 };
 
 } // namespace cuminrelay
--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -3,6 +3,7 @@
 #include "base/Assert.h"
 #include "base/Hash.h"
 #include "configuration/Selector.h"
+#include "pace/PaceTracker.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,6 +34,10 @@
     /// 3 s in which a new version has to be in force.
     constexpr Duration c_refusalValidity = std::chrono::milliseconds { 2'500 };
 
+    /// A backend server that answers after a longer time without answers has recovered; a shorter one may be lost
+    /// packets.
+    constexpr Duration c_recoverySilence = std::chrono::seconds { 1 };
+
     constexpr std::uint64_t c_weightSalt = 0x77656967; // "weig"
     constexpr std::uint64_t c_contestedSalt = 0x636f6e74; // "cont"
 
@@ -195,6 +200,11 @@
         flow = m_flows.adopt(hash, packet.m_flow, token, service->m_kind == RequestKind::Idempotent, now);
     if (flow) {
         const FlowObservation seen = m_flows.observe(*flow, packet, now);
+        if (m_options.m_learnsPace && seen.m_answeredSentAt != Instant {})
+            recordAnswerTime(packet.m_flow.m_service, *backend, seen, now);
+        if (m_options.m_learnsPace && seen.m_isRetransmission && now - flow->m_requestSentAt >= c_minRetransmissionDelay
+            && flow->m_requestSentAt != Instant {})
+            backend->m_pace.recordMissingAnswer(now);
         if (seen.m_acknowledgesNewData)
             recordAnswer(*backend, now);
         else if (seen.m_isRetransmission && flow->m_isActive && now - flow->m_activeSince >= c_minRetransmissionDelay)
@@ -297,7 +307,10 @@
     for (const TrackedBackend* const backend : m_eligible) {
         FlowCandidate& candidate = m_candidates.emplace_back();
         candidate.m_isInLocalZone = backend->m_announced.m_server.m_zone == m_options.m_zone;
-        candidate.m_isCold = isCold(*backend, now);
+        if (m_options.m_learnsPace)
+            applyPace(backend->m_pace.pace(now), candidate);
+        else
+            candidate.m_workFactor = isCold(*backend, now) ? c_warmupFactor : 1;
         candidate.m_slots = backend->m_announced.m_server.m_slots;
         candidate.m_activeRequests = backend->m_localLoad.m_activeRequests + backend->m_peerLoad.m_activeRequests;
         candidate.m_longFlows = backend->m_localLoad.m_longFlows + backend->m_peerLoad.m_longFlows;
@@ -406,6 +419,11 @@
             m_returnedZones.push_back({ zone, now });
         }
     }
+    m_backends.forEach([&](TrackedBackend& backend) {
+        const ZoneHash zone = hashZone(backend.m_announced.m_server.m_zone);
+        if (isEvacuated(backend) && std::ranges::find(zones, zone) == zones.end())
+            backend.m_pace.recordRecovery(now);
+    });
     m_evacuatedZones.assign(zones.begin(), zones.end());
     m_poolsValid = false;
 }
@@ -413,18 +431,72 @@
 void TokenRouter::recordAnswer(TrackedBackend& backend, Instant now)
 {
     const bool wasUnresponsive = backend.m_confirmedDead || backend.m_liveness.isUnresponsive();
+    if (wasUnresponsive && !backend.m_liveness.hasAnsweredWithin(c_recoverySilence, now))
+        backend.m_pace.recordRecovery(now);
     backend.m_liveness.recordAnswer(now);
     backend.m_confirmedDead = false;
-    if (backend.m_announced.m_server.m_zone != m_options.m_zone)
-        m_zoneLiveness[backend.m_announced.m_server.m_zone].recordAnswer(now);
+    if (backend.m_announced.m_server.m_zone != m_options.m_zone) {
+        LivenessTracker& zone = m_zoneLiveness[backend.m_announced.m_server.m_zone];
+        const bool hasRecovered = zone.isUnresponsive() && !zone.hasAnsweredWithin(c_recoverySilence, now);
+        zone.recordAnswer(now);
+        if (hasRecovered)
+            recordZoneRecovery(backend.m_announced.m_server.m_zone, now);
+    }
     if (wasUnresponsive)
         m_observer.livenessChanged(backend, false, now);
 }
 
+void TokenRouter::recordZoneRecovery(std::string_view zone, Instant now)
+{
+    m_backends.forEach([zone, now](TrackedBackend& backend) {
+        if (backend.m_announced.m_server.m_zone == zone)
+            backend.m_pace.recordRecovery(now);
+    });
+}
+
+void TokenRouter::recordAnswerTime(
+    Endpoint service, TrackedBackend& backend, const FlowObservation& observation, Instant now)
+{
+    const auto baseline = m_baselines.find(service);
+    if (baseline == m_baselines.end())
+        return;
+    const ObservedAnswer answer { now - observation.m_answeredSentAt, observation.m_loadWhenSent,
+        backend.m_announced.m_server.m_slots };
+    backend.m_pace.recordAnswer(answer, baseline->second.mean(), now);
+    baseline->second.record(answer, backend.m_pace.pace(now).m_reason == PaceReason::Steady);
+}
+
+/// Keeps the baselines of the services that are still declared, and adds those of new ones.
+void TokenRouter::updateBaselines(const ServiceDeclarations& declarations)
+{
+    if (!m_options.m_learnsPace)
+        return;
+    std::map<Endpoint, AnswerBaseline> baselines;
+    for (const DeclaredService& service : declarations.m_services) {
+        const auto known = m_baselines.find(service.m_address);
+        baselines.emplace(service.m_address, known != m_baselines.end() ? known->second : AnswerBaseline {});
+    }
+    m_baselines = std::move(baselines);
+}
+
+void TokenRouter::reportPaceChanges(Instant now)
+{
+    if (!m_options.m_learnsPace)
+        return;
+    m_backends.forEach([this, now](TrackedBackend& backend) {
+        const Pace pace = backend.m_pace.pace(now);
+        if (pace.m_reason == std::exchange(backend.m_reportedPace, pace.m_reason))
+            return;
+        m_observer.paceChanged(backend, pace);
+    });
+}
+
 void TokenRouter::recordMissingAnswer(TrackedBackend& backend, Instant sentAt, Instant now)
 {
     const bool wasUnresponsive = backend.m_liveness.isUnresponsive();
     backend.m_liveness.recordUnansweredOpening(sentAt);
+    if (m_options.m_learnsPace)
+        backend.m_pace.recordMissingAnswer(now);
     if (backend.m_announced.m_server.m_zone != m_options.m_zone)
         m_zoneLiveness[backend.m_announced.m_server.m_zone].recordUnansweredOpening(sentAt);
     if (!wasUnresponsive && backend.m_liveness.isUnresponsive())
@@ -469,6 +541,7 @@
     if (declarations.m_version <= m_services.version())
         return false;
     m_services = ServiceMap { declarations };
+    updateBaselines(declarations);
     m_poolsValid = false;
     updateKeepsWarmupBudget();
     for (auto position = m_unnamedBackends.begin(); position != m_unnamedBackends.end();) {
@@ -670,6 +743,7 @@
     if (now >= m_nextSweepAt) {
         m_nextSweepAt = now + c_sweepInterval;
         m_flows.sweep(now);
+        reportPaceChanges(now);
         m_contestedFlows.sweep(now);
         m_pendingResets.sweep(now);
     }
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -8,6 +8,7 @@
 #include "affinity/ServiceMap.h"
 #include "affinity/TrackedFlows.h"
 #include "affinity/ZoneHash.h"
+#include "pace/AnswerBaseline.h"
 #include "packets/PacketRouter.h"
 #include "placement/FlowPlacement.h"
 
@@ -16,6 +17,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -61,6 +63,7 @@
         std::optional<WarmupBounds> m_warmupBounds {}; ///< absent: new flows to cold backend servers are not limited
         Endpoint m_self {}; ///< of this VM, as the other VMs name it; for m_warmupBounds
         Instant m_startedAt {}; ///< of this VM; for m_warmupBounds
+        bool m_learnsPace = false; ///< places flows by the pace of the backend servers, learned from their answers
     };
 
     /// placement and observer must outlive the router.
@@ -152,6 +155,7 @@
     const BackendCatalog& backends() const { return m_backends; }
     ConfigVersion configVersion() const { return m_services.version(); }
     std::size_t trackedFlows() const { return m_flows.size(); }
+    bool learnsPace() const { return m_options.m_learnsPace; }
     bool isConfigured() const
     {
         return m_services.version() != ConfigVersion {} && m_backends.size() > 0 && !m_isAwaitingEvacuations;
@@ -202,6 +206,10 @@
     void updateKeepsWarmupBudget();
     std::optional<AnnouncedBackend> drainedInUse(BackendIdentity identity) const;
     void recordAnswer(TrackedBackend& backend, Instant now);
+    void recordAnswerTime(Endpoint service, TrackedBackend& backend, const FlowObservation& observation, Instant now);
+    void recordZoneRecovery(std::string_view zone, Instant now);
+    void updateBaselines(const ServiceDeclarations& declarations);
+    void reportPaceChanges(Instant now);
     bool isSuspected(const TrackedBackend& backend) const;
     void recordMissingAnswer(TrackedBackend& backend, Instant sentAt, Instant now);
     LivenessProbe probeOf(const TrackedBackend& backend, bool mustIdentify) const;
@@ -224,6 +232,7 @@
     std::vector<TrackedBackend*> m_eligible; // reused by each placement
     std::vector<FlowCandidate> m_candidates; // at the index of m_eligible; reused as well
     std::map<std::string, LivenessTracker, std::less<>> m_zoneLiveness; ///< by name of another zone
+    std::map<Endpoint, AnswerBaseline> m_baselines; ///< by address of each declared service; empty if !m_learnsPace
     ContestedFlows m_contestedFlows;
     PendingResets m_pendingResets;
     std::vector<ZoneHash> m_evacuatedZones;
--- a/src/affinity/TrackedFlows.cpp
+++ b/src/affinity/TrackedFlows.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Assert.h"
 
+#include <utility>
+
 namespace cuminrelay {
 
 namespace {
@@ -90,8 +92,11 @@
         observation.m_acknowledgesNewData = flow.wasOpenedHere() || flow.m_acknowledged != 0;
         flow.m_acknowledged = packet.m_acknowledgment;
         // The handshake's acknowledgment does not acknowledge an answer.
-        if (flow.m_isEstablished)
+        if (flow.m_isEstablished) {
             setActive(flow, false, now);
+            observation.m_answeredSentAt = std::exchange(flow.m_requestSentAt, Instant {});
+            observation.m_loadWhenSent = flow.m_loadWhenSent;
+        }
     }
     flow.m_isEstablished = true;
     if (packet.m_payloadBytes == 0)
@@ -100,12 +105,24 @@
     if (flow.m_sentUpTo == 0 || isAfter(end, flow.m_sentUpTo)) {
         flow.m_sentUpTo = end;
         setActive(flow, true, now);
+        if (flow.m_requestSentAt == Instant {})
+            recordSent(flow, now);
     } else {
         observation.m_isRetransmission = true;
     }
     return observation;
 }
 
+/// Records the first packet of a request, which counts as active already.
+void TrackedFlows::recordSent(TrackedFlow& flow, Instant now)
+{
+    flow.m_requestSentAt = now;
+    const TrackedBackend* const backend = m_catalog.find(flow.m_backend);
+    const std::uint32_t active
+        = backend ? backend->m_localLoad.m_activeRequests + backend->m_peerLoad.m_activeRequests : 0;
+    flow.m_loadWhenSent = active > 0 ? active - 1 : 0;
+}
+
 void TrackedFlows::close(FlowHash hash)
 {
     const auto found = m_flows.find(hash.m_value);
--- a/src/affinity/TrackedFlows.h
+++ b/src/affinity/TrackedFlows.h
@@ -20,6 +20,8 @@
     Instant m_openedAt {}; ///< when its opening packet was placed; epoch: opened elsewhere
     Instant m_activeSince {}; ///< last change of m_isActive
     Instant m_seenAt {}; ///< last packet
+    Instant m_requestSentAt {}; ///< first packet of the request that is not answered yet; epoch: none seen
+    std::uint32_t m_loadWhenSent = 0; ///< other requests at the backend server at m_requestSentAt, as far as known
     std::uint32_t m_openingSequence = 0; ///< valid if wasOpenedHere()
     std::uint32_t m_sentUpTo = 0; ///< sequence number after the last data seen
     std::uint32_t m_acknowledged = 0;
@@ -30,6 +32,9 @@
 struct FlowObservation {
     bool m_acknowledgesNewData = false; ///< the backend server has answered
     bool m_isRetransmission = false; ///< its data was seen before
+    Instant
+        m_answeredSentAt {}; ///< when the answered request was sent; epoch: no request was answered, or not seen here
+    std::uint32_t m_loadWhenSent = 0; ///< other requests at the backend server at m_answeredSentAt
 };
 
 /// Flows that recently passed this entry VM, and the load of each backend server that results from them. Memory: some
@@ -67,6 +72,7 @@
     TrackedFlow* insert(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now);
     void setActive(TrackedFlow& flow, bool active, Instant now);
     void setCounted(TrackedFlow& flow, bool counted);
+    void recordSent(TrackedFlow& flow, Instant now);
     void release(TrackedFlow& flow);
 
     BackendCatalog& m_catalog;
--- a/src/affinity/TrackedFlowsTest.cpp
+++ b/src/affinity/TrackedFlowsTest.cpp
@@ -51,6 +51,21 @@
         EXPECT_EQ(load(1), BackendLoad {});
     }
 
+    // The handshake and a continued answer would otherwise count as quick answers.
+    TEST_F(TrackedFlowsTest, anAnswerIsReportedOnceWithTheTimeAndLoadOfItsRequest)
+    {
+        m_catalog.find(tokenOf({ 1 }))->m_peerLoad.m_activeRequests = 4;
+        m_flows.open(m_hash, {}, tokenOf({ 1 }), false, c_start);
+        const Instant sentAt = c_start + milliseconds { 20 };
+        const Instant answeredAt = sentAt + milliseconds { 30 };
+        EXPECT_EQ(m_flows.observe(*m_flows.find(m_hash), data(10, 50, 0), c_start).m_answeredSentAt, Instant {});
+        EXPECT_EQ(m_flows.observe(*m_flows.find(m_hash), data(10, 50), sentAt).m_answeredSentAt, Instant {});
+        const FlowObservation answered = m_flows.observe(*m_flows.find(m_hash), data(110, 900, 0), answeredAt);
+        EXPECT_EQ(answered.m_answeredSentAt, sentAt);
+        EXPECT_EQ(answered.m_loadWhenSent, 4u);
+        EXPECT_EQ(m_flows.observe(*m_flows.find(m_hash), data(110, 1'800, 0), answeredAt).m_answeredSentAt, Instant {});
+    }
+
     TEST_F(TrackedFlowsTest, retransmittedDataIsDetected)
     {
         m_flows.open(m_hash, {}, tokenOf({ 1 }), false, c_start);
--- a/src/placement/LeastWorkPlacementTest.cpp
+++ b/src/placement/LeastWorkPlacementTest.cpp
@@ -1,8 +1,10 @@
 #include "placement/LeastWorkPlacement.h"
+#include "base/Hash.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <random>
+#include <rapidcheck/gtest.h>
 #include <vector>
 
 namespace cuminrelay {
@@ -47,6 +49,68 @@
         EXPECT_GT(*std::min_element(chosen.begin(), chosen.end()), 850);
     }
 
+    /// The choice by load and zone alone, with the factor of an announced warm-up.
+    std::size_t chooseByLoad(const std::vector<FlowCandidate>& candidates, bool isLong, std::uint64_t draw)
+    {
+        std::vector<double> works;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const FlowCandidate& candidate = candidates[i];
+            const double requests = isLong ? candidate.m_longFlows + 1.0 * candidate.m_activeRequests
+                                           : candidate.m_activeRequests + 0.03 * candidate.m_longFlows;
+            const double surcharge = candidate.m_isInLocalZone ? 0 : isLong ? 4 : 1;
+            const double tie = static_cast<double>(hashPair(draw, i) >> 11U) / 9007199254740992.0;
+            works.push_back(candidate.m_workFactor * requests / candidate.m_slots + surcharge + 1e-3 * tie);
+        }
+        return static_cast<std::size_t>(std::min_element(works.begin(), works.end()) - works.begin());
+    }
+
+    // Guards the placement of deployments that do not request the pace.
+    RC_GTEST_PROP(LeastWorkPlacementTest, withoutShareAndAddedRequestsTheChoiceIsByLoad,
+        (const std::vector<std::uint16_t>& states, bool isLong, std::uint64_t draw))
+    {
+        RC_PRE(!states.empty());
+        std::vector<FlowCandidate> candidates;
+        for (const std::uint16_t state : states) {
+            candidates.push_back(makeCandidate(state % 8, state / 8 % 16, state / 128 % 2 == 0));
+            candidates.back().m_workFactor = state / 256 % 2 == 0 ? 1 : 1.6;
+        }
+        RC_ASSERT(choose(candidates, isLong, draw) == chooseByLoad(candidates, isLong, draw));
+    }
+
+    // Guards against a crowd at a backend server that looks idle because its load is not known yet.
+    TEST(LeastWorkPlacementTest, aShareHoldsWhateverTheLoad)
+    {
+        std::vector<FlowCandidate> candidates(10, makeCandidate(2));
+        candidates[3] = makeCandidate(0);
+        candidates[3].m_share = 1;
+        int count = 0;
+        for (std::uint64_t draw = 0; draw < 10'000; ++draw)
+            count += choose(candidates, false, draw) == 3 ? 1 : 0;
+        EXPECT_NEAR(count, 1'000, 100);
+    }
+
+    // Guards against an overload that the known load shows already.
+    TEST(LeastWorkPlacementTest, aShareDoesNotHoldAboveTheMeanLoad)
+    {
+        std::vector<FlowCandidate> candidates(10, makeCandidate(2));
+        candidates[3] = makeCandidate(6);
+        candidates[3].m_share = 1;
+        for (std::uint64_t draw = 0; draw < 1'000; ++draw)
+            ASSERT_NE(choose(candidates, false, draw), 3u);
+    }
+
+    TEST(LeastWorkPlacementTest, flowsArePlacedIfAllCandidatesHaveSmallShares)
+    {
+        std::vector<FlowCandidate> candidates(3, makeCandidate(1));
+        for (FlowCandidate& candidate : candidates)
+            candidate.m_share = 0.1;
+        candidates[1].m_activeRequests = 0;
+        std::vector<int> chosen(3);
+        for (std::uint64_t draw = 0; draw < 1'000; ++draw)
+            ++chosen[choose(candidates, false, draw)];
+        EXPECT_GT(chosen[1], 900);
+    }
+
     // Load spike on a service: 14 servers with 2 slots, 25 ms of work per request in the mean, 75% utilization. 99% of
     // the requests have to be answered within the latency objective of 150 ms. The baseline is a forwarder without load
     // information, which takes a random server.
--- a/src/relay/FlowLog.cpp
+++ b/src/relay/FlowLog.cpp
@@ -103,4 +103,12 @@
             { "presence", presenceName(backend.m_presence) } });
 }
 
+void FlowLog::paceChanged(const TrackedBackend& backend, const Pace& pace)
+{
+    m_log.info("affinity", "backend_pace",
+        { { "backend", backend.m_announced.m_server.m_name }, { "reason", paceReasonName(pace.m_reason) },
+            { "factor", pace.m_factor }, { "share", pace.m_share },
+            { "active", backend.m_localLoad.m_activeRequests + backend.m_peerLoad.m_activeRequests } });
+}
+
 } // namespace cuminrelay
--- a/src/relay/FlowLog.h
+++ b/src/relay/FlowLog.h
@@ -19,6 +19,7 @@
     void rejected(
         const PacketSummary& packet, const PacketAction& action, const TrackedBackend* backend, Instant now) override;
     void livenessChanged(const TrackedBackend& backend, bool isUnresponsive, Instant now) override;
+    void paceChanged(const TrackedBackend& backend, const Pace& pace) override;
 
 private:
     std::uint64_t version() const { return m_router ? m_router->configVersion().m_number : 0; }
--- a/src/relay/RelayGauges.cpp
+++ b/src/relay/RelayGauges.cpp
@@ -60,6 +60,8 @@
     updateEvacuations(status, now);
     updateWarmup(router, now);
     updateBackends(router);
+    if (router.learnsPace())
+        updatePaces(router, now);
 }
 
 void RelayGauges::updateEvacuations(const RelayStatus& status, Instant now)
@@ -101,4 +103,16 @@
         m_metrics.gauge("cuminrelay_backends", c_stateNames[i]).set(static_cast<double>(counts[i]));
 }
 
+void RelayGauges::updatePaces(const TokenRouter& router, Instant now)
+{
+    std::array<std::size_t, c_paceReasons> counts {};
+    router.backends().forEach([&counts, now](const TrackedBackend& backend) {
+        if (backend.acceptsNewFlows())
+            ++counts[static_cast<std::size_t>(backend.m_pace.pace(now).m_reason)];
+    });
+    for (std::size_t i = 0; i < counts.size(); ++i)
+        m_metrics.gauge("cuminrelay_backend_pace", paceReasonName(static_cast<PaceReason>(i)))
+            .set(static_cast<double>(counts[i]));
+}
+
 } // namespace cuminrelay
--- a/src/relay/RelayGauges.h
+++ b/src/relay/RelayGauges.h
@@ -27,7 +27,8 @@
 };
 
 /// Exports the state of a relay process and its age as gauges: cuminrelay_config_version, cuminrelay_ready,
-/// cuminrelay_backends by state, cuminrelay_unnamed_backends, cuminrelay_peers, cuminrelay_tracked_flows,
+/// cuminrelay_backends by state, cuminrelay_backend_pace by reason if the pace is learned, cuminrelay_unnamed_backends,
+/// cuminrelay_peers, cuminrelay_tracked_flows,
 /// cuminrelay_contested_flows, cuminrelay_follows_store, cuminrelay_config_unreadable, cuminrelay_store_era,
 /// cuminrelay_evacuated_zones, cuminrelay_evacuation_age_seconds by zone (-1: has ended) and
 /// cuminrelay_knowledge_age_seconds (-1: no data). Also counts the flows that the router did not record because of a
@@ -44,6 +45,7 @@
     void updateBackends(const TokenRouter& router);
     void updateEvacuations(const RelayStatus& status, Instant now);
     void updateWarmup(const TokenRouter& router, Instant now);
+    void updatePaces(const TokenRouter& router, Instant now);
     void countOverLimit(std::string_view limit, std::uint64_t total, std::uint64_t& counted);
 
     Metrics& m_metrics;
--- a/src/relay/RelayGaugesTest.cpp
+++ b/src/relay/RelayGaugesTest.cpp
@@ -69,6 +69,20 @@
         EXPECT_EQ(gaugeValue("cuminrelay_evacuation_age_seconds", "b"), -1);
     }
 
+    TEST_F(RelayGaugesTest, backendServersCountByTheReasonOfTheirPace)
+    {
+        TokenRouter router { { .m_zone = "a", .m_learnsPace = true }, m_placement, m_observer };
+        AnnouncedBackend starting = backendOf(1, false);
+        starting.m_warmAt = c_now + std::chrono::seconds { 2 };
+        router.backends().announce(starting, c_now);
+        router.backends().announce(backendOf(2, false), c_now);
+        router.backends().announce(backendOf(3, true), c_now);
+        m_gauges.update(router, {}, c_now);
+        EXPECT_EQ(gaugeValue("cuminrelay_backend_pace", "starting"), 1);
+        EXPECT_EQ(gaugeValue("cuminrelay_backend_pace", "steady"), 1);
+        EXPECT_EQ(gaugeValue("cuminrelay_backend_pace", "slow"), 0);
+    }
+
     // Flows beyond the limit were left out without a sign.
     TEST_F(RelayGaugesTest, flowsBeyondALimitAreCounted)
     {
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -69,8 +69,9 @@
     , m_environment(environment)
     , m_tasks(environment.m_context.get_executor(), environment.m_metrics, environment.m_log)
     , m_flowLog(environment.m_log, environment.m_metrics)
-    , m_router({ m_settings.m_zone, s_trackedFlowLimit, m_settings.m_addressReuse, m_settings.m_followsEvacuations,
-                   m_settings.m_warmupBounds, m_settings.m_exchange, environment.m_clock.now() },
+    , m_router(
+          { m_settings.m_zone, s_trackedFlowLimit, m_settings.m_addressReuse, m_settings.m_followsEvacuations,
+              m_settings.m_warmupBounds, m_settings.m_exchange, environment.m_clock.now(), m_settings.m_learnsPace },
           placement, m_flowLog)
     , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
     , m_evacuations(m_settings.m_zones)
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -26,6 +26,7 @@
     std::chrono::milliseconds m_addressReuse { 2'000 }; ///< minimum time before an address gets a new owner
     bool m_followsEvacuations = false; ///< operators may request the evacuation of an availability zone
     std::optional<WarmupBounds> m_warmupBounds; ///< of the flows to cold backend servers; absent: not limited
+    bool m_learnsPace = false; ///< new flows go to backend servers by their pace, learned from their answers
     std::vector<std::string> m_zones; ///< all availability zones; empty: unknown
     LogLevel m_logLevel = LogLevel::Info;
 
