--- a/src/affinity/TokenRouterTest.cpp
+++ b/src/affinity/TokenRouterTest.cpp
@@ -339,6 +339,7 @@
         void evacuate(const std::vector<std::string>& zones)
         {
             std::vector<ZoneHash> hashes;
+            hashes.reserve(zones.size());
             for (const std::string& zone : zones)
                 hashes.push_back(hashZone(zone));
             m_router.setEvacuatedZones(hashes, m_now);
