--- a/src/placement/FlowPlacement.h
+++ b/src/placement/FlowPlacement.h
@@ -10,7 +10,8 @@
     bool m_isInLocalZone = true; ///< in the availability zone of this entry VM
     double m_workFactor = 1; ///< by which its work is expected to take longer than that of its peers
     double m_addedRequests = 0; ///< counted in addition to the active ones
-    double m_share = 0; ///< of the new flows, as a multiple of an even share, whatever its load; 0: as its load suggests
+    double m_share
+        = 0; ///< of the new flows, as a multiple of an even share, whatever its load; 0: as its load suggests
     std::uint16_t m_slots = 1; ///< requests processed concurrently
     std::uint32_t m_activeRequests = 0; ///< current estimate from the load messages of all entry VMs
     std::uint32_t m_longFlows = 0; ///< open flows that carry requests in sequence
--- a/src/placement/LeastWorkPlacement.cpp
+++ b/src/placement/LeastWorkPlacement.cpp
@@ -40,8 +40,7 @@
     /// Returns the index of the candidate whose share the flow is drawn for; the number of candidates if there is none.
     std::size_t drawByShare(std::span<const FlowCandidate> candidates, const FlowDemand& demand)
     {
-        const auto local
-            = static_cast<double>(std::ranges::count(candidates, true, &FlowCandidate::m_isInLocalZone));
+        const auto local = static_cast<double>(std::ranges::count(candidates, true, &FlowCandidate::m_isInLocalZone));
         const auto all = static_cast<double>(candidates.size());
         double drawn = drawUniform(demand.m_draw ^ c_shareSalt, candidates.size());
         for (std::size_t i = 0; i < candidates.size(); ++i) {
