--- a/src/observe/MetricsServerTest.cpp
+++ b/src/observe/MetricsServerTest.cpp
@@ -31,7 +31,9 @@
             m_thread = std::thread { [this] { m_context.run(); } };
         }
 
-        void TearDown() override
+        void TearDown() override { stopContext(); }
+
+        void stopContext()
         {
             m_context.stop();
             if (m_thread.joinable())
@@ -118,6 +120,8 @@
             EXPECT_FALSE(isAnswered());
         EXPECT_TRUE(isAnswered());
         EXPECT_EQ(m_metrics.total("cuminrelay_task_failures_total"), 100u);
+        // The server's tasks still run on the context's thread, and must not outlive it.
+        stopContext();
     }
 
     // The server cannot tell idle connections that went silent from others, and kept them all for 5 s: clients that
