--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -497,7 +497,7 @@
         : m_record(recordPath)
     {
         std::signal(SIGPIPE, SIG_IGN);
-        m_block = (127U << 24U) | ((20U + static_cast<unsigned>(getpid()) % 200U) << 16U);
+        m_block = freeBlock();
         char folder[] = "/tmp/review-case-XXXXXX";
         if (!mkdtemp(folder))
             cannotRun("no temporary folder");
@@ -509,6 +509,27 @@
             m_vms.push_back({});
     }
 
+    /// Returns 127.N.0.0 with an N whose addresses no other run uses.
+    static std::uint32_t freeBlock()
+    {
+        constexpr unsigned first = 40;
+        constexpr unsigned count = 200;
+        for (unsigned i = 0; i < count; ++i) {
+            const unsigned number = first + (static_cast<unsigned>(getpid()) + i) % count;
+            const std::uint32_t block = (127U << 24U) | (number << 16U);
+            const sockaddr_in store = toSystem({ block + (4U << 8U) + 1, 8'169 });
+            const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            const int on = 1;
+            setsockopt(probe, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+            const bool isFree
+                = bind(probe, reinterpret_cast<const sockaddr*>(&store), sizeof store) == 0 && listen(probe, 1) == 0;
+            ::close(probe);
+            if (isFree)
+                return block;
+        }
+        cannotRun("no free addresses");
+    }
+
     ~World() { endAll(); }
 
     Address at(unsigned network, unsigned number, std::uint16_t port) const
