settings: a bound that cannot be used no longer ends the process

Cause: the first value that the reader did not accept failed the whole file, and it accepted integers only. A running relay that reads a file which it would not start with says so: log, gauge, cuminrelay-status. Related: an overage below 1 lowers the rate; a time to stop of a second or less is used.

--- a/src/relay/GracefulShutdown.h
+++ b/src/relay/GracefulShutdown.h
@@ -20,7 +20,7 @@
     bool canExit(unsigned notReadyAnswers, Instant now);
 
 private:
-    Deadline m_deadline;
+    Deadline m_exitAt; ///< the process may end from then on, whatever the fabric did
     Instant m_lastPacketAt;
     Instant m_removedAt {}; ///< first canExit call with s_requiredNotReadyAnswers answers; epoch: none yet
 };
--- a/src/relay/GracefulShutdownTest.cpp
+++ b/src/relay/GracefulShutdownTest.cpp
@@ -37,6 +37,15 @@
         EXPECT_TRUE(shutdown.canExit(0, c_deadline - milliseconds { 1'000 }));
     }
 
+    // The fabric takes a second to remove a VM; a VM that ends at once loses the packets of that time.
+    TEST(GracefulShutdownTest, aShortTimeToStopIsUsed)
+    {
+        const Deadline deadline = c_startedAt + milliseconds { 1'500 };
+        GracefulShutdown shutdown { c_startedAt, deadline };
+        EXPECT_FALSE(shutdown.canExit(0, c_startedAt + milliseconds { 1'200 }));
+        EXPECT_TRUE(shutdown.canExit(0, deadline - milliseconds { 250 }));
+    }
+
     TEST(PauseDetectorTest, distinguishesAPauseFromAShortageOfProcessorTime)
     {
         PauseDetector detector;
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -135,6 +135,7 @@
             { "packets", formatEndpoint(m_settings.m_packets) }, { "exchange", formatEndpoint(m_settings.m_exchange) },
             { "store", formatEndpoint(m_settings.m_store) }, { "seeds", m_settings.m_seeds.size() },
             { "stop_within_ms", m_settings.m_stopWithin.count() }, { "version", CUMINRELAY_VERSION } });
+    reportIgnoredSettings(m_settings);
     m_environment.m_context.run();
     return ExitStatus::Success;
 }
@@ -458,20 +459,35 @@
         { { "tracked_flows", m_router.trackedFlows() }, { "stop_within_ms", m_settings.m_stopWithin.count() } });
 }
 
+/// Applies the settings that can change while the process runs. A file that a start would refuse is reported as an
+/// error: the process serves on, but its next start would end.
 void RelayProcess::reload()
 {
     const Outcome<RelaySettings> loaded = m_environment.m_settings.load();
+    m_environment.m_metrics.counter("cuminrelay_reloads_total", loaded ? "applied" : "refused").add();
+    m_environment.m_metrics.gauge("cuminrelay_settings_unusable").set(loaded ? 0 : 1);
     if (!loaded) {
-        m_environment.m_log.warning("relay", "reload_refused", { { "error", loaded.error().m_message } });
+        m_environment.m_log.error("relay", "reload_refused",
+            { { "error", loaded.error().m_message }, { "effect", "this process would not start again" } });
         return;
     }
     const RelaySettings& settings = loaded.value();
-    const bool needsRestart = settings.m_packets != m_settings.m_packets || settings.m_store != m_settings.m_store
-        || settings.m_readiness != m_settings.m_readiness || settings.m_exchange != m_settings.m_exchange;
+    reportIgnoredSettings(settings);
     m_settings.m_stopWithin = settings.m_stopWithin;
+    m_settings.m_ignored = settings.m_ignored;
     m_environment.m_log.info("relay", "reloaded",
         { { "stop_within_ms", m_settings.m_stopWithin.count() },
-            { "addresses", needsRestart ? "changed, in force after a restart" : "unchanged" } });
+            { "others", settings == m_settings ? "unchanged" : "changed, in force after a restart" } });
+}
+
+/// Logs the values of the settings that cannot be used, and what is in force instead.
+void RelayProcess::reportIgnoredSettings(const RelaySettings& settings)
+{
+    m_environment.m_metrics.gauge("cuminrelay_settings_ignored").set(static_cast<double>(settings.m_ignored.size()));
+    for (const IgnoredSetting& setting : settings.m_ignored)
+        m_environment.m_log.warning("relay", "setting_ignored",
+            { { "key", setting.m_key }, { "found", setting.m_found }, { "allowed", setting.m_allowed },
+                { "in_force", setting.m_inForce } });
 }
 
 void RelayProcess::detectPause(Instant now)
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -108,6 +108,7 @@
     void startProbe(LivenessProbe probe);
     void beginShutdown();
     void reload();
+    void reportIgnoredSettings(const RelaySettings& settings);
     void detectPause(Instant now);
     void updateReadiness();
     void flushLog();
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -11,6 +11,16 @@
 
 namespace cuminrelay {
 
+/// A setting whose value cannot be used. It costs what depends on it, not the process.
+struct IgnoredSetting {
+    std::string m_key;
+    std::string m_found;
+    std::string m_allowed;
+    std::string m_inForce; ///< what the process uses instead
+
+    friend bool operator==(const IgnoredSetting&, const IgnoredSetting&) = default;
+};
+
 /// The settings of a relay process and its entry VM.
 struct RelaySettings {
     std::string m_name; ///< of this entry VM
@@ -29,6 +39,7 @@
     bool m_learnsPace = false; ///< new flows go to backend servers by their pace, learned from their answers
     std::vector<std::string> m_zones; ///< all availability zones; empty: unknown
     LogLevel m_logLevel = LogLevel::Info;
+    std::vector<IgnoredSetting> m_ignored; ///< values that could not be used
 
     friend bool operator==(const RelaySettings&, const RelaySettings&) = default;
 };
--- a/src/status/StatusTest.cpp
+++ b/src/status/StatusTest.cpp
@@ -68,6 +68,17 @@
         EXPECT_EQ(statusTable(std::array { statusAt(7) }).find("cannot be read"), std::string::npos);
     }
 
+    // Such a VM serves until it is restarted, and then not again.
+    TEST(VmStatusTest, theTableListsVmsThatWouldNotStartAgain)
+    {
+        const MetricsPage page { "cuminrelay_config_version 7\ncuminrelay_ready 1\ncuminrelay_settings_unusable 1\n" };
+        const std::array vms { statusFrom(c_vm, page) };
+        EXPECT_NE(
+            statusTable(vms).find("would not start again with their settings file: 10.1.0.1:9464"), std::string::npos);
+        EXPECT_NE(statusJson(vms).find("\"settings_file_unusable\":true"), std::string::npos);
+        EXPECT_EQ(statusTable(std::array { statusAt(7) }).find("would not start"), std::string::npos);
+    }
+
     // An evacuation that some VMs do not know yet has to be seen.
     TEST(VmStatusTest, theTableShowsEvacuatedZonesAndSinceWhen)
     {
--- a/src/status/VmStatus.cpp
+++ b/src/status/VmStatus.cpp
@@ -25,11 +25,11 @@
         return highest;
     }
 
-    std::vector<std::string> vmsThatCannotReadStoredConfig(std::span<const VmStatus> vms)
+    std::vector<std::string> vmsWith(std::span<const VmStatus> vms, bool VmStatus::*condition)
     {
         std::vector<std::string> names;
         for (const VmStatus& vm : vms) {
-            if (vm.m_isStoredConfigUnreadable)
+            if (vm.*condition)
                 names.push_back(formatEndpoint(vm.m_metrics));
         }
         return names;
@@ -99,6 +99,7 @@
     status.m_peers = gaugeValue(page, "cuminrelay_peers", "all");
     status.m_flows = gaugeValue(page, "cuminrelay_tracked_flows");
     status.m_isStoredConfigUnreadable = page.find("cuminrelay_config_unreadable") == 1;
+    status.m_isSettingsFileUnusable = page.find("cuminrelay_settings_unusable") == 1;
     status.m_storeEra = gaugeValue(page, "cuminrelay_store_era");
     for (const auto& [zone, age] : page.findAll("cuminrelay_evacuation_age_seconds")) {
         if (age >= 0)
@@ -130,9 +131,12 @@
     const std::vector<std::string> lagging = vmsWithoutVersion(vms, highestVersion(vms));
     if (!lagging.empty())
         text += fmt::format("without version {}: {}\n", highestVersion(vms).m_number, fmt::join(lagging, ", "));
-    const std::vector<std::string> unreadable = vmsThatCannotReadStoredConfig(vms);
+    const std::vector<std::string> unreadable = vmsWith(vms, &VmStatus::m_isStoredConfigUnreadable);
     if (!unreadable.empty())
         text += fmt::format("the store's latest configuration cannot be read by: {}\n", fmt::join(unreadable, ", "));
+    const std::vector<std::string> unusable = vmsWith(vms, &VmStatus::m_isSettingsFileUnusable);
+    if (!unusable.empty())
+        text += fmt::format("would not start again with their settings file: {}\n", fmt::join(unusable, ", "));
     const std::vector<std::string> earlierEra = vmsOfEarlierEra(vms);
     if (!earlierEra.empty())
         text += fmt::format("with the state of before the store was restored: {}\n", fmt::join(earlierEra, ", "));
@@ -157,6 +161,7 @@
             row["peers"] = vm.m_peers;
             row["flows"] = vm.m_flows;
             row["stored_config_unreadable"] = vm.m_isStoredConfigUnreadable;
+            row["settings_file_unusable"] = vm.m_isSettingsFileUnusable;
             row["store_era"] = vm.m_storeEra;
             boost::json::object evacuations;
             for (const auto& [zone, age] : vm.m_evacuationAges)
--- a/src/status/VmStatus.h
+++ b/src/status/VmStatus.h
@@ -26,6 +26,7 @@
     std::uint64_t m_peers = 0;
     std::uint64_t m_flows = 0;
     bool m_isStoredConfigUnreadable = false; ///< the store holds a later configuration that this VM cannot read
+    bool m_isSettingsFileUnusable = false; ///< the process would not start again with its settings file
     std::uint64_t m_storeEra = 0; ///< 0: the store does not number its eras
     std::map<std::string, double> m_evacuationAges; ///< seconds since this VM evacuated a zone, by name
 };
@@ -36,8 +37,8 @@
 /// True if all VMs answered, are ready and have at least the version in force.
 bool isInForce(std::span<const VmStatus> vms, ConfigVersion version);
 
-/// One row for each VM, a line that lists the VMs without the highest version, and lines for the evacuated zones and
-/// for VMs whose state is of an earlier era of the store.
+/// One row for each VM, a line that lists the VMs without the highest version, and lines for the evacuated zones, for
+/// VMs whose settings file is unusable, and for VMs whose state is of an earlier era of the store.
 std::string statusTable(std::span<const VmStatus> vms);
 
 /// The same statuses as one JSON object.
--- a/src/warmup/WarmupBudget.cpp
+++ b/src/warmup/WarmupBudget.cpp
@@ -77,7 +77,7 @@
     if (backend.m_rate <= 0)
         return;
     updateShare(backend, permits);
-    permits.m_nextAt = now + intervalOf(permits.m_openers, backend.m_rate);
+    permits.m_nextAt = now + intervalOf(permits.m_openers, pacedRate(backend.m_rate));
 }
 
 void WarmupBudget::updateShare(const ColdBackend& backend, WarmupPermits& permits) const
@@ -93,9 +93,14 @@
     permits.m_isOpener = std::ranges::count_if(m_members, isBefore) < static_cast<std::ptrdiff_t>(permits.m_openers);
 }
 
+double WarmupBudget::pacedRate(double rate) const
+{
+    return std::min(m_bounds.m_overage, 1.0) * rate;
+}
+
 std::uint32_t WarmupBudget::openersAt(double rate) const
 {
-    const double wanted = std::floor(((m_bounds.m_overage - 1) * rate + m_bounds.m_slack) / 2);
+    const double wanted = std::floor((m_bounds.m_overage * rate - pacedRate(rate) + m_bounds.m_slack) / 2);
     return static_cast<std::uint32_t>(std::clamp(wanted, 1.0, static_cast<double>(members())));
 }
 
--- a/src/warmup/WarmupBudget.h
+++ b/src/warmup/WarmupBudget.h
@@ -13,7 +13,7 @@
 /// What all entry VMs together may send to a cold backend server in any one second: its declared rate x m_overage
 /// + m_slack new flows.
 struct WarmupBounds {
-    double m_overage = 1; ///< at least 1
+    double m_overage = 1;
     double m_slack = 0; ///< in flows; below 1, the bound may be exceeded by up to one flow
 
     friend bool operator==(const WarmupBounds&, const WarmupBounds&) = default;
@@ -43,7 +43,8 @@
 
 /// Decides whether this entry VM may open one more flow at a cold backend server, without coordination. A few VMs of
 /// the server's zone open flows there: the first k by rendezvous hash, each at intervals of k / rate. In any second
-/// these are at most rate + k flows. The rest of the bound, another k, covers VMs whose views of the zone differ.
+/// these are at most rate + k flows. An overage below 1 lowers the rate. The rest of the bound, another k, covers VMs
+/// whose views of the zone differ.
 ///
 /// A VM that this one has not heard of recently may be cut off and go on to open flows. It keeps its share until it is
 /// forgotten, and no other VM takes the share over before s_takeoverDelay has passed. A VM that hears of no other
@@ -76,6 +77,9 @@
 private:
     void updateShare(const ColdBackend& backend, WarmupPermits& permits) const;
 
+    /// The rate at which all VMs together open flows in the mean.
+    double pacedRate(double rate) const;
+
     /// Number of VMs that may share a rate.
     std::uint32_t openersAt(double rate) const;
 
--- a/src/warmup/WarmupBudgetTest.cpp
+++ b/src/warmup/WarmupBudgetTest.cpp
@@ -156,6 +156,16 @@
             EXPECT_EQ(permits.m_openers, openers) << rate;
             EXPECT_GT(permits.m_nextAt, now) << rate;
         }
+        // At the bound of 0.5 x 10 flows a second, one VM opens one every 200 ms.
+        WarmupBudget lowered { c_self, { 0.5, 0 }, c_start };
+        lowered.updateMembers(members(79, c_start), c_start);
+        WarmupPermits loweredPermits;
+        lowered.recordOpening(coldBackend(7), loweredPermits, now);
+        EXPECT_EQ(loweredPermits.m_openers, 1u);
+        EXPECT_EQ(loweredPermits.m_nextAt, now + milliseconds { 200 });
+        WarmupBudget none { c_self, { 0, 5 }, c_start };
+        none.recordOpening(coldBackend(7), loweredPermits, now);
+        EXPECT_GT(loweredPermits.m_nextAt, now + seconds { 60 });
         WarmupBudget strict { c_self, { 1, 0 }, c_start };
         WarmupPermits permits;
         strict.recordOpening(coldBackend(7), permits, now);
