--- a/src/affinity/Backend.h
+++ b/src/affinity/Backend.h
@@ -14,15 +14,15 @@
     friend constexpr auto operator<=>(BackendIdentity, BackendIdentity) = default;
 };
 
-/// Token by which a flow's packets name its backend server; 0: none. Computed from the identity alone, so that a newly
-/// started entry VM finds the backend server of every established flow.
+/// Token by which a flow's packets name its backend server, below 2^31; 0: none. Computed from the identity alone, so
+/// that a newly started entry VM finds the backend server of every established flow.
 struct BackendToken {
     std::uint32_t m_value = 0;
 
     friend constexpr auto operator<=>(BackendToken, BackendToken) = default;
 };
 
-/// Returns the token of an identity; never 0. Two of 3,500 identities share a token with a probability of 0.0015.
+/// Returns the token of an identity; never 0. Two of 3,500 identities share a token with a probability of 0.003.
 BackendToken tokenOf(BackendIdentity identity);
 
 /// Backend server as announced by its store entry.
--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -48,7 +48,7 @@
     , m_placement(placement)
     , m_observer(observer)
     , m_flows(m_backends, m_options.m_trackedFlowLimit)
-    , m_contestedFlows(hashText(m_options.m_zone, c_contestedSalt))
+    , m_contestedFlows(hashText(m_options.m_zone, c_contestedSalt), m_options.m_startedAt)
     , m_isAwaitingEvacuations(m_options.m_awaitsEvacuations)
 {
     if (m_options.m_warmupBounds)
@@ -96,7 +96,7 @@
     else
         m_contestedFlows.removeIfReused(hash, packet.m_sequence);
     m_observer.placed(packet, *backend, PlacementCause::New, m_eligible.size(), now);
-    return forwardTo(*backend);
+    return forwardOpeningTo(*backend, packet, hash, now);
 }
 
 /// Refuses an opening packet for which no backend server was found.
@@ -129,7 +129,7 @@
     const bool mayOpen = first && !isEvacuated(*first);
     if (first && (flow.m_isEstablished || (mayOpen && (!isLate || mayAnswer)))) {
         m_observer.placed(packet, *first, PlacementCause::Retransmission, 1, now);
-        return forwardTo(*first);
+        return forwardOpeningTo(*first, packet, hash, now);
     }
     const ServiceMap::Entry* const service = m_services.find(packet.m_flow.m_service);
     TrackedBackend* const second = place(*service, hash, flow.m_backend, now);
@@ -141,21 +141,76 @@
         m_contestedFlows.add(hash, packet.m_sequence, now);
     }
     m_observer.placed(packet, *second, PlacementCause::SecondChoice, m_eligible.size(), now);
-    return forwardTo(*second);
+    return forwardOpeningTo(*second, packet, hash, now);
 }
 
-/// Returns the token of the backend server where a flow is open; flow: its record, if any. The first packet after the
-/// opening packet carries the token of the answer that opened the flow. A later token may be that of another backend
-/// server, which answered another copy of the opening packet.
+/// Returns the token of the backend server where a flow is open; flow: its record, if any. 0: it is not proven, or the
+/// packet carries none. The first packet after the opening packet carries the token of the answer that opened the flow.
+/// A later opening token may be that of another backend server, which answered another copy of the opening packet.
 BackendToken TokenRouter::openBackendOf(
     const PacketSummary& packet, FlowHash hash, const TrackedFlow* flow, Instant now)
 {
-    const BackendToken carried { packet.m_carriedToken };
-    const BackendToken resolved = m_contestedFlows.resolve(hash, carried, now);
+    const CarriedToken carried = CarriedToken::decode(packet.m_carriedToken);
+    const BackendToken named = backendNamedBy(carried, flow);
+    const bool wasOpenedHere = flow && flow->wasOpenedHere();
+    const BackendToken resolved = m_contestedFlows.resolve(
+        hash, wasOpenedHere ? std::optional { flow->m_openingSequence } : std::nullopt, named, now);
     if (resolved != BackendToken {})
         return resolved;
-    const bool isDecided = flow && flow->wasOpenedHere() && flow->m_isEstablished;
-    return flow && (isDecided || carried == BackendToken {}) ? flow->m_backend : carried;
+    const bool isDecided = flow && flow->m_isEstablished && (wasOpenedHere || carried.isOpening());
+    if (flow && (isDecided || carried.m_kind == CarriedToken::Kind::None))
+        return flow->m_backend;
+    if (wasOpenedHere && carried.isOpening() && named != flow->m_backend) {
+        // Another VM chose another backend server for a copy, and that one's answer opened the flow.
+        m_contestedFlows.add(hash, flow->m_openingSequence, now);
+        return m_contestedFlows.resolve(hash, flow->m_openingSequence, named, now);
+    }
+    return wasOpenedHere || isProven(carried, now) ? named : BackendToken {};
+}
+
+/// Returns the token of the backend server that a carried token names; 0: none, or it may be one of several. Cost:
+/// O(1), O(backend servers) for the opening token of a flow that is not of flow's backend server.
+BackendToken TokenRouter::backendNamedBy(const CarriedToken& carried, const TrackedFlow* flow) const
+{
+    if (!carried.isOpening())
+        return { carried.m_backendBits };
+    if (flow && carried.mayName(flow->m_backend))
+        return flow->m_backend;
+    BackendToken named;
+    bool isAmbiguous = false;
+    m_backends.forEach([&](const TrackedBackend& backend) {
+        if (!carried.mayName(backend.m_token))
+            return;
+        isAmbiguous = named != BackendToken {};
+        named = backend.m_token;
+    });
+    return isAmbiguous ? BackendToken {} : named;
+}
+
+/// Whether a token says where a flow without a record is open. The token of a copy does not: the flow is contested, and
+/// what this VM does not know of it was lost with the processes of other VMs. Nor does that of an opening which the
+/// records of contested flows do not reach back to.
+bool TokenRouter::isProven(const CarriedToken& carried, Instant now) const
+{
+    if (carried.m_kind != CarriedToken::Kind::Opening)
+        return carried.m_kind == CarriedToken::Kind::Settled;
+    const Instant openedAt = now - carried.minAge(timeOfDay(now));
+    const Instant knownSince = m_contestedFlows.knownSince();
+    return knownSince <= openedAt || now - knownSince >= c_departedRetention;
+}
+
+void TokenRouter::setTimeOfDay(Duration sinceUnixEpoch, Instant now)
+{
+    m_timeOfDayOffset = sinceUnixEpoch - now.time_since_epoch();
+}
+
+PacketAction TokenRouter::forwardOpeningTo(
+    const TrackedBackend& backend, const PacketSummary& packet, FlowHash hash, Instant now)
+{
+    PacketAction action = forwardTo(backend);
+    action.m_token = CarriedToken::encodeOpening(
+        backend.m_token, m_contestedFlows.contains(hash, packet.m_sequence), timeOfDay(now));
+    return action;
 }
 
 PacketAction TokenRouter::decideOpeningOfUnknownService(const PacketSummary& packet, Instant now)
@@ -189,6 +244,8 @@
         return decideMidstreamOfUnknownService(packet, hash, now);
     TrackedFlow* flow = m_flows.find(hash);
     const BackendToken token = openBackendOf(packet, hash, flow, now);
+    if (token == BackendToken {} && packet.m_carriedToken != 0)
+        return reject(packet, PacketActionKind::Drop, Reason::OpeningUnproven, nullptr, now);
     if (flow && flow->m_backend != token)
         m_flows.move(*flow, token);
     TrackedBackend* const backend = m_backends.find(token);
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "affinity/BackendCatalog.h"
+#include "affinity/CarriedToken.h"
 #include "affinity/ContestedFlows.h"
 #include "affinity/LivenessProbe.h"
 #include "affinity/PendingResets.h"
@@ -52,7 +53,8 @@
 ///
 /// FlowPlacement places an opening packet among the backend servers that the service's selectors match. A retransmitted
 /// opening packet goes to the same one, unless several packets to that one went unanswered. A flow whose opening packet
-/// may have reached several backend servers stays with the one whose answer opened it, on all VMs.
+/// may have reached several backend servers stays with the one whose answer opened it, on all VMs. A packet whose token
+/// does not prove where such a flow is open (CarriedToken) is dropped by a VM that does not know.
 class TokenRouter final : public PacketRouter {
 public:
     struct Options {
@@ -62,7 +64,7 @@
         bool m_awaitsEvacuations = false; ///< places no flow before the first setEvacuatedZones
         std::optional<WarmupBounds> m_warmupBounds {}; ///< absent: new flows to cold backend servers are not limited
         Endpoint m_self {}; ///< of this VM, as the other VMs name it; for m_warmupBounds
-        Instant m_startedAt {}; ///< of this VM; for m_warmupBounds
+        Instant m_startedAt {}; ///< of this VM, which knows nothing of contested flows that were opened before
         bool m_learnsPace = false; ///< places flows by the pace of the backend servers, learned from their answers
     };
 
@@ -142,6 +144,11 @@
     /// Call at least every 100 ms.
     void tick(Instant now);
 
+    /// Sets the time of day, which dates the opening packets that this VM forwards: a VM that does not know all
+    /// contested flows drops packets that may be of earlier ones. Call several times per second. A clock that jumps
+    /// costs flows that are opened shortly after all VMs have restarted, and no others.
+    void setTimeOfDay(Duration sinceUnixEpoch, Instant now);
+
     /// Applies a pause of this process: queued packets are old, and missing answers during the pause prove nothing.
     /// Drops opening packets until staleUntil.
     void applyPause(Deadline staleUntil);
@@ -184,6 +191,11 @@
     PacketAction decideMidstream(const PacketSummary& packet, FlowHash hash, Instant now);
     PacketAction decideRetransmittedOpening(const PacketSummary& packet, FlowHash hash, TrackedFlow& flow, Instant now);
     BackendToken openBackendOf(const PacketSummary& packet, FlowHash hash, const TrackedFlow* flow, Instant now);
+    BackendToken backendNamedBy(const CarriedToken& carried, const TrackedFlow* flow) const;
+    bool isProven(const CarriedToken& carried, Instant now) const;
+    PacketAction forwardOpeningTo(
+        const TrackedBackend& backend, const PacketSummary& packet, FlowHash hash, Instant now);
+    Duration timeOfDay(Instant now) const { return now.time_since_epoch() + m_timeOfDayOffset; }
     PacketAction decideOpeningOfUnknownService(const PacketSummary& packet, Instant now);
     PacketAction decideMidstreamOfUnknownService(const PacketSummary& packet, FlowHash hash, Instant now);
     PacketAction decideMidstreamOfGoneBackend(
@@ -245,6 +257,7 @@
     Instant m_stateConfirmedAt {};
     bool m_hasNewerDeclarations = false;
     bool m_isConfirmationRequested = false;
+    Duration m_timeOfDayOffset {}; ///< from the time base of Instant
     Deadline m_staleUntil {};
     Deadline m_nextSweepAt {};
 };
--- a/src/affinity/TokenRouterTest.cpp
+++ b/src/affinity/TokenRouterTest.cpp
@@ -54,10 +54,20 @@
         return packet;
     }
 
+    /// The token of the backend server that a packet was forwarded to, as packets after the opening carry it.
+    std::uint32_t settledToken(const PacketAction& action)
+    {
+        return tokenOf({ action.m_identity }).m_value;
+    }
+
     /// Entry VM in zone a.
     struct Vm {
-        explicit Vm(std::size_t backends = 3)
+        /// startedAt: the VM knows nothing of contested flows that were opened before.
+        explicit Vm(std::size_t backends = 3, Instant startedAt = {})
+            : m_router({ "a", 100'000, std::chrono::seconds { 2 }, false, std::nullopt, {}, startedAt }, m_placement,
+                m_observer)
         {
+            m_now = std::max(c_start, startedAt);
             std::vector<AnnouncedBackend> announced;
             for (std::uint64_t i = 1; i <= backends; ++i)
                 announced.push_back(makeBackend(i));
@@ -103,9 +113,12 @@
 
         TrackedBackend& backend(std::uint32_t token) { return *m_router.backends().find(BackendToken { token }); }
 
+        /// The backend server that a packet was forwarded to.
+        TrackedBackend& backendOf(const PacketAction& action) { return backend(settledToken(action)); }
+
         LeastWorkPlacement m_placement;
         NullRouterObserver m_observer;
-        TokenRouter m_router { { "a" }, m_placement, m_observer };
+        TokenRouter m_router;
         Instant m_now = c_start;
     };
 
@@ -119,7 +132,7 @@
         EXPECT_EQ(continued.m_kind, PacketActionKind::ToBackend);
         EXPECT_EQ(continued.m_target, opened.m_target);
         EXPECT_EQ(continued.m_identity, opened.m_identity);
-        EXPECT_EQ(continued.m_token, opened.m_token);
+        EXPECT_EQ(continued.m_token, settledToken(opened));
     }
 
     TEST(TokenRouterTest, vmWithoutConfigurationRefusesAndResetsNothing)
@@ -231,7 +244,7 @@
     {
         Vm vm { 2 };
         const PacketAction opened = vm.open(1);
-        AnnouncedBackend draining = vm.backend(opened.m_token).m_announced;
+        AnnouncedBackend draining = vm.backendOf(opened).m_announced;
         draining.m_server.m_draining = true;
         vm.m_router.backends().announce(draining, vm.m_now);
         EXPECT_EQ(vm.data(1, opened.m_token, 10).m_target, opened.m_target);
@@ -263,7 +276,7 @@
             for (const bool isDraining : { false, true }) {
                 Vm vm { 1 };
                 const PacketAction opened = vm.open(1);
-                AnnouncedBackend stray = makeStrayEntry(vm, opened.m_token);
+                AnnouncedBackend stray = makeStrayEntry(vm, settledToken(opened));
                 stray.m_server.m_draining = isDraining;
                 if (isListed)
                     vm.m_router.replaceBackends(std::vector { makeBackend(1), stray }, vm.m_now);
@@ -348,7 +361,7 @@
         std::string_view zoneOf(const PacketAction& action)
         {
             return action.m_kind == PacketActionKind::ToBackend
-                ? std::string_view { backend(action.m_token).m_announced.m_server.m_zone }
+                ? std::string_view { backendOf(action).m_announced.m_server.m_zone }
                 : std::string_view {};
         }
     };
@@ -457,7 +470,7 @@
         Vm vm;
         const PacketAction opened = vm.open(1);
         vm.wait(milliseconds { 100 });
-        vm.m_router.recordProbe(BackendToken { opened.m_token }, ProbeOutcome::Answered, vm.m_now);
+        vm.m_router.recordProbe(tokenOf({ opened.m_identity }), ProbeOutcome::Answered, vm.m_now);
         vm.wait(milliseconds { 100 });
         EXPECT_EQ(vm.open(1, c_forms, 1).m_target, opened.m_target);
     }
@@ -510,7 +523,7 @@
         Vm vm;
         const PacketAction opened = vm.open(1);
         vm.data(1, opened.m_token, 10);
-        AnnouncedBackend draining = vm.backend(opened.m_token).m_announced;
+        AnnouncedBackend draining = vm.backendOf(opened).m_announced;
         draining.m_server.m_draining = true;
         vm.m_router.backends().announce(draining, vm.m_now);
         PacketSummary again = makePacket(PacketKind::Opening, 1);
@@ -538,7 +551,7 @@
         EXPECT_EQ(vm.data(1, first.m_token, 10).m_target, first.m_target);
         const PacketAction later = vm.data(1, second.m_token, 110);
         EXPECT_EQ(later.m_target, first.m_target);
-        EXPECT_EQ(later.m_token, first.m_token); // so that the next packets carry the right token again
+        EXPECT_EQ(later.m_token, settledToken(first)); // so that the next packets carry the right token again
     }
 
     // An earlier transmission of the opening packet went through another VM, whose backend server answers late. The
@@ -551,7 +564,7 @@
         const std::uint32_t other = tokenOf({ opened.m_identity % 3 + 1 }).m_value;
         const PacketAction later = vm.data(1, other, 110);
         EXPECT_EQ(later.m_target, opened.m_target);
-        EXPECT_EQ(later.m_token, opened.m_token);
+        EXPECT_EQ(later.m_token, settledToken(opened));
     }
 
     // The backend server that lost repeats its answer for 11 s. The record of an idle flow is gone by then (review/1).
@@ -567,14 +580,14 @@
                 vm.wait(milliseconds { 100 });
             const PacketAction later = vm.data(1, loser.m_token, 110);
             EXPECT_EQ(later.m_target, winner.m_target);
-            EXPECT_EQ(later.m_token, winner.m_token);
+            EXPECT_EQ(later.m_token, settledToken(winner));
         }
     }
 
     /// Delivers what one VM says of contested flows to another.
     void exchangeContestedFlows(Vm& from, Vm& to)
     {
-        for (const ContestedFlow& flow : from.m_router.contestedFlows().takeForMessage(6))
+        for (const ContestedFlowReport& flow : from.m_router.contestedFlows().takeForMessage(6, from.m_now))
             to.m_router.contestedFlows().apply(flow, to.m_now);
     }
 
@@ -587,7 +600,7 @@
         exchangeContestedFlows(vm, next);
         const PacketAction later = next.data(1, first.m_token, 110);
         EXPECT_EQ(later.m_target, second.m_target);
-        EXPECT_EQ(later.m_token, second.m_token);
+        EXPECT_EQ(later.m_token, settledToken(second));
     }
 
     // The rotation changes before the flow is open: the VM that gets the first packet after the opening packet decides.
@@ -623,6 +636,126 @@
         EXPECT_EQ(vm.data(1, tokenOf({ 2 }).m_value, 110).m_identity, 2u);
     }
 
+    // The VMs that recorded a contested flow were restarted one after the other (review/8): its packets went to the
+    // backend server that lost, which gives up after seconds and resets the flow then.
+    TEST(TokenRouterTest, contestedFlowOutlivesTheVmsThatRecordedIt)
+    {
+        for (const bool opensAtFirst : { true, false }) {
+            Vm recorder;
+            const auto [first, second] = openTwice(recorder, 1);
+            const PacketAction& winner = opensAtFirst ? first : second;
+            const PacketAction& loser = opensAtFirst ? second : first;
+            recorder.data(1, winner.m_token, 10);
+            const ContestedFlows* known = &recorder.m_router.contestedFlows();
+            std::vector<std::unique_ptr<Vm>> successors;
+            for (int restart = 0; restart < 5; ++restart) {
+                const Instant now = recorder.m_now + std::chrono::seconds { 2 * (restart + 1) };
+                Vm& vm = *successors.emplace_back(std::make_unique<Vm>(3, now));
+                vm.m_router.contestedFlows().restore(known->reports(now), now - known->knownFor(now), now);
+                const PacketAction action = vm.data(1, loser.m_token, 110);
+                EXPECT_EQ(action.m_identity, winner.m_identity) << restart;
+                EXPECT_EQ(action.m_token, settledToken(winner));
+                known = &vm.m_router.contestedFlows();
+            }
+        }
+    }
+
+    // All VMs were restarted at once, so that none knows where the flow is open. A packet that does not prove it is
+    // dropped: the backend server that lost would reset the flow.
+    TEST(TokenRouterTest, contestedFlowGoesToNoOtherBackendAfterAllVmsWereRestarted)
+    {
+        for (const bool opensAtFirst : { true, false }) {
+            Vm recorder;
+            const auto [first, second] = openTwice(recorder, 1);
+            const PacketAction& winner = opensAtFirst ? first : second;
+            const PacketAction& loser = opensAtFirst ? second : first;
+            recorder.data(1, winner.m_token, 10);
+            Vm vm { 3, recorder.m_now + milliseconds { 600 } };
+            for (int copy = 0; copy < 20; ++copy) {
+                vm.wait(milliseconds { 500 });
+                const PacketAction action = vm.data(1, loser.m_token, 110);
+                EXPECT_EQ(action.m_kind, PacketActionKind::Drop) << copy;
+                EXPECT_EQ(action.m_reason, Reason::OpeningUnproven);
+            }
+            // The backend server where it is open has got packets after the opening, and answers with their token.
+            const PacketAction proven = vm.data(1, settledToken(winner), 110);
+            EXPECT_EQ(proven.m_identity, winner.m_identity);
+            EXPECT_EQ(vm.data(1, loser.m_token, 210).m_identity, winner.m_identity);
+        }
+    }
+
+    TEST(TokenRouterTest, flowOpenedAfterAllVmsWereRestartedContinuesThroughAnyVm)
+    {
+        Vm opener { 3, c_start };
+        Vm other { 3, c_start };
+        opener.wait(milliseconds { 20 });
+        other.wait(milliseconds { 25 });
+        const PacketAction opened = opener.open(1);
+        EXPECT_EQ(other.data(1, opened.m_token, 10).m_identity, opened.m_identity);
+    }
+
+    // A VM that knows all contested flows need not doubt the token of an opening that it has no record of.
+    TEST(TokenRouterTest, flowWithoutARecordContinuesOnceTheContestedFlowsAreKnown)
+    {
+        Vm opener;
+        const PacketAction opened = opener.open(1);
+        Vm vm { 3, opener.m_now + std::chrono::seconds { 2 } };
+        EXPECT_EQ(vm.data(1, opened.m_token, 10).m_reason, Reason::OpeningUnproven);
+        vm.m_router.contestedFlows().restore({}, opener.m_now, vm.m_now);
+        EXPECT_EQ(vm.data(1, opened.m_token, 10).m_identity, opened.m_identity);
+        Vm old { 3, c_start };
+        old.wait(c_departedRetention); // no flow that was opened before it started is left
+        EXPECT_EQ(old.data(1, opened.m_token, 10).m_identity, opened.m_identity);
+    }
+
+    // The VM that chose a backend server for a copy died before it could tell the others.
+    TEST(TokenRouterTest, tokenOfACopyProvesNothingToAVmThatDoesNotKnowTheFlow)
+    {
+        Vm dead;
+        const PacketAction copy = dead.open(1, c_forms, 1);
+        Vm vm;
+        EXPECT_EQ(vm.data(1, copy.m_token, 10).m_reason, Reason::OpeningUnproven);
+        exchangeContestedFlows(dead, vm);
+        EXPECT_EQ(vm.data(1, copy.m_token, 10).m_identity, copy.m_identity);
+    }
+
+    // A packet after the opening that this VM has seen proves more than a later answer to the opening.
+    TEST(TokenRouterTest, flowWithARecordIgnoresTheTokenOfALaterAnswerToTheOpening)
+    {
+        Vm vm;
+        vm.data(1, tokenOf({ 1 }).m_value, 10);
+        const std::uint32_t later = CarriedToken::encodeOpening(tokenOf({ 2 }), false, vm.m_now.time_since_epoch());
+        EXPECT_EQ(vm.data(1, later, 110).m_identity, 1u);
+    }
+
+    // Two VMs each placed a copy, and the flow opened at the backend server that the other one chose.
+    TEST(TokenRouterTest, flowThatOpensElsewhereThanPlacedHereIsContested)
+    {
+        Vm vm;
+        const PacketAction opened = vm.open(1);
+        const BackendToken other = tokenOf({ opened.m_identity % 3 + 1 });
+        const std::uint32_t copy = CarriedToken::encodeOpening(other, true, vm.m_now.time_since_epoch());
+        EXPECT_EQ(settledToken(vm.data(1, copy, 10)), other.m_value);
+        EXPECT_EQ(settledToken(vm.data(1, opened.m_token, 110)), other.m_value);
+        Vm next;
+        exchangeContestedFlows(vm, next);
+        EXPECT_EQ(settledToken(next.data(1, opened.m_token, 110)), other.m_value);
+    }
+
+    // The record of a contested flow does not apply to a later flow of the same addresses and ports.
+    TEST(TokenRouterTest, aReusedPortIsNotContestedByAnOlderRecord)
+    {
+        Vm vm;
+        const auto [first, second] = openTwice(vm, 1);
+        vm.data(1, second.m_token, 10);
+        Vm next;
+        PacketSummary again = makePacket(PacketKind::Opening, 1);
+        again.m_sequence = 70'000;
+        const PacketAction reopened = next.send(again);
+        exchangeContestedFlows(vm, next);
+        EXPECT_EQ(next.data(1, reopened.m_token, 70'001).m_identity, reopened.m_identity);
+    }
+
     /// Makes a backend server suspected: sends an opening packet twice without an answer.
     PacketAction makeSuspected(Vm& vm, std::uint16_t port)
     {
@@ -638,7 +771,7 @@
         const PacketAction opened = makeSuspected(vm, 1);
         const std::vector<LivenessProbe> probes = vm.m_router.takeProbes(vm.m_now);
         ASSERT_EQ(probes.size(), 1u);
-        EXPECT_EQ(probes[0].m_backend.m_value, opened.m_token);
+        EXPECT_EQ(probes[0].m_backend.m_value, settledToken(opened));
         EXPECT_EQ(probes[0].m_healthPath, "/health");
         EXPECT_TRUE(vm.m_router.takeProbes(vm.m_now).empty());
     }
@@ -651,15 +784,15 @@
         vm.wait(milliseconds { 200 });
         makeSuspected(vm, 2);
         std::vector<LivenessProbe> probes = vm.m_router.takeProbes(vm.m_now);
-        vm.backend(lost.m_token).m_liveness.recordUnansweredOpening(vm.m_now);
+        vm.backendOf(lost).m_liveness.recordUnansweredOpening(vm.m_now);
         probes = vm.m_router.takeProbes(vm.m_now);
         const std::vector<FlowReset> resets
-            = vm.m_router.recordProbe(BackendToken { lost.m_token }, ProbeOutcome::Unanswered, vm.m_now);
+            = vm.m_router.recordProbe(tokenOf({ lost.m_identity }), ProbeOutcome::Unanswered, vm.m_now);
         ASSERT_EQ(resets.size(), 1u);
         EXPECT_EQ(resets[0].m_flow.m_caller.m_port, 1);
         EXPECT_EQ(vm.data(1, lost.m_token, 110).m_kind, PacketActionKind::ResetCaller);
 
-        vm.m_router.recordProbe(BackendToken { lost.m_token }, ProbeOutcome::Answered, vm.m_now); // it was partitioned
+        vm.m_router.recordProbe(tokenOf({ lost.m_identity }), ProbeOutcome::Answered, vm.m_now); // it was partitioned
         EXPECT_EQ(vm.data(1, lost.m_token, 210).m_kind, PacketActionKind::ToBackend);
     }
 
@@ -668,9 +801,9 @@
         Vm vm;
         const PacketAction opened = vm.open(1);
         vm.data(1, opened.m_token, 10);
-        vm.backend(opened.m_token).m_liveness.recordUnansweredOpening(vm.m_now);
+        vm.backendOf(opened).m_liveness.recordUnansweredOpening(vm.m_now);
         vm.m_router.takeProbes(vm.m_now);
-        EXPECT_TRUE(vm.m_router.recordProbe(BackendToken { opened.m_token }, ProbeOutcome::Unclear, vm.m_now).empty());
+        EXPECT_TRUE(vm.m_router.recordProbe(tokenOf({ opened.m_identity }), ProbeOutcome::Unclear, vm.m_now).empty());
         EXPECT_EQ(vm.data(1, opened.m_token, 110).m_kind, PacketActionKind::ToBackend);
     }
 
@@ -682,11 +815,11 @@
         const PacketAction opened = vm.open(1);
         vm.data(1, opened.m_token, 10, 5);
         vm.wait(milliseconds { 1'500 });
-        vm.backend(opened.m_token).m_liveness.recordUnansweredOpening(vm.m_now);
+        vm.backendOf(opened).m_liveness.recordUnansweredOpening(vm.m_now);
         const std::vector<LivenessProbe> early = vm.m_router.takeProbes(vm.m_now);
         ASSERT_EQ(early.size(), 1u);
         EXPECT_FALSE(early[0].m_mustIdentify);
-        vm.m_router.recordProbe(BackendToken { opened.m_token }, ProbeOutcome::Unclear, vm.m_now);
+        vm.m_router.recordProbe(tokenOf({ opened.m_identity }), ProbeOutcome::Unclear, vm.m_now);
         vm.wait(milliseconds { 1'000 });
         const std::vector<LivenessProbe> late = vm.m_router.takeProbes(vm.m_now);
         ASSERT_EQ(late.size(), 1u);
@@ -697,9 +830,9 @@
     {
         Vm vm;
         const PacketAction opened = makeSuspected(vm, 1);
-        ASSERT_TRUE(vm.backend(opened.m_token).m_liveness.isUnresponsive());
+        ASSERT_TRUE(vm.backendOf(opened).m_liveness.isUnresponsive());
         vm.m_router.applyPause(vm.m_now + milliseconds { 50 });
-        EXPECT_FALSE(vm.backend(opened.m_token).m_liveness.isUnresponsive());
+        EXPECT_FALSE(vm.backendOf(opened).m_liveness.isUnresponsive());
         EXPECT_EQ(vm.open(2).m_kind, PacketActionKind::Drop);
         EXPECT_EQ(vm.data(3, opened.m_token, 10).m_kind, PacketActionKind::ToBackend);
         vm.wait(milliseconds { 60 });
@@ -716,17 +849,17 @@
         // Fills the backend server in zone a until one in zone b is chosen.
         std::uint16_t port = 1;
         PacketAction opened = vm.open(port);
-        while (vm.backend(opened.m_token).m_announced.m_server.m_zone == "a" && port < 50)
+        while (vm.backendOf(opened).m_announced.m_server.m_zone == "a" && port < 50)
             opened = vm.open(++port);
-        ASSERT_EQ(vm.backend(opened.m_token).m_announced.m_server.m_zone, "b");
+        ASSERT_EQ(vm.backendOf(opened).m_announced.m_server.m_zone, "b");
         vm.wait(milliseconds { 200 });
         vm.open(port, c_forms, 1);
         for (std::uint16_t next = 100; next < 120; ++next)
-            EXPECT_EQ(vm.backend(vm.open(next).m_token).m_announced.m_server.m_zone, "a");
+            EXPECT_EQ(vm.backendOf(vm.open(next)).m_announced.m_server.m_zone, "a");
         vm.m_router.recordProbe(remoteBackend, ProbeOutcome::Answered, vm.m_now);
         bool usesRemoteZone = false;
         for (std::uint16_t next = 200; next < 240; ++next)
-            usesRemoteZone = usesRemoteZone || vm.backend(vm.open(next).m_token).m_announced.m_server.m_zone == "b";
+            usesRemoteZone = usesRemoteZone || vm.backendOf(vm.open(next)).m_announced.m_server.m_zone == "b";
         EXPECT_TRUE(usesRemoteZone);
     }
 
@@ -764,9 +897,11 @@
         EXPECT_EQ(vm.backend(tokenOf({ 1 }).m_value).m_peerLoad, BackendLoad {});
     }
 
+    // Or, with a token that proves nothing, to the backend server that the flow's packets went to before.
     RC_GTEST_PROP(TokenRouterTest, packetsGoOnlyToTheBackendOfTheirToken, ())
     {
         Vm vm { 5 };
+        std::array<std::uint32_t, 5> settled {}; // last token of each port that named a backend server
         const std::vector<std::uint32_t> tokens = *rc::gen::container<std::vector<std::uint32_t>>(
             rc::gen::oneOf(rc::gen::arbitrary<std::uint32_t>(), rc::gen::map(rc::gen::inRange(1, 6), [](int identity) {
                 return tokenOf({ static_cast<std::uint64_t>(identity) }).m_value;
@@ -774,8 +909,11 @@
         for (const std::uint32_t token : tokens) {
             const std::uint16_t port = static_cast<std::uint16_t>(*rc::gen::inRange(1, 5));
             const PacketAction action = vm.data(port, token, *rc::gen::arbitrary<std::uint32_t>());
-            if (action.m_kind == PacketActionKind::ToBackend && token != 0)
-                RC_ASSERT(tokenOf({ action.m_identity }).m_value == token);
+            if (action.m_kind == PacketActionKind::ToBackend && token != 0) {
+                const bool isSettled = CarriedToken::decode(token).m_kind == CarriedToken::Kind::Settled;
+                settled[port] = isSettled ? token : settled[port];
+                RC_ASSERT(settledToken(action) == settled[port]);
+            }
             vm.wait(milliseconds { *rc::gen::inRange(0, 500) });
         }
     }
--- a/src/bench/TokenDesign.cpp
+++ b/src/bench/TokenDesign.cpp
@@ -39,7 +39,7 @@
 {
     std::vector<AnnouncedBackend> announced;
     for (const BackendServer& server : configuration.m_backendServers)
-        announced.push_back({ identityOf(server.m_tunnel), server, 0, {} });
+        announced.push_back({ identityOf(server.m_tunnel), server, 1, {} });
     return announced;
 }
 
@@ -148,7 +148,7 @@
     if (!vm.m_loadMessageSchedule->isDue(message.m_loads, {}, contested.hasChanges(), now))
         return;
     message.m_peers = vm.m_peers->peersToGossip(now);
-    message.m_contestedFlows = contested.takeForMessage(c_maxContestedFlows);
+    message.m_contestedFlows = contested.takeForMessage(c_maxContestedFlows, now);
     const std::vector<Endpoint> targets = vm.m_peers->nextTargets(now);
     const std::size_t bytes = targets.size() * bytesOf(message);
     vm.m_loadMessageSchedule->recordLoadMessage(message.m_loads, {}, bytes, now, vm.m_peers->repeatAt(now));
@@ -165,7 +165,7 @@
     vm.m_peers->recordMessage(sender, message, now);
     (void)vm.m_peers->takeNewPeers(); // not needed: all VMs are seeds
     vm.m_router->applyPeerLoad(sender, message.m_loads, now, vm.m_peers->peerTimeout());
-    for (const ContestedFlow& flow : message.m_contestedFlows)
+    for (const ContestedFlowReport& flow : message.m_contestedFlows)
         vm.m_router->contestedFlows().apply(flow, now);
 }
 
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -61,6 +61,10 @@
     /// Allowance for a message's time on the way, which its receiver cannot measure.
     constexpr Duration c_transitTime = std::chrono::milliseconds { 10 };
 
+    /// Differences of the times since when two VMs know contested flows that only result from a message's way and
+    /// rounding.
+    constexpr Duration c_contestedMargin = std::chrono::milliseconds { 50 };
+
     constexpr std::uint64_t c_rankSalt = 0x72616e6b; // "rank"
 
     Duration staleReadDelay(unsigned higherRanked)
@@ -120,6 +124,7 @@
     state.m_isReading = message.m_isReading;
     state.m_versions = message.m_storeVersions;
     state.m_confirmedAt = message.m_stateAge ? now - *message.m_stateAge - c_transitTime : Instant {};
+    state.m_contestedKnownSince = now - message.m_contestedKnownFor;
     for (const ExchangePeer& gossiped : message.m_peers)
         addGossiped(gossiped, now);
 }
@@ -313,6 +318,26 @@
     return isFirst || now - m_behindSince >= c_otherZoneDelay ? inOtherZone : std::nullopt;
 }
 
+std::optional<Endpoint> ExchangePeers::peerWithEarlierContestedFlows(Instant knownSince, Instant now) const
+{
+    // Flows that were opened earlier have ended.
+    const Instant earliest = now - c_departedRetention;
+    std::optional<Endpoint> best;
+    std::pair<Instant, std::uint64_t> bestRank { knownSince - c_contestedMargin, 0 };
+    for (const auto& [peer, state] : m_peers) {
+        if (state.m_lastSeenAt == Instant {} || now - state.m_lastSeenAt >= c_peerExpiry)
+            continue;
+        // Spreads the requests of VMs that start at the same time over the peers that know all.
+        const std::pair<Instant, std::uint64_t> rank { std::max(state.m_contestedKnownSince, earliest),
+            hashPair(m_self.packed(), peer.packed()) };
+        if (rank < bestRank) {
+            best = peer;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
 std::vector<ExchangePeer> ExchangePeers::peersToGossip(Instant now)
 {
     std::vector<ExchangePeer> selected;
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -74,6 +74,10 @@
     /// the local zone's reader is about to receive the same state, but at once if this VM has no state.
     std::optional<Endpoint> peerWithNewerState(const StoreVersions& own, Instant now);
 
+    /// Another VM that knows the contested flows of a longer time than this one, which knows those opened since
+    /// knownSince; nullopt if there is none or this VM knows all that can still be open.
+    std::optional<Endpoint> peerWithEarlierContestedFlows(Instant knownSince, Instant now) const;
+
     /// Live peers to list in a message, round robin. Empty except shortly after the first message of a VM and about
     /// once a second.
     std::vector<ExchangePeer> peersToGossip(Instant now);
@@ -88,6 +92,7 @@
         bool m_isReading = false;
         StoreVersions m_versions {};
         Instant m_confirmedAt {}; ///< as of which m_versions were the store's; epoch: unknown
+        Instant m_contestedKnownSince {}; ///< valid if m_lastSeenAt is set
     };
 
     void addGossiped(const ExchangePeer& peer, Instant now);
--- a/src/exchange/LoadExchange.capnp
+++ b/src/exchange/LoadExchange.capnp
@@ -21,6 +21,8 @@
   evacuatedZones @13 :List(UInt32); # hashes of all evacuated zones as of evacuationsRevision
   retainedZones @14 :List(UInt32); # evacuated before a restore of the store, whose copy does not name them
   retainedMs @15 :UInt16; # how long they stay evacuated
+  contestedAgesMs @16 :List(UInt16); # of contestedFlows, since they were recorded, rounded up
+  contestedKnownMs @17 :UInt16; # the sender knows all contested flows opened within this time; 65535: or longer
 }
 
 struct BackendLoad {
@@ -36,6 +38,13 @@
   openingSequence @2 :UInt32;
 }
 
+# All contested flows that an entry VM knows, for one that has just started.
+struct ContestedFlows {
+  flows @0 :List(ContestedFlow);
+  agesMs @1 :List(UInt16); # of flows, since they were recorded, rounded up
+  knownMs @2 :UInt16; # as LoadMessage.contestedKnownMs
+}
+
 struct Peer {
   exchange @0 :UInt64; # packed endpoint
   zone @1 :UInt32;
--- a/src/exchange/LoadExchange.capnp.h
+++ b/src/exchange/LoadExchange.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(9d267c1da904f496);
 CAPNP_DECLARE_SCHEMA(9cfcf5ccf5c92802);
 CAPNP_DECLARE_SCHEMA(b5a6d169047a9dbf);
+CAPNP_DECLARE_SCHEMA(9b0317094d4fb230);
 CAPNP_DECLARE_SCHEMA(d7de521b2256aba4);
 
 }  // namespace schemas
@@ -35,7 +36,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -72,6 +73,21 @@
   };
 };
 
+struct ContestedFlows {
+  ContestedFlows() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9b0317094d4fb230, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -144,6 +160,11 @@
 
   inline  ::uint16_t getRetainedMs() const;
 
+  inline bool hasContestedAgesMs() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getContestedAgesMs() const;
+
+  inline  ::uint16_t getContestedKnownMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -247,6 +268,17 @@
   inline  ::uint16_t getRetainedMs();
   inline void setRetainedMs( ::uint16_t value);
 
+  inline bool hasContestedAgesMs();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getContestedAgesMs();
+  inline void setContestedAgesMs( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setContestedAgesMs(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initContestedAgesMs(unsigned int size);
+  inline void adoptContestedAgesMs(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownContestedAgesMs();
+
+  inline  ::uint16_t getContestedKnownMs();
+  inline void setContestedKnownMs( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -445,6 +477,103 @@
 };
 #endif  // !CAPNP_LITE
 
+class ContestedFlows::Reader {
+public:
+  typedef ContestedFlows Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlows() const;
+  inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader getFlows() const;
+
+  inline bool hasAgesMs() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getAgesMs() const;
+
+  inline  ::uint16_t getKnownMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ContestedFlows::Builder {
+public:
+  typedef ContestedFlows Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlows();
+  inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Builder getFlows();
+  inline void setFlows( ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Builder initFlows(unsigned int size);
+  inline void adoptFlows(::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>> disownFlows();
+
+  inline bool hasAgesMs();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getAgesMs();
+  inline void setAgesMs( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAgesMs(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initAgesMs(unsigned int size);
+  inline void adoptAgesMs(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownAgesMs();
+
+  inline  ::uint16_t getKnownMs();
+  inline void setKnownMs( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ContestedFlows::Pipeline {
+public:
+  typedef ContestedFlows Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Peer::Reader {
 public:
   typedef Peer Reads;
@@ -884,6 +1013,58 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadMessage::Reader::hasContestedAgesMs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadMessage::Builder::hasContestedAgesMs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getContestedAgesMs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getContestedAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void LoadMessage::Builder::setContestedAgesMs( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void LoadMessage::Builder::setContestedAgesMs(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initContestedAgesMs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void LoadMessage::Builder::adoptContestedAgesMs(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownContestedAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t LoadMessage::Reader::getContestedKnownMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LoadMessage::Builder::getContestedKnownMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setContestedKnownMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BackendLoad::Reader::getToken() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -968,6 +1149,92 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ContestedFlows::Reader::hasFlows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ContestedFlows::Builder::hasFlows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader ContestedFlows::Reader::getFlows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Builder ContestedFlows::Builder::getFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ContestedFlows::Builder::setFlows( ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>::Builder ContestedFlows::Builder::initFlows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ContestedFlows::Builder::adoptFlows(
+    ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>> ContestedFlows::Builder::disownFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cuminrelay::wire::ContestedFlow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ContestedFlows::Reader::hasAgesMs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ContestedFlows::Builder::hasAgesMs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ContestedFlows::Reader::getAgesMs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ContestedFlows::Builder::getAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ContestedFlows::Builder::setAgesMs( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void ContestedFlows::Builder::setAgesMs(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ContestedFlows::Builder::initAgesMs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ContestedFlows::Builder::adoptAgesMs(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ContestedFlows::Builder::disownAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t ContestedFlows::Reader::getKnownMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ContestedFlows::Builder::getKnownMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ContestedFlows::Builder::setKnownMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Peer::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/exchange/LoadMessage.cpp
+++ b/src/exchange/LoadMessage.cpp
@@ -28,9 +28,9 @@
         return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, c_unknownAge));
     }
 
-    std::uint16_t saturated(std::uint32_t value)
+    template <typename T> T saturated(std::int64_t value)
     {
-        return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, std::numeric_limits<std::uint16_t>::max()));
+        return static_cast<T>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<T>::max()));
     }
 
     void writeEvacuatedZones(const EvacuatedZones& evacuated, wire::LoadMessage::Builder root)
@@ -77,8 +77,14 @@
             message.m_dead.push_back({ token });
         for (const wire::Peer::Reader peer : reader.getPeers())
             message.m_peers.push_back({ Endpoint::fromPacked(peer.getExchange()), { peer.getZone() } });
-        for (const wire::ContestedFlow::Reader flow : reader.getContestedFlows())
-            message.m_contestedFlows.push_back({ { flow.getFlow() }, flow.getOpeningSequence(), { flow.getToken() } });
+        const capnp::List<std::uint16_t>::Reader ages = reader.getContestedAgesMs();
+        for (const wire::ContestedFlow::Reader flow : reader.getContestedFlows()) {
+            // Older programs send no ages and repeat only flows that they saw.
+            const unsigned index = static_cast<unsigned>(message.m_contestedFlows.size());
+            message.m_contestedFlows.push_back({ { { flow.getFlow() }, flow.getOpeningSequence(), { flow.getToken() } },
+                std::chrono::milliseconds { index < ages.size() ? ages[index] : 0 } });
+        }
+        message.m_contestedKnownFor = std::chrono::milliseconds { reader.getContestedKnownMs() };
         message.m_evacuated = readEvacuatedZones(reader);
         return message;
     }
@@ -113,8 +119,8 @@
     for (unsigned i = 0; i < loads.size(); ++i) {
         const BackendLoadReport& report = message.m_loads[i];
         loads[i].setToken(report.m_backend.m_value);
-        loads[i].setActiveRequests(saturated(report.m_load.m_activeRequests));
-        loads[i].setLongFlows(saturated(report.m_load.m_longFlows));
+        loads[i].setActiveRequests(saturated<std::uint16_t>(report.m_load.m_activeRequests));
+        loads[i].setLongFlows(saturated<std::uint16_t>(report.m_load.m_longFlows));
     }
     capnp::List<std::uint32_t>::Builder dead = root.initDead(static_cast<unsigned>(message.m_dead.size()));
     for (unsigned i = 0; i < dead.size(); ++i)
@@ -126,11 +132,15 @@
     }
     capnp::List<wire::ContestedFlow>::Builder contested
         = root.initContestedFlows(static_cast<unsigned>(message.m_contestedFlows.size()));
+    capnp::List<std::uint16_t>::Builder ages = root.initContestedAgesMs(contested.size());
     for (unsigned i = 0; i < contested.size(); ++i) {
-        contested[i].setFlow(message.m_contestedFlows[i].m_flow.m_value);
-        contested[i].setToken(message.m_contestedFlows[i].m_backend.m_value);
-        contested[i].setOpeningSequence(message.m_contestedFlows[i].m_openingSequence);
+        const ContestedFlow& flow = message.m_contestedFlows[i].m_content;
+        contested[i].setFlow(flow.m_flow.m_value);
+        contested[i].setToken(flow.m_backend.m_value);
+        contested[i].setOpeningSequence(flow.m_openingSequence);
+        ages.set(i, saturated<std::uint16_t>(message.m_contestedFlows[i].m_age.count()));
     }
+    root.setContestedKnownMs(saturated<std::uint16_t>(message.m_contestedKnownFor.count()));
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
     const std::size_t bytes = words.size() * sizeof(capnp::word);
     CR_ASSERT(bytes <= out.size(), "encoded load message exceeds the buffer");
--- a/src/exchange/LoadMessage.h
+++ b/src/exchange/LoadMessage.h
@@ -44,7 +44,9 @@
     std::vector<BackendLoadReport> m_loads;
     std::vector<BackendToken> m_dead; ///< backend servers that the sender found dead
     std::vector<ExchangePeer> m_peers; ///< some peers of the sender
-    std::vector<ContestedFlow> m_contestedFlows; ///< some that the sender added or resolved
+    std::vector<ContestedFlowReport> m_contestedFlows; ///< some that the sender knows
+    /// The sender knows all contested flows that were opened within this time, up to their maximum lifetime.
+    std::chrono::milliseconds m_contestedKnownFor {};
     EvacuatedZones m_evacuated; ///< all, as of m_storeVersions.m_evacuations
 
     friend bool operator==(const LoadMessage&, const LoadMessage&) = default;
@@ -54,7 +56,7 @@
 inline constexpr std::size_t c_maxLoadMessageBytes = 1'400;
 
 /// Maximum numbers of entries in one message.
-inline constexpr std::size_t c_maxLoads = 118;
+inline constexpr std::size_t c_maxLoads = 115;
 inline constexpr std::size_t c_maxDead = 24;
 inline constexpr std::size_t c_maxPeers = 8;
 inline constexpr std::size_t c_maxContestedFlows = 6;
--- a/src/exchange/LoadMessageTest.cpp
+++ b/src/exchange/LoadMessageTest.cpp
@@ -30,7 +30,8 @@
         for (std::uint32_t i = 0; i < c_maxPeers; ++i)
             message.m_peers.push_back({ { i, 7720 }, { i } });
         for (std::uint32_t i = 0; i < c_maxContestedFlows; ++i)
-            message.m_contestedFlows.push_back({ { i }, i, { i } });
+            message.m_contestedFlows.push_back({ { { i }, i, { i } }, std::chrono::milliseconds { 1'000 * i } });
+        message.m_contestedKnownFor = std::chrono::seconds { 60 };
         Buffer buffer;
         const Outcome<LoadMessage> decoded = decodeLoadMessage(encodeLoadMessage(message, buffer.m_bytes));
         ASSERT_TRUE(decoded.has_value());
@@ -52,8 +53,11 @@
         for (int i = *rc::gen::inRange(0, 8); i > 0; --i)
             message.m_evacuated.m_zones.push_back({ *rc::gen::arbitrary<std::uint32_t>() });
         for (std::size_t i = *rc::gen::inRange<std::size_t>(0, c_maxContestedFlows); i > 0; --i)
-            message.m_contestedFlows.push_back({ { *rc::gen::arbitrary<std::uint64_t>() },
-                *rc::gen::arbitrary<std::uint32_t>(), { *rc::gen::arbitrary<std::uint32_t>() } });
+            message.m_contestedFlows.push_back(
+                { { { *rc::gen::arbitrary<std::uint64_t>() }, *rc::gen::arbitrary<std::uint32_t>(),
+                      { *rc::gen::arbitrary<std::uint32_t>() } },
+                    std::chrono::milliseconds { *rc::gen::inRange(0, 60'001) } });
+        message.m_contestedKnownFor = std::chrono::milliseconds { *rc::gen::inRange(0, 60'001) };
         if (*rc::gen::arbitrary<bool>())
             message.m_stateAge = std::chrono::milliseconds { *rc::gen::arbitrary<std::uint16_t>() };
         for (int i = *rc::gen::inRange(0, 20); i > 0; --i)
--- a/src/exchange/StoreUpdateClient.cpp
+++ b/src/exchange/StoreUpdateClient.cpp
@@ -40,24 +40,46 @@
 }
 
 asio::awaitable<Outcome<StoreUpdate>> StoreUpdateClient::fetch(Endpoint peer, StoreVersions held)
+{
+    const Outcome<std::string> body = co_await get(peer, storeUpdateTarget(held));
+    if (!body)
+        co_return body.error();
+    Outcome<StoreUpdate> update = decodeStoreUpdate(body.value(), m_clock.now());
+    if (!update)
+        co_return Error { ErrorKind::InvalidInput, unavailable(peer, update.error().m_message).m_message };
+    co_return update;
+}
+
+asio::awaitable<Outcome<ContestedFlowsMessage>> StoreUpdateClient::fetchContestedFlows(Endpoint peer)
+{
+    const Outcome<std::string> body = co_await get(peer, std::string { c_contestedFlowsTarget });
+    if (!body)
+        co_return body.error();
+    Outcome<ContestedFlowsMessage> flows = decodeContestedFlows(body.value());
+    if (!flows)
+        co_return Error { ErrorKind::InvalidInput, unavailable(peer, flows.error().m_message).m_message };
+    co_return flows;
+}
+
+asio::awaitable<Outcome<std::string>> StoreUpdateClient::get(Endpoint peer, std::string target)
 {
     const bool hasConnection = m_stream && isReusable(m_stream->socket());
     const FetchSchedule::Attempt first = m_schedule.begin(peer, hasConnection, m_clock.now());
-    Outcome<StoreUpdate> update = unavailable(peer, "no attempt");
+    Outcome<std::string> body = unavailable(peer, "no attempt");
     for (std::optional<FetchSchedule::Attempt> attempt = first; attempt;
          attempt = FetchSchedule::next(*attempt, m_clock.now())) {
         boost::beast::tcp_stream stream
             = attempt->m_isOnKeptConnection ? std::move(*m_stream) : boost::beast::tcp_stream { m_executor };
         m_stream.reset();
-        update = co_await fetchOn(std::move(stream), peer, held, *attempt);
-        if (update || update.error().m_kind == ErrorKind::InvalidInput)
+        body = co_await getOn(std::move(stream), peer, target, *attempt);
+        if (body)
             break;
     }
-    co_return update;
+    co_return body;
 }
 
-asio::awaitable<Outcome<StoreUpdate>> StoreUpdateClient::fetchOn(
-    boost::beast::tcp_stream stream, Endpoint peer, StoreVersions held, FetchSchedule::Attempt attempt)
+asio::awaitable<Outcome<std::string>> StoreUpdateClient::getOn(
+    boost::beast::tcp_stream stream, Endpoint peer, std::string target, FetchSchedule::Attempt attempt)
 {
     boost::system::error_code failure;
     if (!attempt.m_isOnKeptConnection) {
@@ -68,7 +90,7 @@
             co_return unavailable(peer, failure.message());
     }
     expireAt(stream, attempt.m_answerBy);
-    http::request<http::empty_body> request { http::verb::get, storeUpdateTarget(held), c_httpVersion };
+    http::request<http::empty_body> request { http::verb::get, target, c_httpVersion };
     request.set(http::field::host, formatEndpoint(peer));
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
@@ -83,7 +105,7 @@
     co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
         co_return unavailable(peer, failure.message());
-    const http::response<http::string_body>& response = parser.get();
+    http::response<http::string_body>& response = parser.get();
     if (response.result() != http::status::ok)
         co_return unavailable(peer, response.body());
     // Bytes after the response would be read as the response to the next request.
@@ -91,10 +113,7 @@
         m_stream.emplace(std::move(stream));
         m_schedule.keepConnection(peer, m_clock.now());
     }
-    Outcome<StoreUpdate> update = decodeStoreUpdate(response.body(), m_clock.now());
-    if (!update)
-        co_return Error { ErrorKind::InvalidInput, unavailable(peer, update.error().m_message).m_message };
-    co_return update;
+    co_return std::move(response.body());
 }
 
 void StoreUpdateClient::expireAt(boost::beast::tcp_stream& stream, Deadline deadline) const
--- a/src/exchange/StoreUpdateServer.cpp
+++ b/src/exchange/StoreUpdateServer.cpp
@@ -1,5 +1,6 @@
 #include "exchange/StoreUpdateServer.h"
 
+#include "exchange/ContestedFlowsMessage.h"
 #include "exchange/StoreUpdateMessage.h"
 
 #include <algorithm>
@@ -27,15 +28,20 @@
 } // namespace
 
 StoreUpdateServer::StoreUpdateServer(const boost::asio::any_io_executor& executor, const StoreCache& storeCache,
-    const Clock& clock, Metrics& metrics, Log& log)
+    const ContestedFlows& contestedFlows, const Clock& clock, Metrics& metrics, Log& log)
     : HttpGetServer(executor, "news", metrics, log)
     , m_storeCache(storeCache)
+    , m_contestedFlows(contestedFlows)
     , m_clock(clock)
 {
 }
 
 HttpGetResponse StoreUpdateServer::answer(std::string_view target)
 {
+    if (target == c_contestedFlowsTarget) {
+        const Instant now = m_clock.now();
+        return { 200, encodeContestedFlows({ m_contestedFlows.reports(now), m_contestedFlows.knownFor(now) }) };
+    }
     const Outcome<StoreVersions> held = parseStoreUpdateTarget(target);
     if (!held)
         return { 400, held.error().m_message };
--- a/src/packets/Packet.cpp
+++ b/src/packets/Packet.cpp
@@ -67,6 +67,8 @@
         return "state_unconfirmed";
     case Reason::UnknownBackend:
         return "unknown_backend";
+    case Reason::OpeningUnproven:
+        return "opening_unproven";
     case Reason::BackendGone:
         return "backend_gone";
     case Reason::Count:
--- a/src/packets/Packet.h
+++ b/src/packets/Packet.h
@@ -55,7 +55,7 @@
     std::uint32_t m_acknowledgment = 0; ///< TCP only
     Endpoint m_peer; ///< the sending entry VM; unset if from the fabric
     Endpoint m_recordedBackend; ///< the backend server that the owner chose; for Arrival::Record
-    std::uint32_t m_carriedToken = 0; ///< token of the flow's backend server; 0: none or not supported
+    std::uint32_t m_carriedToken = 0; ///< token that the caller received last; 0: none or not supported
     std::uint8_t m_retransmissions = 0; ///< earlier transmissions of an opening packet, if it carries their number
 };
 
@@ -94,6 +94,7 @@
     NotConfigured, ///< this VM has no configuration or no list of backend servers yet
     StateUnconfirmed, ///< this VM's state of the store may be outdated, so that it refuses and resets nothing by it
     UnknownBackend, ///< token of a backend server that is not in this VM's list
+    OpeningUnproven, ///< token of an answer to an opening packet; the flow may be open at another backend server
     BackendGone, ///< the flow's backend server has left or failed
     Count,
 };
--- a/src/relay/RelayGaugesTest.cpp
+++ b/src/relay/RelayGaugesTest.cpp
@@ -88,7 +88,7 @@
     {
         constexpr std::uint64_t tooMany = 3;
         for (std::uint64_t flow = 0; flow < ContestedFlows::s_maxFlows + tooMany; ++flow)
-            m_router.contestedFlows().apply({ { flow }, 1, { 1 } }, c_now);
+            m_router.contestedFlows().apply({ { { flow }, 1, { 1 } }, {} }, c_now);
         m_gauges.update(m_router, {}, c_now);
         m_gauges.update(m_router, {}, c_now);
         EXPECT_EQ(m_metrics.counter("cuminrelay_flows_over_limit_total", "contested_flows").value(), tooMany);
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -57,6 +57,12 @@
         return "unknown";
     }
 
+    /// Since the Unix epoch.
+    Duration timeOfDay()
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+    }
+
     std::int64_t toMilliseconds(Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -76,8 +82,8 @@
     , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
     , m_evacuations(m_settings.m_zones)
     , m_storeUpdateClient(environment.m_context.get_executor(), environment.m_clock)
-    , m_storeUpdateServer(environment.m_context.get_executor(), m_storeCache, environment.m_clock,
-          environment.m_metrics, environment.m_log)
+    , m_storeUpdateServer(environment.m_context.get_executor(), m_storeCache, m_router.contestedFlows(),
+          environment.m_clock, environment.m_metrics, environment.m_log)
     , m_backendsWatch(environment.m_backends, *this, { environment.m_clock, environment.m_metrics, environment.m_log },
           hashText(m_settings.m_name, c_backendsSalt))
     , m_declarationsWatch(environment.m_declarations, *this,
@@ -119,6 +125,7 @@
 {
     // By default, a write to a closed connection ends the process.
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler): SIG_IGN is no handler
+    m_router.setTimeOfDay(timeOfDay(), m_environment.m_clock.now());
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
     m_signals.add(SIGHUP);
@@ -192,7 +199,7 @@
     }
     introduceNewPeers(now);
     m_router.applyPeerLoad(peer, message.value().m_loads, now, m_peers.peerTimeout());
-    for (const ContestedFlow& flow : message.value().m_contestedFlows)
+    for (const ContestedFlowReport& flow : message.value().m_contestedFlows)
         m_router.contestedFlows().apply(flow, now);
     m_router.applyDeadHints(message.value().m_dead, message.value().m_zone, now);
     if (m_peers.localZonePeerCount() != countBefore)
@@ -209,12 +216,14 @@
         co_await timer.async_wait(c_asTuple);
         const Instant now = m_environment.m_clock.now();
         detectPause(now);
+        m_router.setTimeOfDay(timeOfDay(), now);
         m_router.tick(now);
         updateZoneMembers(now);
         endRetention(now);
         updateReadiness();
         startProbes(now);
         chooseReader(now);
+        fetchFromPeers(now);
         confirmState(now);
         announceStoreUpdate(now);
         sendLoadMessages(now);
@@ -236,20 +245,30 @@
     m_router.updateZoneMembers(m_zoneMembers, now);
 }
 
-/// Decides whether this VM follows the store, and fetches a store update from a VM with a newer state.
+/// Decides whether this VM follows the store.
 void RelayProcess::chooseReader(Instant now)
 {
     const bool isReading = m_peers.shouldRead(storeVersions(), stateConfirmedAt(), now);
     m_backendsWatch.setReading(isReading);
     m_declarationsWatch.setReading(isReading);
     m_evacuationsWatch.setReading(isReading);
+}
+
+/// Fetches a store update from a VM with a newer state, or contested flows from one that knows more of them.
+void RelayProcess::fetchFromPeers(Instant now)
+{
     if (m_isFetching || now < m_nextFetchAt)
         return;
-    const std::optional<Endpoint> peer = m_peers.peerWithNewerState(storeVersions(), now);
-    if (!peer)
+    if (const std::optional<Endpoint> peer = m_peers.peerWithNewerState(storeVersions(), now)) {
+        m_isFetching = true;
+        m_tasks.runOnce("store_update", fetchStoreUpdate(*peer), [this] { m_isFetching = false; });
         return;
-    m_isFetching = true;
-    m_tasks.runOnce("store_update", fetchStoreUpdate(*peer), [this] { m_isFetching = false; });
+    }
+    const Instant knownSince = m_router.contestedFlows().knownSince();
+    if (const std::optional<Endpoint> peer = m_peers.peerWithEarlierContestedFlows(knownSince, now)) {
+        m_isFetching = true;
+        m_tasks.runOnce("contested_flows", fetchContestedFlows(*peer), [this] { m_isFetching = false; });
+    }
 }
 
 /// Sets the router's confirmation of the state, and calls the store for a later one if a reset waits for it.
@@ -299,6 +318,24 @@
         m_nextFetchAt = m_environment.m_clock.now() + c_uselessUpdateDelay;
 }
 
+asio::awaitable<void> RelayProcess::fetchContestedFlows(Endpoint peer)
+{
+    const Outcome<ContestedFlowsMessage> flows = co_await m_storeUpdateClient.fetchContestedFlows(peer);
+    m_isFetching = false;
+    const Instant now = m_environment.m_clock.now();
+    m_nextFetchAt = now + c_uselessUpdateDelay;
+    m_environment.m_metrics.counter("cuminrelay_contested_flow_lists_total", flows ? "taken" : "unavailable").add();
+    if (!flows) {
+        m_environment.m_log.warning(
+            "exchange", "contested_flows_unavailable", { { "error", flows.error().m_message } });
+        co_return;
+    }
+    m_router.contestedFlows().restore(flows.value().m_flows, now - flows.value().m_knownFor, now);
+    m_environment.m_log.info("exchange", "contested_flows_taken",
+        { { "peer", formatEndpoint(peer) }, { "flows", flows.value().m_flows.size() },
+            { "known_for_ms", flows.value().m_knownFor.count() } });
+}
+
 void RelayProcess::applyStoreUpdate(const StoreUpdate& storeUpdate, Endpoint peer)
 {
     m_environment.m_log.info("exchange", "news_taken",
@@ -340,7 +377,7 @@
         return;
     m_message.m_loads = std::move(loads);
     m_message.m_dead = std::move(dead);
-    m_message.m_contestedFlows = contested.takeForMessage(c_maxContestedFlows);
+    m_message.m_contestedFlows = contested.takeForMessage(c_maxContestedFlows, now);
     const std::size_t bytes = sendTo(m_peers.nextTargets(now), m_peers.peersToGossip(now));
     m_loadMessageSchedule.recordLoadMessage(m_message.m_loads, m_message.m_dead, bytes, now, m_peers.repeatAt(now));
 }
@@ -372,6 +409,7 @@
     const Instant confirmedAt = stateConfirmedAt();
     m_message.m_stateAge
         = confirmedAt != Instant {} ? std::optional { m_environment.m_clock.now() - confirmedAt } : std::nullopt;
+    m_message.m_contestedKnownFor = m_router.contestedFlows().knownFor(m_environment.m_clock.now());
     m_message.m_peers.assign(gossiped.begin(), gossiped.end());
     const std::span<const std::byte> encoded = encodeLoadMessage(m_message, m_sendBuffer);
     for (const Endpoint target : targets) {
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -88,6 +88,7 @@
     boost::asio::awaitable<void> runPeriodicTasks();
     boost::asio::awaitable<void> serveSignals();
     boost::asio::awaitable<void> fetchStoreUpdate(Endpoint peer);
+    boost::asio::awaitable<void> fetchContestedFlows(Endpoint peer);
     boost::asio::awaitable<void> probeBackend(LivenessProbe probe);
 
     void applyLoadMessage(std::span<const std::byte> datagram, Endpoint peer, Instant now);
@@ -98,6 +99,7 @@
     void updateZoneMembers(Instant now);
     StoreVersions storeVersions() const;
     void chooseReader(Instant now);
+    void fetchFromPeers(Instant now);
     void confirmState(Instant now);
     Instant stateConfirmedAt();
     void sendLoadMessages(Instant now);
@@ -144,7 +146,7 @@
     bool m_hasStoreUpdate = false; ///< to announce to the local zone
     bool m_isFetching = false;
     Deadline m_nextConfirmationAt {}; ///< earliest time of the next call to confirm the state
-    Deadline m_nextFetchAt {}; ///< earliest time of the next request for a store update
+    Deadline m_nextFetchAt {}; ///< earliest time of the next request to another VM
     Instant m_resumedAt {}; ///< messages received before may be older than the last pause
     RelayGauges m_gauges;
     Deadline m_nextGaugeUpdateAt {};
