platform: only a backend server's name and start make an entry one

Cause: an entry without "born" was taken, and the identity was what follows the last dash of any name. "static-0" had the identity 0, which any server at the address accepts. An update of another VM that holds an entry without identity, start, slots or address leads to no backend server.

--- a/src/affinity/Backend.h
+++ b/src/affinity/Backend.h
@@ -7,7 +7,8 @@
 
 namespace cuminrelay {
 
-/// Identity of a backend server, carried by the packets sent to it. Another server at its address ignores them.
+/// Identity of a backend server, carried by the packets sent to it. Another server at its address ignores them. Never 0
+/// in an AnnouncedBackend: packets with the identity 0 are accepted by any server.
 struct BackendIdentity {
     std::uint64_t m_value = 0;
 
@@ -29,7 +30,7 @@
 struct AnnouncedBackend {
     BackendIdentity m_identity;
     BackendServer m_server; ///< packets are sent to its tunnel endpoint
-    std::uint64_t m_startedAtUnixMs = 0; ///< distinguishes restarts under one identity; 0: not announced
+    std::uint64_t m_startedAtUnixMs = 0; ///< distinguishes restarts under one identity; never 0 in a store entry
     std::uint64_t m_sequence = 0; ///< rises with each write of the entry since the start
     Deadline m_warmAt {}; ///< end of the warm-up, during which it is slower
 };
--- a/src/exchange/StoreCacheTest.cpp
+++ b/src/exchange/StoreCacheTest.cpp
@@ -20,6 +20,8 @@
     {
         AnnouncedBackend backend;
         backend.m_identity = { identity };
+        backend.m_startedAtUnixMs = 40;
+        backend.m_server.m_slots = 2;
         backend.m_warmAt = c_now;
         backend.m_server.m_name = "i-" + std::to_string(identity);
         backend.m_server.m_zone = zone;
@@ -227,6 +229,21 @@
         EXPECT_TRUE(identitiesOf(storeCache).empty());
     }
 
+    // Entries that another VM with an older program accepted.
+    TEST(StoreCacheTest, unusableBackendServersInAnUpdateLeadToNoBackendServer)
+    {
+        StoreUpdate update;
+        update.m_isComplete = true;
+        update.m_backendsRevision = { 20 };
+        update.m_backends = { makeBackend(0), makeBackend(1), makeBackend(2), makeBackend(3), makeBackend(4) };
+        update.m_backends[1].m_startedAtUnixMs = 0;
+        update.m_backends[2].m_server.m_slots = 0;
+        update.m_backends[3].m_server.m_tunnel.m_port = 0;
+        StoreCache storeCache;
+        applyStoreUpdate(storeCache, update);
+        EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 4 });
+    }
+
     /// Takes over a list of the store as an entry VM does.
     bool read(StoreCache& storeCache, const BackendList& list, Instant now = c_now)
     {
--- a/src/exchange/StoreUpdateMessage.cpp
+++ b/src/exchange/StoreUpdateMessage.cpp
@@ -85,6 +85,15 @@
         return backend;
     }
 
+    /// Whether a VM may send packets to a backend server that another VM, perhaps with an older program, took from the
+    /// store.
+    bool isUsable(const AnnouncedBackend& backend)
+    {
+        return backend.m_identity != BackendIdentity {} && backend.m_startedAtUnixMs != 0
+            && backend.m_server.m_slots != 0 && backend.m_server.m_tunnel.m_address != 0
+            && backend.m_server.m_tunnel.m_port != 0;
+    }
+
     /// Collects distinct selectors; most services share a few.
     class SelectorTable {
     public:
@@ -226,8 +235,11 @@
         StoreUpdate update;
         update.m_isComplete = reader.getComplete();
         update.m_backendsRevision = { reader.getBackendsRevision(), reader.getBackendsEra() };
-        for (const wire::Backend::Reader backend : limit.checked(reader.getBackends()))
-            update.m_backends.push_back(readBackend(backend, limit, now));
+        for (const wire::Backend::Reader entry : limit.checked(reader.getBackends())) {
+            AnnouncedBackend backend = readBackend(entry, limit, now);
+            if (isUsable(backend))
+                update.m_backends.push_back(std::move(backend));
+        }
         for (const std::uint64_t identity : limit.checked(reader.getWithdrawn()))
             update.m_withdrawn.push_back({ identity });
         update.m_declarationsRevision = { reader.getDeclarationsRevision(), reader.getDeclarationsEra() };
--- a/src/exchange/StoreUpdateMessageTest.cpp
+++ b/src/exchange/StoreUpdateMessageTest.cpp
@@ -56,6 +56,9 @@
         for (unsigned i = 1; i <= 3'500; ++i) {
             AnnouncedBackend& backend = update.m_backends.emplace_back();
             backend.m_identity = { i };
+            backend.m_startedAtUnixMs = 1;
+            backend.m_server.m_slots = 1;
+            backend.m_server.m_tunnel = { i, 8080 };
             for (unsigned label = 0; label < 5; ++label)
                 backend.m_server.m_labels.emplace(std::to_string(label), "v");
         }
