--- a/src/affinity/BackendCatalog.cpp
+++ b/src/affinity/BackendCatalog.cpp
@@ -1,5 +1,7 @@
 #include "affinity/BackendCatalog.h"
 
+#include "base/Assert.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -24,42 +26,46 @@
     std::vector<BackendIdentity> present;
     present.reserve(announced.size());
     for (const AnnouncedBackend& backend : announced) {
-        announce(backend, now);
+        apply(backend, now);
         present.push_back(backend.m_identity);
     }
     std::sort(present.begin(), present.end());
     std::vector<BackendIdentity> missing;
     for (const auto& [token, tracked] : m_backends) {
-        if (tracked.m_presence == Presence::Announced
-            && !std::binary_search(present.begin(), present.end(), tracked.m_announced.m_identity))
+        if (isListed(tracked) && !std::binary_search(present.begin(), present.end(), tracked.m_announced.m_identity))
             missing.push_back(tracked.m_announced.m_identity);
     }
     for (const BackendIdentity identity : missing)
         withdraw(identity, now);
+    updateOwners(now);
 }
 
 void BackendCatalog::announce(const AnnouncedBackend& announced, Instant now)
 {
-    retirePreviousOwner(announced, now);
+    const TrackedBackend* const known = find(tokenOf(announced.m_identity));
+    const Endpoint previousAddress = known ? known->m_announced.m_server.m_tunnel : Endpoint {};
+    apply(announced, now);
+    updateOwner(announced.m_server.m_tunnel, now);
+    if (known && previousAddress != announced.m_server.m_tunnel)
+        updateOwner(previousAddress, now);
+}
+
+void BackendCatalog::apply(const AnnouncedBackend& announced, Instant now)
+{
+    CR_ASSERT(announced.m_identity != BackendIdentity {}, "an announced backend server needs an identity");
     const BackendToken token = tokenOf(announced.m_identity);
     const auto [found, isNew] = m_backends.try_emplace(token.m_value);
     TrackedBackend& tracked = found->second;
-    if (isNew) {
-        tracked.m_token = token;
-        tracked.m_announced = announced;
-        recordStart(tracked, now);
-        ++m_generation;
-        return;
-    }
-    if (tracked.m_announced.m_identity == announced.m_identity) {
+    if (!isNew && tracked.m_announced.m_identity == announced.m_identity) {
         update(tracked, announced, now);
         return;
     }
-    if (!isOlder(announced, tracked.m_announced)) {
+    if (!isNew && !isOlder(announced, tracked.m_announced)) {
         m_shadowed[announced.m_identity] = announced;
         return;
     }
-    m_shadowed[tracked.m_announced.m_identity] = tracked.m_announced;
+    if (!isNew)
+        m_shadowed[tracked.m_announced.m_identity] = tracked.m_announced;
     m_shadowed.erase(announced.m_identity);
     tracked = TrackedBackend {};
     tracked.m_token = token;
@@ -76,18 +82,46 @@
         tracked.m_pace.recordStart(tracked.m_announced.m_warmAt, now);
 }
 
-void BackendCatalog::retirePreviousOwner(const AnnouncedBackend& announced, Instant now)
+bool BackendCatalog::isListed(const TrackedBackend& tracked)
 {
+    return tracked.m_presence == Presence::Announced || tracked.m_isSuperseded;
+}
+
+void BackendCatalog::updateOwner(Endpoint address, Instant now)
+{
+    std::uint64_t latestStart = 0;
+    for (const auto& [token, tracked] : m_backends) {
+        if (tracked.m_announced.m_server.m_tunnel == address && isListed(tracked))
+            latestStart = std::max(latestStart, tracked.m_announced.m_startedAtUnixMs);
+    }
     for (auto& [token, tracked] : m_backends) {
-        if (tracked.m_announced.m_identity == announced.m_identity || tracked.m_presence == Presence::Departed
-            || tracked.m_announced.m_server.m_tunnel != announced.m_server.m_tunnel
-            || tracked.m_announced.m_startedAtUnixMs >= announced.m_startedAtUnixMs)
-            continue;
-        tracked.m_presence = Presence::Departed;
-        tracked.m_withdrawnAt = now;
-        tracked.m_presenceDeadline = now + c_departedRetention;
+        if (tracked.m_announced.m_server.m_tunnel == address)
+            applyOwner(tracked, latestStart, now);
+    }
+}
+
+void BackendCatalog::updateOwners(Instant now)
+{
+    std::map<Endpoint, std::uint64_t> latestStarts;
+    for (const auto& [token, tracked] : m_backends) {
+        std::uint64_t& latest = latestStarts[tracked.m_announced.m_server.m_tunnel];
+        if (isListed(tracked))
+            latest = std::max(latest, tracked.m_announced.m_startedAtUnixMs);
+    }
+    for (auto& [token, tracked] : m_backends)
+        applyOwner(tracked, latestStarts[tracked.m_announced.m_server.m_tunnel], now);
+}
+
+void BackendCatalog::applyOwner(TrackedBackend& tracked, std::uint64_t latestStart, Instant now)
+{
+    const bool isOwner = tracked.m_announced.m_startedAtUnixMs >= latestStart;
+    if (tracked.m_isSuperseded && isOwner) {
+        update(tracked, AnnouncedBackend { tracked.m_announced }, now);
+    } else if (!isOwner && tracked.m_presence != Presence::Departed) {
+        const bool isSuperseded = isListed(tracked);
+        remove(tracked, Presence::Departed, now);
+        tracked.m_isSuperseded = isSuperseded;
         tracked.m_confirmedDead = true;
-        ++m_generation;
     }
 }
 
@@ -102,6 +136,7 @@
         tracked.m_warmupRate.reset();
     const bool gotNoFlows = !tracked.acceptsNewFlows();
     tracked.m_presence = Presence::Announced;
+    tracked.m_isSuperseded = false;
     tracked.m_withdrawnAt = Instant {};
     tracked.m_presenceDeadline = Deadline {};
     tracked.m_announced = announced;
@@ -117,28 +152,33 @@
 void BackendCatalog::withdraw(BackendIdentity identity, Instant now)
 {
     m_shadowed.erase(identity);
-    if (TrackedBackend* const tracked = findAnnounced(identity))
-        remove(*tracked, tracked->m_announced.m_server.m_draining ? Presence::Departed : Presence::Expired, now);
+    TrackedBackend* const tracked = findListed(identity);
+    if (!tracked)
+        return;
+    const bool isGone = tracked->m_announced.m_server.m_draining || tracked->m_isSuperseded;
+    remove(*tracked, isGone ? Presence::Departed : Presence::Expired, now);
+    updateOwner(tracked->m_announced.m_server.m_tunnel, now);
 }
 
 void BackendCatalog::depart(BackendIdentity identity, Instant now)
 {
     m_shadowed.erase(identity);
-    if (TrackedBackend* const tracked = findAnnounced(identity))
+    if (TrackedBackend* const tracked = findListed(identity)) {
         remove(*tracked, Presence::Departed, now);
+        updateOwner(tracked->m_announced.m_server.m_tunnel, now);
+    }
 }
 
-TrackedBackend* BackendCatalog::findAnnounced(BackendIdentity identity)
+TrackedBackend* BackendCatalog::findListed(BackendIdentity identity)
 {
     TrackedBackend* const tracked = find(tokenOf(identity));
-    const bool isAnnounced
-        = tracked && tracked->m_announced.m_identity == identity && tracked->m_presence == Presence::Announced;
-    return isAnnounced ? tracked : nullptr;
+    return tracked && tracked->m_announced.m_identity == identity && isListed(*tracked) ? tracked : nullptr;
 }
 
 void BackendCatalog::remove(TrackedBackend& tracked, Presence presence, Instant now)
 {
     tracked.m_presence = presence;
+    tracked.m_isSuperseded = false;
     tracked.m_withdrawnAt = now;
     tracked.m_presenceDeadline = now + (presence == Presence::Departed ? c_departedRetention : c_expiredEntryGrace);
     ++m_generation;
@@ -149,7 +189,7 @@
     std::vector<AnnouncedBackend> unshadowed;
     for (auto position = m_backends.begin(); position != m_backends.end();) {
         TrackedBackend& tracked = position->second;
-        if (tracked.m_presence == Presence::Announced || now < tracked.m_presenceDeadline) {
+        if (tracked.m_presence == Presence::Announced || tracked.m_isSuperseded || now < tracked.m_presenceDeadline) {
             ++position;
             continue;
         }
--- a/src/affinity/BackendCatalog.h
+++ b/src/affinity/BackendCatalog.h
@@ -19,7 +19,7 @@
 enum class Presence : std::uint8_t {
     Announced,
     Expired, ///< entry disappeared, not draining: the server crashed, or failed to renew the entry and will return
-    Departed, ///< shut down, entry stayed absent, or a younger backend server has the address
+    Departed, ///< shut down, entry stayed absent, or superseded: a younger backend server has the address
 };
 
 /// Load of a backend server, as observed by one or more entry VMs.
@@ -34,7 +34,8 @@
     AnnouncedBackend m_announced;
     BackendToken m_token;
     Presence m_presence = Presence::Announced;
-    Instant m_withdrawnAt {}; ///< when the entry disappeared; valid unless Announced
+    bool m_isSuperseded = false; ///< Departed although its entry is there
+    Instant m_withdrawnAt {}; ///< when the entry disappeared or was superseded; valid unless Announced
     Deadline m_presenceDeadline {}; ///< end of Expired, or removal if Departed
     LivenessTracker m_liveness;
     bool m_confirmedDead = false; ///< unresponsive to callers and a probe, or replaced at its address
@@ -60,8 +61,10 @@
 inline constexpr Duration c_departedRetention = std::chrono::seconds { 60 };
 
 /// Backend servers announced to this entry VM, by the token that packets carry. When two share a token, the older one
-/// keeps it and the younger one is not used until the older one is removed, on every VM alike. References stay valid
-/// until the backend server is removed. Memory: some 600 bytes for each backend server.
+/// keeps it and the younger one is not used until the older one is removed, on every VM alike. An address has one
+/// owner, the youngest backend server that is announced there, in whatever order they were announced: it supersedes the
+/// others until its entry disappears. References stay valid until the backend server is removed. Memory: some 600 bytes
+/// for each backend server.
 class BackendCatalog {
 public:
     /// Applies the complete list: entries that are not in it are withdrawn.
@@ -100,9 +103,22 @@
     std::size_t size() const { return m_backends.size(); }
 
 private:
-    /// Marks older backend servers at the same address as departed, despite their entries: an address has one owner.
-    void retirePreviousOwner(const AnnouncedBackend& announced, Instant now);
-    TrackedBackend* findAnnounced(BackendIdentity identity);
+    /// Adds or updates a backend server. Its address may have several owners afterwards.
+    void apply(const AnnouncedBackend& announced, Instant now);
+
+    /// Whether the entry of a backend server is there.
+    static bool isListed(const TrackedBackend& tracked);
+
+    /// Decide which of the backend servers announced at an address, or at each address, is its owner. Cost:
+    /// O(backend servers).
+    void updateOwner(Endpoint address, Instant now);
+    void updateOwners(Instant now);
+
+    /// Supersedes or reinstates a backend server. latestStart: of those that are announced at its address.
+    void applyOwner(TrackedBackend& tracked, std::uint64_t latestStart, Instant now);
+
+    /// The backend server with this identity whose entry is there, or nullptr.
+    TrackedBackend* findListed(BackendIdentity identity);
     void remove(TrackedBackend& tracked, Presence presence, Instant now);
     void recordStart(TrackedBackend& tracked, Instant now);
     void update(TrackedBackend& tracked, const AnnouncedBackend& announced, Instant now);
--- a/src/discovery/Discovery.h
+++ b/src/discovery/Discovery.h
@@ -33,6 +33,7 @@
     std::string m_name; ///< empty if even the name cannot be read
     StoreRevision m_revision; ///< of its last change; 0 if it cannot be read
     std::string m_problem; ///< what was found and what is allowed
+    std::optional<BackendIdentity> m_identity {}; ///< of the backend server whose name it has, if any
 };
 
 struct BackendList {
@@ -44,14 +45,15 @@
 /// One added, changed or removed entry.
 struct BackendChange {
     BackendIdentity m_identity;
-    std::optional<AnnouncedBackend> m_backend; ///< empty: removed
+    std::optional<AnnouncedBackend> m_backend; ///< empty: removed, or unreadable
     std::string m_name {}; ///< of the entry; empty in a change that another VM sent
+    bool m_isUnreadable = false; ///< the entry exists, but names no backend server to use
 };
 
-/// The last change of each changed entry.
+/// The changes of entries in the order in which they were made.
 struct BackendChanges {
     std::vector<BackendChange> m_changes;
-    std::vector<UnreadableEntry> m_unreadable; ///< name no backend server to use, whatever they named before
+    std::vector<UnreadableEntry> m_unreadable; ///< after these changes, also those whose names are of no backend server
     StoreRevision m_revision;
 };
 
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -318,6 +318,19 @@
     return isFirst || now - m_behindSince >= c_otherZoneDelay ? inOtherZone : std::nullopt;
 }
 
+std::optional<Endpoint> ExchangePeers::peerWithState(const StoreVersions& own, Instant now)
+{
+    std::vector<Endpoint> candidates;
+    for (const auto& [peer, state] : m_peers) {
+        const bool isLive = state.m_lastSeenAt != Instant {} && now - state.m_lastSeenAt < peerTimeout();
+        if (state.m_zone == m_zone && isLive && !isNewer(own, state.m_versions))
+            candidates.push_back(peer);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[hashPair(m_self.packed(), m_requestCount++) % candidates.size()];
+}
+
 std::optional<Endpoint> ExchangePeers::peerWithEarlierContestedFlows(Instant knownSince, Instant now) const
 {
     // Flows that were opened earlier have ended.
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -74,6 +74,9 @@
     /// the local zone's reader is about to receive the same state, but at once if this VM has no state.
     std::optional<Endpoint> peerWithNewerState(const StoreVersions& own, Instant now);
 
+    /// Another VM of the local zone with a state that is not older, or nullopt. Repeated calls return each in time.
+    std::optional<Endpoint> peerWithState(const StoreVersions& own, Instant now);
+
     /// Another VM that knows the contested flows of a longer time than this one, which knows those opened since
     /// knownSince; nullopt if there is none or this VM knows all that can still be open.
     std::optional<Endpoint> peerWithEarlierContestedFlows(Instant knownSince, Instant now) const;
@@ -123,7 +126,7 @@
     Instant m_newestVersionsAt {}; ///< when m_newestVersions last changed
     Instant m_behindSince {}; ///< since when a newer state than this VM's is known to exist; epoch: none is
     Deadline m_readUntil {}; ///< end of reading because this VM's state was not confirmed in time
-    std::uint64_t m_requestCount = 0; ///< calls of peerWithNewerState that returned a VM of the local zone
+    std::uint64_t m_requestCount = 0; ///< VMs of the local zone returned by peerWithNewerState and peerWithState
     Endpoint m_lastInLocalZone;
     Endpoint m_lastInOtherZone;
     Endpoint m_lastGossiped;
--- a/src/exchange/News.capnp
+++ b/src/exchange/News.capnp
@@ -13,6 +13,7 @@
   declarations @5 :Declarations; # absent unless newer than the requester's
   backendsEra @6 :UInt32; # era of backendsRevision; 0: the store does not number its eras
   declarationsEra @7 :UInt32;
+  unreadable @8 :List(UInt64); # identities of backend servers whose entries the sender cannot read
 }
 
 struct Backend {
--- a/src/exchange/News.capnp.h
+++ b/src/exchange/News.capnp.h
@@ -39,7 +39,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa227df647a3cccd, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fa227df647a3cccd, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -189,6 +189,9 @@
 
   inline  ::uint32_t getDeclarationsEra() const;
 
+  inline bool hasUnreadable() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnreadable() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -254,6 +257,14 @@
   inline  ::uint32_t getDeclarationsEra();
   inline void setDeclarationsEra( ::uint32_t value);
 
+  inline bool hasUnreadable();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnreadable();
+  inline void setUnreadable( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnreadable(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnreadable(unsigned int size);
+  inline void adoptUnreadable(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnreadable();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1193,6 +1204,44 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool News::Reader::hasUnreadable() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasUnreadable() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader News::Reader::getUnreadable() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder News::Builder::getUnreadable() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setUnreadable( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void News::Builder::setUnreadable(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder News::Builder::initUnreadable(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptUnreadable(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> News::Builder::disownUnreadable() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Backend::Reader::getIdentity() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/exchange/StoreCache.cpp
+++ b/src/exchange/StoreCache.cpp
@@ -1,7 +1,6 @@
 #include "exchange/StoreCache.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 
 namespace cuminrelay {
@@ -13,8 +12,35 @@
         return left.m_server == right.m_server && left.m_startedAtUnixMs == right.m_startedAtUnixMs;
     }
 
+    /// Whether an entry counts, not the other one of the same identity.
+    bool isPreferred(const AnnouncedBackend& left, const AnnouncedBackend& right)
+    {
+        return std::tie(left.m_startedAtUnixMs, left.m_server.m_name)
+            > std::tie(right.m_startedAtUnixMs, right.m_server.m_name);
+    }
+
+    AnnouncedBackend drainingCopy(AnnouncedBackend backend)
+    {
+        backend.m_server.m_draining = true;
+        return backend;
+    }
+
+    /// Whether a change is one of this entry, not of another one with its identity.
+    bool isOf(const AnnouncedBackend& entry, const BackendChange& change)
+    {
+        return change.m_name.empty() || change.m_name == entry.m_server.m_name;
+    }
+
 } // namespace
 
+BackendList listOf(const StoreUpdate& update)
+{
+    BackendList list { update.m_backends, {}, update.m_backendsRevision };
+    for (const BackendIdentity identity : update.m_unreadable)
+        list.m_unreadable.push_back({ {}, update.m_backendsRevision, {}, identity });
+    return list;
+}
+
 BackendChanges changesOf(const StoreUpdate& update)
 {
     BackendChanges changes;
@@ -23,54 +49,62 @@
         changes.m_changes.push_back({ backend.m_identity, backend });
     for (const BackendIdentity identity : update.m_withdrawn)
         changes.m_changes.push_back({ identity, {} });
+    for (const BackendIdentity identity : update.m_unreadable)
+        changes.m_changes.push_back({ identity, {}, {}, true });
     return changes;
 }
 
-std::vector<AnnouncedBackend> StoreCache::drained(std::span<const UnreadableEntry> entries) const
+BackendList StoreCache::withoutUnreadable(BackendList list) const
 {
-    std::vector<AnnouncedBackend> backends;
-    for (const UnreadableEntry& entry : entries) {
-        const auto known = std::ranges::find_if(
-            m_backends, [&entry](const auto& held) { return held.second.m_backend.m_server.m_name == entry.m_name; });
-        if (known == m_backends.end())
+    std::map<BackendIdentity, AnnouncedBackend> counting;
+    for (AnnouncedBackend& backend : list.m_backends) {
+        const auto [rival, isFirst] = counting.try_emplace(backend.m_identity, backend);
+        if (!isFirst && isPreferred(backend, rival->second))
+            rival->second = std::move(backend);
+    }
+    std::vector<UnreadableEntry> unknown;
+    for (UnreadableEntry& entry : list.m_unreadable) {
+        if (!entry.m_identity || counting.contains(*entry.m_identity))
             continue;
-        AnnouncedBackend& backend = backends.emplace_back(known->second.m_backend);
-        backend.m_server.m_draining = true;
+        const auto known = m_backends.find(*entry.m_identity);
+        const bool isKnown = known != m_backends.end()
+            && (entry.m_name.empty() || entry.m_name == known->second.m_backend.m_server.m_name);
+        if (isKnown)
+            counting.emplace(*entry.m_identity, drainingCopy(known->second.m_backend));
+        else
+            unknown.push_back(std::move(entry));
     }
-    return backends;
-}
-
-bool StoreCache::isKnownByAnotherName(BackendIdentity identity, std::string_view name) const
-{
-    const auto known = m_backends.find(identity);
-    return known != m_backends.end() && known->second.m_backend.m_server.m_name != name;
-}
-
-BackendList StoreCache::withoutUnusable(BackendList list) const
-{
-    std::erase_if(list.m_backends, [this](const AnnouncedBackend& backend) {
-        return isKnownByAnotherName(backend.m_identity, backend.m_server.m_name);
-    });
-    for (AnnouncedBackend& backend : drained(list.m_unreadable))
+    list.m_unreadable = std::move(unknown);
+    list.m_backends.clear();
+    for (auto& [identity, backend] : counting)
         list.m_backends.push_back(std::move(backend));
-    list.m_unreadable.clear();
-    std::ranges::sort(list.m_backends, [](const AnnouncedBackend& left, const AnnouncedBackend& right) {
-        return std::tie(left.m_startedAtUnixMs, left.m_server.m_name)
-            < std::tie(right.m_startedAtUnixMs, right.m_server.m_name);
-    });
-    std::set<BackendIdentity> seen;
-    std::erase_if(
-        list.m_backends, [&seen](const AnnouncedBackend& backend) { return !seen.insert(backend.m_identity).second; });
     return list;
 }
 
-BackendChanges StoreCache::withoutUnusable(BackendChanges changes) const
+BackendChanges StoreCache::withoutUnreadable(BackendChanges changes) const
 {
-    std::erase_if(changes.m_changes, [this](const BackendChange& change) {
-        return !change.m_name.empty() && isKnownByAnotherName(change.m_identity, change.m_name);
-    });
-    for (AnnouncedBackend& backend : drained(changes.m_unreadable))
-        changes.m_changes.push_back({ backend.m_identity, std::move(backend) });
+    std::map<BackendIdentity, std::optional<AnnouncedBackend>> changed; // empty: removed, or unknown
+    const auto find = [&](BackendIdentity identity) -> const AnnouncedBackend* {
+        const auto inBatch = changed.find(identity);
+        if (inBatch != changed.end())
+            return inBatch->second ? &*inBatch->second : nullptr;
+        const auto known = m_backends.find(identity);
+        return known != m_backends.end() ? &known->second.m_backend : nullptr;
+    };
+    std::vector<BackendChange> counting;
+    for (BackendChange& change : changes.m_changes) {
+        const AnnouncedBackend* const known = find(change.m_identity);
+        const bool isOfRival = known && !isOf(*known, change);
+        if (isOfRival && (!change.m_backend || !isPreferred(*change.m_backend, *known)))
+            continue;
+        if (change.m_isUnreadable && known) {
+            change.m_backend = drainingCopy(*known);
+            change.m_isUnreadable = false;
+        }
+        changed.insert_or_assign(change.m_identity, change.m_backend);
+        counting.push_back(std::move(change));
+    }
+    changes.m_changes = std::move(counting);
     changes.m_unreadable.clear();
     return changes;
 }
@@ -112,6 +146,11 @@
         if (!listed.contains(identity))
             missing.push_back(identity);
     }
+    m_unreadable.clear();
+    for (const UnreadableEntry& entry : list.m_unreadable) {
+        if (entry.m_identity && !listed.contains(*entry.m_identity))
+            m_unreadable[*entry.m_identity] = list.m_revision;
+    }
     // Entries that appeared and vanished since the last list are missing, so the history restarts.
     m_backendHistoryStart = list.m_revision;
     m_backends = std::move(listed);
@@ -127,9 +166,12 @@
     if (changes.m_revision <= m_backendsRevision || changes.m_revision.m_era != m_backendsRevision.m_era)
         return false;
     for (const BackendChange& change : changes.m_changes) {
+        m_unreadable.erase(change.m_identity);
         if (change.m_backend) {
             m_backends[change.m_identity] = { *change.m_backend, changes.m_revision };
             m_withdrawn.erase(change.m_identity);
+        } else if (change.m_isUnreadable) {
+            m_unreadable[change.m_identity] = changes.m_revision;
         } else {
             withdraw(change.m_identity, changes.m_revision);
         }
@@ -243,6 +285,10 @@
         if (!update.m_isComplete && removed.m_revision > held.m_backends)
             update.m_withdrawn.push_back(identity);
     }
+    for (const auto& [identity, revision] : m_unreadable) {
+        if (update.m_isComplete || revision > held.m_backends)
+            update.m_unreadable.push_back(identity);
+    }
     update.m_declarationsRevision = m_declarationsRevision;
     if (m_otherFields.m_version > held.m_declarations)
         update.m_declarations = declarationsSince(held.m_declarations);
--- a/src/exchange/StoreCache.h
+++ b/src/exchange/StoreCache.h
@@ -28,29 +28,37 @@
     bool m_isComplete = false; ///< m_backends lists all; otherwise the changed ones
     std::vector<AnnouncedBackend> m_backends;
     std::vector<BackendIdentity> m_withdrawn;
+    std::vector<BackendIdentity> m_unreadable; ///< have entries that the sender cannot read; they have not left
     StoreRevision m_backendsRevision;
     std::optional<DeclarationUpdate> m_declarations;
     StoreRevision m_declarationsRevision;
 };
 
+/// The backend servers in a StoreUpdate that is complete.
+BackendList listOf(const StoreUpdate& update);
+
 /// The backend server changes in a StoreUpdate that is not complete.
 BackendChanges changesOf(const StoreUpdate& update);
 
 /// This entry VM's copy of the store, received from it or from other VMs, with the version of each entry's last change.
 /// Computes the changes relative to the versions of another VM. Rejects older data from any source; a newer era of the
 /// store makes data newer, whatever its revision.
+/// What it holds of the backend servers follows from the store's entries alone, except for the last readable content of
+/// an entry that cannot be read any more: a VM has it if it, or a VM that sent it an update, read the entry before.
 /// Memory: O(backend servers and services), the last s_maxRemovals removals of each, and s_maxVersions versions.
 class StoreCache {
 public:
     static constexpr std::size_t s_maxRemovals = 2'048;
     static constexpr std::size_t s_maxVersions = 64;
 
-    /// Replace the unreadable entries of known backend servers by their last readable content, draining: their flows
-    /// stay, and they get no new ones until their entries can be read again. Other unreadable entries are left out, and
-    /// so are entries of another name than the known one that end in its identity: they are of another writer. Of two
-    /// new entries with one identity, the earlier start counts. A list is ordered by the times of the starts.
-    BackendList withoutUnusable(BackendList list) const;
-    BackendChanges withoutUnusable(BackendChanges changes) const;
+    /// Replace unreadable entries by what is known of their backend servers: those drain, so that their flows stay and
+    /// they get no new ones until their entries can be read again. Unreadable entries of unknown backend servers stay
+    /// unreadable in a list, and lead to no backend server. Call for what the store, or another VM, sent.
+    ///
+    /// Of two entries of different names with one identity, the later start counts, whatever the order in which they
+    /// are learned of; changes of the other one have no effect.
+    BackendList withoutUnreadable(BackendList list) const;
+    BackendChanges withoutUnreadable(BackendChanges changes) const;
 
     /// Reconcile a list or changes that the store or another VM sent with what is known, if the store came back from an
     /// older copy; see RestoredEntries. Call before apply.
@@ -78,6 +86,10 @@
 
     StoreVersions state() const { return { m_backendsRevision, m_otherFields.m_version }; }
 
+    /// Backend servers whose entries exist and cannot be read, and of which nothing else is known. Another VM may have
+    /// read them before.
+    const std::map<BackendIdentity, StoreRevision>& unreadable() const { return m_unreadable; }
+
     /// Revision at which the declarations were read from the store; 0: none are stored.
     StoreRevision declarationsRevision() const { return m_declarationsRevision; }
 
@@ -87,18 +99,13 @@
         ConfigVersion m_version; ///< of the last change
     };
 
-    /// The known backend servers with these entries, draining.
-    std::vector<AnnouncedBackend> drained(std::span<const UnreadableEntry> entries) const;
-
-    /// Whether the backend server with this identity is known by an entry of another name.
-    bool isKnownByAnotherName(BackendIdentity identity, std::string_view name) const;
-
     void removeService(const std::string& name, ConfigVersion version);
     DeclarationUpdate declarationsSince(ConfigVersion held) const;
     void withdraw(BackendIdentity identity, StoreRevision revision);
 
     std::map<BackendIdentity, CachedBackend> m_backends;
     std::map<BackendIdentity, RemovedBackend> m_withdrawn;
+    std::map<BackendIdentity, StoreRevision> m_unreadable; ///< by entries that exist; their backend servers are unknown
     RestoredEntries m_restored;
     StoreRevision m_backendsRevision;
     StoreRevision m_backendHistoryStart; ///< later changes are tracked one by one
--- a/src/exchange/StoreCacheTest.cpp
+++ b/src/exchange/StoreCacheTest.cpp
@@ -4,6 +4,7 @@
 #include "exchange/StoreUpdateMessage.h"
 #include "exchange/StoreUpdateServer.h"
 
+#include <algorithm>
 #include <array>
 #include <gtest/gtest.h>
 #include <map>
@@ -49,12 +50,10 @@
         const Outcome<StoreUpdate> decoded = decodeStoreUpdate(encodeStoreUpdate(sent, now), now);
         ASSERT_TRUE(decoded.has_value()) << decoded.error().m_message;
         const StoreUpdate& update = decoded.value();
-        if (update.m_isComplete) {
-            storeCache.apply(
-                storeCache.reconciled(BackendList { update.m_backends, {}, update.m_backendsRevision }, now));
-        } else {
-            storeCache.apply(storeCache.reconciled(changesOf(update)));
-        }
+        if (update.m_isComplete)
+            storeCache.apply(storeCache.reconciled(storeCache.withoutUnreadable(listOf(update)), now));
+        else
+            storeCache.apply(storeCache.reconciled(storeCache.withoutUnreadable(changesOf(update))));
         if (update.m_declarations) {
             const std::optional<ServiceDeclarations> merged = storeCache.merged(*update.m_declarations);
             ASSERT_TRUE(merged.has_value());
@@ -178,7 +177,7 @@
     {
         StoreCache storeCache;
         storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
-        storeCache.apply(storeCache.withoutUnusable(BackendChanges { {}, { { "i-1", { 11 }, "odd" } }, { 11 } }));
+        storeCache.apply(storeCache.withoutUnreadable(BackendChanges { { { { 1 }, {}, "i-1", true } }, {}, { 11 } }));
         EXPECT_EQ(isDraining(storeCache, 1), true);
         EXPECT_EQ(isDraining(storeCache, 2), false);
         const StoreUpdate update = storeCache.updateSince({ { 10 }, {} });
@@ -192,8 +191,8 @@
     {
         StoreCache storeCache;
         storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
-        storeCache.apply(
-            storeCache.withoutUnusable(BackendList { { makeBackend(2) }, { { "i-1", { 15 }, "odd" } }, { 20 } }));
+        storeCache.apply(storeCache.withoutUnreadable(
+            BackendList { { makeBackend(2) }, { { "i-1", { 15 }, "odd", BackendIdentity { 1 } } }, { 20 } }));
         EXPECT_EQ(isDraining(storeCache, 1), true);
         EXPECT_EQ(isDraining(storeCache, 2), false);
     }
@@ -203,32 +202,76 @@
         StoreCache storeCache;
         storeCache.apply(BackendList { { makeBackend(1) }, {}, { 10 } });
         const std::vector<UnreadableEntry> others { { "notes-1", { 11 }, "odd" }, { "", {}, "odd" },
-            { "i-9", {}, "" } };
-        storeCache.apply(storeCache.withoutUnusable(BackendChanges { {}, others, { 11 } }));
+            { "i-9", {}, "", BackendIdentity { 9 } }, { "i-01", { 11 }, "odd", BackendIdentity { 1 } } };
+        storeCache.apply(storeCache.withoutUnreadable(
+            BackendChanges { { { { 9 }, {}, "i-9", true }, { { 1 }, {}, "i-01", true } }, others, { 11 } }));
+        EXPECT_EQ(isDraining(storeCache, 1), false);
+        EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
+        storeCache.apply(storeCache.withoutUnreadable(BackendList { { makeBackend(1) }, others, { 12 } }));
         EXPECT_EQ(isDraining(storeCache, 1), false);
         EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
     }
 
-    // Only the end of a name is the identity. Another writer's entry took the record of a live backend server.
+    // A number can be written with leading zeros. Another writer's entry took the record of a live backend server.
     TEST(StoreCacheTest, entriesOfOtherNamesWithAKnownIdentityChangeNothing)
     {
         AnnouncedBackend stray = makeBackend(1);
-        stray.m_server.m_name = "notes-1";
+        stray.m_server.m_name = "i-01";
         stray.m_server.m_draining = true;
-        ++stray.m_startedAtUnixMs;
+        --stray.m_startedAtUnixMs;
         StoreCache storeCache;
-        storeCache.apply(storeCache.withoutUnusable(BackendList { { stray, makeBackend(1) }, {}, { 10 } }));
+        storeCache.apply(storeCache.withoutUnreadable(BackendList { { stray, makeBackend(1) }, {}, { 10 } }));
         EXPECT_EQ(isDraining(storeCache, 1), false);
-        storeCache.apply(storeCache.withoutUnusable(BackendChanges { { { { 1 }, stray, "notes-1" } }, {}, { 11 } }));
+        storeCache.apply(storeCache.withoutUnreadable(BackendChanges { { { { 1 }, stray, "i-01" } }, {}, { 11 } }));
         EXPECT_EQ(isDraining(storeCache, 1), false);
-        storeCache.apply(storeCache.withoutUnusable(BackendList { { stray, makeBackend(1) }, {}, { 12 } }));
+        storeCache.apply(storeCache.withoutUnreadable(BackendList { { makeBackend(1), stray }, {}, { 12 } }));
         EXPECT_EQ(isDraining(storeCache, 1), false);
-        storeCache.apply(storeCache.withoutUnusable(BackendChanges { { { { 1 }, {}, "notes-1" } }, {}, { 13 } }));
+        storeCache.apply(storeCache.withoutUnreadable(BackendChanges { { { { 1 }, {}, "i-01" } }, {}, { 13 } }));
         EXPECT_EQ(identitiesOf(storeCache), std::vector<std::uint64_t> { 1 });
-        storeCache.apply(storeCache.withoutUnusable(BackendChanges { { { { 1 }, {}, "i-1" } }, {}, { 14 } }));
+        storeCache.apply(storeCache.withoutUnreadable(BackendChanges { { { { 1 }, {}, "i-1" } }, {}, { 14 } }));
         EXPECT_TRUE(identitiesOf(storeCache).empty());
     }
 
+    // Another writer's entry reached a VM that did not know the backend server before the server's own entry did.
+    TEST(StoreCacheTest, theLaterStartCountsInAnyOrderOfChanges)
+    {
+        AnnouncedBackend stray = makeBackend(1);
+        stray.m_server.m_name = "i-01";
+        --stray.m_startedAtUnixMs;
+        for (const bool isStrayFirst : { true, false }) {
+            StoreCache storeCache;
+            storeCache.apply(BackendList { {}, {}, { 10 } });
+            const BackendChange own { { 1 }, makeBackend(1), "i-1" };
+            const BackendChange other { { 1 }, stray, "i-01" };
+            storeCache.apply(storeCache.withoutUnreadable(
+                BackendChanges { { isStrayFirst ? other : own, isStrayFirst ? own : other }, {}, { 11 } }));
+            ASSERT_EQ(storeCache.updateSince({}).m_backends.size(), 1u);
+            EXPECT_EQ(storeCache.updateSince({}).m_backends[0].m_server.m_name, "i-1");
+        }
+    }
+
+    // A VM that started while an entry could not be read sent its list to the others. They took the backend server for
+    // gone, and reset its flows.
+    TEST(StoreCacheTest, aListOfAVmThatCannotReadAnEntryWithdrawsNothing)
+    {
+        StoreCache storeCache;
+        storeCache.apply(BackendList { { makeBackend(1), makeBackend(2) }, {}, { 10 } });
+        StoreCache started;
+        started.apply(started.withoutUnreadable(
+            BackendList { { makeBackend(2) }, { { "i-1", { 11 }, "odd", BackendIdentity { 1 } } }, { 11 } }));
+        EXPECT_EQ(identitiesOf(started), std::vector<std::uint64_t> { 2 });
+        applyStoreUpdate(storeCache, started.updateSince(storeCache.state()));
+        EXPECT_EQ(isDraining(storeCache, 1), true);
+        EXPECT_EQ(isDraining(storeCache, 2), false);
+        // The other way round, the started VM gets to know the backend server.
+        EXPECT_EQ(started.unreadable().size(), 1u);
+        applyStoreUpdate(started, storeCache.updateSince({}));
+        EXPECT_EQ(isDraining(started, 1), true);
+        EXPECT_TRUE(started.unreadable().empty());
+        started.apply(started.withoutUnreadable(BackendChanges { { { { 1 }, {}, "i-1" } }, {}, { 12 } }));
+        EXPECT_EQ(identitiesOf(started), std::vector<std::uint64_t> { 2 });
+    }
+
     // Entries that another VM with an older program accepted.
     TEST(StoreCacheTest, unusableBackendServersInAnUpdateLeadToNoBackendServer)
     {
@@ -415,6 +458,152 @@
         RC_ASSERT(vms[0].state() == vms[1].state());
     }
 
+    /// The entries of a store, whoever wrote them, and the changes that led to them.
+    class StoreModel {
+    public:
+        static constexpr std::uint64_t s_identities = 4;
+
+        struct Change {
+            BackendChange m_change;
+            StoreRevision m_revision;
+        };
+
+        /// Writes an entry, which may be one that cannot be read, or removes it.
+        void change()
+        {
+            const std::uint64_t identity = *rc::gen::inRange<std::uint64_t>(1, s_identities + 1);
+            BackendChange change { { identity }, {}, makeBackend(identity).m_server.m_name };
+            const int kind = *rc::gen::inRange(0, 4);
+            if (kind >= 2) {
+                change.m_backend = makeBackend(identity);
+                change.m_backend->m_server.m_draining = kind == 3;
+                change.m_backend->m_startedAtUnixMs = *rc::gen::inRange<std::uint64_t>(1, 4);
+                change.m_backend->m_sequence = ++m_revision.m_number;
+            } else {
+                change.m_isUnreadable = kind == 1;
+                ++m_revision.m_number;
+            }
+            m_entries.insert_or_assign(identity, change);
+            m_changes.push_back({ change, m_revision });
+        }
+
+        BackendList list() const
+        {
+            BackendList list { {}, { { "backup-1", m_revision, "odd" } }, m_revision };
+            for (const auto& [identity, entry] : m_entries) {
+                if (entry.m_backend)
+                    list.m_backends.push_back(*entry.m_backend);
+                else if (entry.m_isUnreadable)
+                    list.m_unreadable.push_back({ entry.m_name, m_revision, "odd", entry.m_identity });
+            }
+            if (*rc::gen::arbitrary<bool>())
+                std::ranges::reverse(list.m_backends);
+            return list;
+        }
+
+        BackendChanges changesSince(StoreRevision revision) const
+        {
+            BackendChanges changes { {}, {}, m_revision };
+            for (const Change& change : m_changes) {
+                if (change.m_revision > revision)
+                    changes.m_changes.push_back(change.m_change);
+            }
+            return changes;
+        }
+
+        bool wasRemoved(std::uint64_t identity, StoreRevision after, StoreRevision until) const
+        {
+            return std::ranges::any_of(m_changes, [&](const Change& change) {
+                const bool isRemoval = !change.m_change.m_backend && !change.m_change.m_isUnreadable;
+                return isRemoval && change.m_change.m_identity.m_value == identity && change.m_revision > after
+                    && change.m_revision <= until;
+            });
+        }
+
+        std::map<std::uint64_t, BackendChange> m_entries;
+        StoreRevision m_revision { 10 };
+
+    private:
+        std::vector<Change> m_changes;
+    };
+
+    std::map<std::uint64_t, AnnouncedBackend> backendsOf(const StoreCache& storeCache)
+    {
+        std::map<std::uint64_t, AnnouncedBackend> backends;
+        for (const AnnouncedBackend& backend : storeCache.updateSince({}).m_backends)
+            backends.emplace(backend.m_identity.m_value, backend);
+        return backends;
+    }
+
+    /// An entry VM gets the store's state: from the store, or from another VM with a newer one.
+    void synchronize(StoreCache& storeCache, const StoreModel& store, const StoreCache& other)
+    {
+        const StoreVersions held = storeCache.state();
+        switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+            storeCache.apply(storeCache.withoutUnreadable(store.list()));
+            break;
+        case 1:
+            if (held.m_backends != StoreRevision {})
+                storeCache.apply(storeCache.withoutUnreadable(store.changesSince(held.m_backends)));
+            break;
+        case 2:
+            if (other.state().m_backends > held.m_backends)
+                applyStoreUpdate(storeCache, other.updateSince(held));
+            break;
+        default: // to get to know the backend servers of unreadable entries
+            if (other.state().m_backends >= held.m_backends)
+                applyStoreUpdate(storeCache, other.updateSince({}));
+            break;
+        }
+    }
+
+    // What a VM holds followed from the order in which it had learned of entries, and a list of another VM withdrew
+    // backend servers whose entries were there (review/7).
+    RC_GTEST_PROP(StoreCacheConvergenceTest, theStateFollowsFromTheStore, ())
+    {
+        StoreModel store;
+        std::array<StoreCache, 3> vms;
+        const int steps = *rc::gen::inRange(5, 60);
+        for (int step = 0; step < steps; ++step) {
+            const std::size_t vm = *rc::gen::inRange<std::size_t>(0, vms.size());
+            const int action = *rc::gen::inRange(0, 8);
+            if (action < 3) {
+                store.change();
+            } else if (action == 3) {
+                vms[vm] = StoreCache {}; // restart
+            } else {
+                const std::map<std::uint64_t, AnnouncedBackend> before = backendsOf(vms[vm]);
+                const StoreRevision revisionBefore = vms[vm].state().m_backends;
+                synchronize(vms[vm], store, vms[(vm + 1) % vms.size()]);
+                const std::map<std::uint64_t, AnnouncedBackend> after = backendsOf(vms[vm]);
+                for (const auto& [identity, backend] : before) {
+                    RC_ASSERT(after.contains(identity)
+                        || store.wasRemoved(identity, revisionBefore, vms[vm].state().m_backends));
+                }
+            }
+        }
+        for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+            while (vms[vm].state().m_backends != store.m_revision)
+                synchronize(vms[vm], store, vms[(vm + 1) % vms.size()]);
+            const std::map<std::uint64_t, AnnouncedBackend> held = backendsOf(vms[vm]);
+            for (std::uint64_t identity = 1; identity <= StoreModel::s_identities; ++identity) {
+                const auto entry = store.m_entries.find(identity);
+                const auto backend = held.find(identity);
+                const bool isHeld = backend != held.end();
+                if (entry != store.m_entries.end() && entry->second.m_backend) {
+                    RC_ASSERT(isHeld);
+                    RC_ASSERT(backend->second.m_server == entry->second.m_backend->m_server);
+                    RC_ASSERT(backend->second.m_startedAtUnixMs == entry->second.m_backend->m_startedAtUnixMs);
+                } else if (entry != store.m_entries.end() && entry->second.m_isUnreadable) {
+                    RC_ASSERT(!isHeld || backend->second.m_server.m_draining);
+                } else {
+                    RC_ASSERT(!isHeld);
+                }
+            }
+        }
+    }
+
     TEST(StoreUpdateServerTest, theTargetHoldsTheStoreVersions)
     {
         for (const StoreVersions& held : { StoreVersions { { 12 }, { 34 } }, StoreVersions { { 12, 3 }, { 34 } } }) {
--- a/src/exchange/StoreUpdateMessage.cpp
+++ b/src/exchange/StoreUpdateMessage.cpp
@@ -239,9 +239,13 @@
             AnnouncedBackend backend = readBackend(entry, limit, now);
             if (isUsable(backend))
                 update.m_backends.push_back(std::move(backend));
+            else
+                update.m_unreadable.push_back(backend.m_identity);
         }
         for (const std::uint64_t identity : limit.checked(reader.getWithdrawn()))
             update.m_withdrawn.push_back({ identity });
+        for (const std::uint64_t identity : limit.checked(reader.getUnreadable()))
+            update.m_unreadable.push_back({ identity });
         update.m_declarationsRevision = { reader.getDeclarationsRevision(), reader.getDeclarationsEra() };
         if (reader.hasDeclarations()) {
             Outcome<DeclarationUpdate> declarations = readDeclarations(reader.getDeclarations(), limit);
@@ -268,6 +272,10 @@
         = root.initWithdrawn(static_cast<unsigned>(update.m_withdrawn.size()));
     for (unsigned i = 0; i < withdrawn.size(); ++i)
         withdrawn.set(i, update.m_withdrawn[i].m_value);
+    capnp::List<std::uint64_t>::Builder unreadable
+        = root.initUnreadable(static_cast<unsigned>(update.m_unreadable.size()));
+    for (unsigned i = 0; i < unreadable.size(); ++i)
+        unreadable.set(i, update.m_unreadable[i].m_value);
     root.setDeclarationsRevision(update.m_declarationsRevision.m_number);
     root.setDeclarationsEra(update.m_declarationsRevision.m_era);
     if (update.m_declarations)
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -32,6 +32,9 @@
     /// Delay before the next request for a store update after one that could not be used.
     constexpr Duration c_uselessUpdateDelay = std::chrono::milliseconds { 200 };
 
+    /// Requests to other VMs for a backend server whose entry cannot be read.
+    constexpr unsigned c_maxContentRequests = 3;
+
     /// Minimum interval between calls to the store that confirm the state of a VM that does not follow the store.
     constexpr Duration c_confirmationInterval = std::chrono::milliseconds { 500 };
 
@@ -254,23 +257,48 @@
     m_evacuationsWatch.setReading(isReading);
 }
 
-/// Fetches a store update from a VM with a newer state, or contested flows from one that knows more of them.
+/// Fetches a store update from a VM with a newer state, contested flows from one that knows more of them, or what other
+/// VMs know of backend servers whose entries cannot be read.
 void RelayProcess::fetchFromPeers(Instant now)
 {
     if (m_isFetching || now < m_nextFetchAt)
         return;
-    if (const std::optional<Endpoint> peer = m_peers.peerWithNewerState(storeVersions(), now)) {
+    const auto fetchUpdate = [this](Endpoint peer, StoreVersions held) {
         m_isFetching = true;
-        m_tasks.runOnce("store_update", fetchStoreUpdate(*peer), [this] { m_isFetching = false; });
+        m_tasks.runOnce("store_update", fetchStoreUpdate(peer, held), [this] { m_isFetching = false; });
+    };
+    const StoreVersions versions = storeVersions();
+    if (const std::optional<Endpoint> peer = m_peers.peerWithNewerState(versions, now)) {
+        fetchUpdate(*peer, m_storeCache.state());
         return;
     }
     const Instant knownSince = m_router.contestedFlows().knownSince();
     if (const std::optional<Endpoint> peer = m_peers.peerWithEarlierContestedFlows(knownSince, now)) {
         m_isFetching = true;
         m_tasks.runOnce("contested_flows", fetchContestedFlows(*peer), [this] { m_isFetching = false; });
+        return;
+    }
+    if (m_storeCache.unreadable().empty())
+        return;
+    const std::optional<Endpoint> peer = m_peers.peerWithState(versions, now);
+    if (peer && takeContentRequest()) {
+        m_nextFetchAt = now + c_uselessUpdateDelay;
+        fetchUpdate(*peer, { {}, versions.m_declarations }); // all backend servers
     }
 }
 
+/// Returns whether to ask another VM for backend servers whose entries cannot be read. An entry that no VM has ever
+/// read is asked for a few times only.
+bool RelayProcess::takeContentRequest()
+{
+    std::erase_if(
+        m_contentRequests, [this](const auto& request) { return !m_storeCache.unreadable().contains(request.first); });
+    bool isWanted = false;
+    for (const auto& [identity, revision] : m_storeCache.unreadable())
+        isWanted = m_contentRequests[identity]++ < c_maxContentRequests || isWanted;
+    return isWanted;
+}
+
 /// Sets the router's confirmation of the state, and calls the store for a later one if a reset waits for it.
 void RelayProcess::confirmState(Instant now)
 {
@@ -300,9 +328,9 @@
     return std::max(readAt, m_peers.stateConfirmedAt(storeVersions()));
 }
 
-asio::awaitable<void> RelayProcess::fetchStoreUpdate(Endpoint peer)
+asio::awaitable<void> RelayProcess::fetchStoreUpdate(Endpoint peer, StoreVersions held)
 {
-    const StoreVersions held = m_storeCache.state();
+    const StoreVersions before = m_storeCache.state();
     const Outcome<StoreUpdate> storeUpdate = co_await m_storeUpdateClient.fetch(peer, held);
     m_isFetching = false;
     const bool isMalformed = !storeUpdate && storeUpdate.error().m_kind == ErrorKind::InvalidInput;
@@ -314,7 +342,7 @@
     else
         m_environment.m_log.warning("exchange", "news_unavailable", { { "error", storeUpdate.error().m_message } });
     // The same peer would give the same answer again.
-    if (isMalformed || (storeUpdate && m_storeCache.state() == held))
+    if (isMalformed || (storeUpdate && m_storeCache.state() == before))
         m_nextFetchAt = m_environment.m_clock.now() + c_uselessUpdateDelay;
 }
 
@@ -341,9 +369,10 @@
     m_environment.m_log.info("exchange", "news_taken",
         { { "peer", formatEndpoint(peer) }, { "complete", storeUpdate.m_isComplete },
             { "backends", storeUpdate.m_backends.size() }, { "withdrawn", storeUpdate.m_withdrawn.size() },
+            { "unreadable", storeUpdate.m_unreadable.size() },
             { "revision", storeUpdate.m_backendsRevision.m_number } });
     if (storeUpdate.m_isComplete)
-        backendsListed({ storeUpdate.m_backends, {}, storeUpdate.m_backendsRevision });
+        backendsListed(listOf(storeUpdate));
     else
         backendsChanged(changesOf(storeUpdate));
     m_backendsWatch.advanceTo(storeUpdate.m_backendsRevision);
@@ -580,7 +609,7 @@
 {
     const Instant now = m_environment.m_clock.now();
     const std::uint32_t era = m_storeCache.state().m_backends.m_era;
-    const BackendList list = m_storeCache.reconciled(m_storeCache.withoutUnusable(readList), now);
+    const BackendList list = m_storeCache.reconciled(m_storeCache.withoutUnreadable(readList), now);
     if (!m_storeCache.apply(list))
         return;
     m_stateEra.record(list.m_revision.m_era, now);
@@ -616,12 +645,14 @@
 
 void RelayProcess::backendsChanged(const BackendChanges& readChanges)
 {
-    const BackendChanges changes = m_storeCache.reconciled(m_storeCache.withoutUnusable(readChanges));
+    const BackendChanges changes = m_storeCache.reconciled(m_storeCache.withoutUnreadable(readChanges));
     if (!m_storeCache.apply(changes))
         return;
     m_hasStoreUpdate = true;
     const Instant now = m_environment.m_clock.now();
     for (const BackendChange& change : changes.m_changes) {
+        if (change.m_isUnreadable)
+            continue; // of an unknown backend server
         const BackendToken token = tokenOf(change.m_identity);
         const TrackedBackend* const tracked = std::as_const(m_router).backends().find(token);
         const std::string name = change.m_backend ? change.m_backend->m_server.m_name
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -28,6 +28,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -87,7 +88,7 @@
     boost::asio::awaitable<void> receiveLoadMessages();
     boost::asio::awaitable<void> runPeriodicTasks();
     boost::asio::awaitable<void> serveSignals();
-    boost::asio::awaitable<void> fetchStoreUpdate(Endpoint peer);
+    boost::asio::awaitable<void> fetchStoreUpdate(Endpoint peer, StoreVersions held);
     boost::asio::awaitable<void> fetchContestedFlows(Endpoint peer);
     boost::asio::awaitable<void> probeBackend(LivenessProbe probe);
 
@@ -100,6 +101,7 @@
     StoreVersions storeVersions() const;
     void chooseReader(Instant now);
     void fetchFromPeers(Instant now);
+    bool takeContentRequest();
     void confirmState(Instant now);
     Instant stateConfirmedAt();
     void sendLoadMessages(Instant now);
@@ -147,6 +149,8 @@
     bool m_isFetching = false;
     Deadline m_nextConfirmationAt {}; ///< earliest time of the next call to confirm the state
     Deadline m_nextFetchAt {}; ///< earliest time of the next request to another VM
+    std::map<BackendIdentity, unsigned>
+        m_contentRequests; ///< to other VMs, for backend servers with unreadable entries
     Instant m_resumedAt {}; ///< messages received before may be older than the last pause
     RelayGauges m_gauges;
     Deadline m_nextGaugeUpdateAt {};
