--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -110,9 +110,6 @@
     const Outcome<void> readiness = m_readiness.start(m_settings.m_readiness);
     if (!readiness)
         return readiness.error();
-    const Outcome<void> metrics = m_metricsServer.start(m_settings.m_metrics);
-    if (!metrics)
-        return metrics.error();
     const Outcome<void> storeUpdate = m_storeUpdateServer.start(m_settings.m_exchange);
     if (!storeUpdate)
         return storeUpdate.error();
@@ -121,6 +118,10 @@
     if (!exchange)
         return exchange.error();
     m_exchange.emplace(std::move(exchange.value()));
+    // Packets are served without metrics.
+    const Outcome<void> metrics = m_metricsServer.start(m_settings.m_metrics);
+    if (!metrics)
+        m_environment.m_log.error("relay", "metrics_unavailable", { { "error", metrics.error().m_message } });
     return boost::outcome_v2::success();
 }
 
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -68,7 +68,8 @@
 public:
     RelayProcess(RelaySettings settings, FlowPlacement& placement, const RelayEnvironment& environment);
 
-    /// Opens the sockets. Errors: Unavailable; the message names the endpoint.
+    /// Opens the sockets. Errors: Unavailable; the message names the endpoint. A metrics endpoint that cannot be opened
+    /// is logged.
     Outcome<void> open();
 
     /// Serves until a stop was requested and the shutdown is complete.
