affinity: contested flows are fetched again after a pause, from any VM

A VM that stands still loses the messages of others, and went on to say that it knows all contested flows. A VM asked the same peer for them again and again while that one did not answer, for up to 15 s. A flow whose VM ended right after the record reached some VMs only seconds later: of 75 VMs, one had not got it after 2 s. Change: a pause ends the knowledge of before (recordGap). Each request goes to another VM that is heard of. Every second repetition of another VM's flow is of one of the latest 16.

--- a/src/affinity/ContestedFlows.cpp
+++ b/src/affinity/ContestedFlows.cpp
@@ -16,6 +16,9 @@
     /// Flows of other VMs in each message, beside own ones.
     constexpr std::size_t c_repeatedOthers = 1;
 
+    /// Every second of them is one of the latest: the VM that saw it may have ended before all others learned of it.
+    constexpr std::size_t c_latestOthers = 16;
+
     ContestedFlowReport reportOf(const ContestedFlow& flow, Instant recordedAt, Instant now)
     {
         return { flow, std::chrono::ceil<std::chrono::milliseconds>(now - recordedAt) };
@@ -147,7 +150,9 @@
         append(m_changed[i], now, flows);
     m_changed.erase(m_changed.begin(), m_changed.begin() + static_cast<std::ptrdiff_t>(changes));
     const std::size_t others = std::min(c_repeatedOthers, count - flows.size());
-    appendSample(m_others, others, now, flows);
+    m_repeatsLatest = !m_repeatsLatest;
+    const std::size_t latest = m_repeatsLatest ? std::min(c_latestOthers, m_others.size()) : m_others.size();
+    appendSample(std::span { m_others }.last(latest), others, now, flows);
     appendSample(m_own, count - flows.size(), now, flows);
     return flows;
 }
--- a/src/affinity/ContestedFlows.h
+++ b/src/affinity/ContestedFlows.h
@@ -70,6 +70,9 @@
     /// Adds all that another VM knows, which has the records of all flows opened since a time.
     void restore(std::span<const ContestedFlowReport> found, Instant knownSince, Instant now);
 
+    /// Records that messages of other VMs may have been lost until now.
+    void recordGap(Instant now) { m_knownSince = std::max(m_knownSince, now); }
+
     /// The records of all contested flows that were opened since then are here, or on their way from another VM.
     Instant knownSince() const { return m_knownSince; }
 
@@ -112,7 +115,8 @@
 
     boost::unordered_flat_map<std::uint64_t, Entry> m_flows;
     std::vector<std::uint64_t> m_own; ///< added or resolved here, also some that are removed
-    std::vector<std::uint64_t> m_others; ///< reported by other VMs, also some that are removed or own by now
+    std::vector<std::uint64_t> m_others; ///< reported by other VMs, the latest last; also some removed or own by now
+    bool m_repeatsLatest = false; ///< the last message listed one of the latest
     std::vector<std::uint64_t> m_changed; ///< not listed since their last change, up to s_maxChanges
     Instant m_knownSince;
     std::uint64_t m_refused = 0;
--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -816,6 +816,7 @@
 void TokenRouter::applyPause(Deadline staleUntil)
 {
     m_staleUntil = staleUntil;
+    m_contestedFlows.recordGap(staleUntil);
     m_zoneLiveness.clear();
     m_backends.forEach([](TrackedBackend& backend) {
         backend.m_liveness.clearSuspicion();
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -149,8 +149,8 @@
     /// costs flows that are opened shortly after all VMs have restarted, and no others.
     void setTimeOfDay(Duration sinceUnixEpoch, Instant now);
 
-    /// Applies a pause of this process: queued packets are old, and missing answers during the pause prove nothing.
-    /// Drops opening packets until staleUntil.
+    /// Applies a pause of this process: queued packets are old, missing answers during the pause prove nothing, and
+    /// contested flows of other VMs were missed. Drops opening packets until staleUntil.
     void applyPause(Deadline staleUntil);
 
     /// Flows whose opening packet may have reached several backend servers, to exchange with the other VMs.
--- a/src/exchange/ContestedFlowsFleetTest.cpp
+++ b/src/exchange/ContestedFlowsFleetTest.cpp
@@ -33,8 +33,9 @@
     constexpr double c_messageLoss = 0.02;
     constexpr Duration c_tick = milliseconds { 25 };
 
-    /// Time in which all VMs learn of a contested flow: for so long, its packets may go astray (FlowMs).
-    constexpr Duration c_spreadTime = seconds { 2 };
+    /// Time in which all VMs learn of a contested flow, also if the VM that recorded it ends: after so long, a VM is
+    /// expected to serve as if nothing had happened (StableWindowMs).
+    constexpr Duration c_spreadTime = seconds { 4 };
 
     /// Backend servers with requests of a VM's flows.
     constexpr std::uint32_t c_loads = 16;
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -320,35 +320,34 @@
 
 std::optional<Endpoint> ExchangePeers::peerWithState(const StoreVersions& own, Instant now)
 {
-    std::vector<Endpoint> candidates;
-    for (const auto& [peer, state] : m_peers) {
-        const bool isLive = state.m_lastSeenAt != Instant {} && now - state.m_lastSeenAt < peerTimeout();
-        if (state.m_zone == m_zone && isLive && !isNewer(own, state.m_versions))
-            candidates.push_back(peer);
-    }
-    if (candidates.empty())
-        return std::nullopt;
-    return candidates[hashPair(m_self.packed(), m_requestCount++) % candidates.size()];
+    return nextLivePeer(now, [&own](const PeerState& state) { return !isNewer(own, state.m_versions); });
 }
 
-std::optional<Endpoint> ExchangePeers::peerWithEarlierContestedFlows(Instant knownSince, Instant now) const
+std::optional<Endpoint> ExchangePeers::peerWithEarlierContestedFlows(Instant knownSince, Instant now)
 {
     // Flows that were opened earlier have ended.
-    const Instant earliest = now - c_departedRetention;
-    std::optional<Endpoint> best;
-    std::pair<Instant, std::uint64_t> bestRank { knownSince - c_contestedMargin, 0 };
+    const Instant oldest = now - c_departedRetention;
+    return nextLivePeer(now, [&](const PeerState& state) {
+        return std::max(state.m_contestedKnownSince, oldest) + c_contestedMargin < knownSince;
+    });
+}
+
+template <typename Condition>
+std::optional<Endpoint> ExchangePeers::nextLivePeer(Instant now, const Condition& condition)
+{
+    std::vector<Endpoint> inLocalZone;
+    std::vector<Endpoint> inOtherZones;
     for (const auto& [peer, state] : m_peers) {
-        if (state.m_lastSeenAt == Instant {} || now - state.m_lastSeenAt >= c_peerExpiry)
-            continue;
-        // Spreads the requests of VMs that start at the same time over the peers that know all.
-        const std::pair<Instant, std::uint64_t> rank { std::max(state.m_contestedKnownSince, earliest),
-            hashPair(m_self.packed(), peer.packed()) };
-        if (rank < bestRank) {
-            best = peer;
-            bestRank = rank;
-        }
+        // Messages of a VM of another zone come rarely, as it sends to the VMs of all other zones in turn.
+        const bool isLocal = state.m_zone == m_zone;
+        const Duration age = now - state.m_lastSeenAt;
+        if (state.m_lastSeenAt != Instant {} && age < (isLocal ? peerTimeout() : c_peerExpiry) && condition(state))
+            (isLocal ? inLocalZone : inOtherZones).push_back(peer);
     }
-    return best;
+    const std::vector<Endpoint>& candidates = inLocalZone.empty() ? inOtherZones : inLocalZone;
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[hashPair(m_self.packed(), m_requestCount++) % candidates.size()];
 }
 
 std::vector<ExchangePeer> ExchangePeers::peersToGossip(Instant now)
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -74,12 +74,13 @@
     /// the local zone's reader is about to receive the same state, but at once if this VM has no state.
     std::optional<Endpoint> peerWithNewerState(const StoreVersions& own, Instant now);
 
-    /// Another VM of the local zone with a state that is not older, or nullopt. Repeated calls return each in time.
+    /// Another VM with a state that is not older, or nullopt. Repeated calls return each in time.
     std::optional<Endpoint> peerWithState(const StoreVersions& own, Instant now);
 
     /// Another VM that knows the contested flows of a longer time than this one, which knows those opened since
-    /// knownSince; nullopt if there is none or this VM knows all that can still be open.
-    std::optional<Endpoint> peerWithEarlierContestedFlows(Instant knownSince, Instant now) const;
+    /// knownSince; nullopt if there is none or this VM knows all that can still be open. Repeated calls return each in
+    /// time.
+    std::optional<Endpoint> peerWithEarlierContestedFlows(Instant knownSince, Instant now);
 
     /// Live peers to list in a message, round robin. Empty except shortly after the first message of a VM and about
     /// once a second.
@@ -100,6 +101,9 @@
 
     void addGossiped(const ExchangePeer& peer, Instant now);
 
+    /// A VM that was heard of lately and meets a condition, preferably of the local zone; another one for each call.
+    template <typename Condition> std::optional<Endpoint> nextLivePeer(Instant now, const Condition& condition);
+
     /// Whether a reader of the local zone sent a message within the peer time-out.
     bool hasLiveReader(Instant now) const;
 
@@ -126,7 +130,7 @@
     Instant m_newestVersionsAt {}; ///< when m_newestVersions last changed
     Instant m_behindSince {}; ///< since when a newer state than this VM's is known to exist; epoch: none is
     Deadline m_readUntil {}; ///< end of reading because this VM's state was not confirmed in time
-    std::uint64_t m_requestCount = 0; ///< VMs of the local zone returned by peerWithNewerState and peerWithState
+    std::uint64_t m_requestCount = 0; ///< VMs returned to request something from
     Endpoint m_lastInLocalZone;
     Endpoint m_lastInOtherZone;
     Endpoint m_lastGossiped;
