exchange: the constants of a test class have the style's prefix

Cause: the linter refused them, as the one in the settings. Change: renamed, nothing else. Measured: clang-tidy has no finding in this file any more.

--- a/src/exchange/ContestedFlowsFleetTest.cpp
+++ b/src/exchange/ContestedFlowsFleetTest.cpp
@@ -171,7 +171,7 @@
                 return;
             const ContestedFlows& known = *m_vms[peer->m_address - m_vms.front().m_self.m_address].m_flows;
             const std::vector<ContestedFlowReport> flows = known.reports(m_now);
-            m_bytes += flows.size() * c_listedFlowBytes + c_listBytes;
+            m_bytes += flows.size() * s_listedFlowBytes + s_listBytes;
             vm.m_flows->restore(flows, m_now - known.knownFor(m_now), m_now);
         }
 
@@ -185,8 +185,8 @@
         }
 
         /// Of a list in a response, and the request, both with headers.
-        static constexpr std::size_t c_listedFlowBytes = 17;
-        static constexpr std::size_t c_listBytes = 400;
+        static constexpr std::size_t s_listedFlowBytes = 17;
+        static constexpr std::size_t s_listBytes = 400;
 
         FleetSize m_size;
         std::vector<Vm> m_vms;
