review: case 12, a VM that is told to stop sends packets to hosts that do not hold their flow

Cause: peers forget a VM with its first message that it leaves, but it forwards packets until it is out of rotation.

--- a/review/standins-3/Case.h
+++ b/review/standins-3/Case.h
@@ -46,15 +46,16 @@
     }
 }
 
-/// Clients of a zone open flows for ten requests each, at random times.
-inline void openFlows(World& world, const std::string& zone, const RouteOptions& route, double perSecond, double until)
+/// Clients of a zone open flows for some requests each, at random times.
+inline void openFlows(World& world, const std::string& zone, const RouteOptions& route, double perSecond,
+    unsigned requests, double until)
 {
     if (now() > until)
         return;
-    world.openFlow(zone, route, 10);
+    world.openFlow(zone, route, requests);
     const double wait = std::exponential_distribution<> { perSecond / 1000 }(world.m_random);
-    world.m_loop.after(wait, [&world, zone, route, perSecond, until] {
-        openFlows(world, zone, route, perSecond, until);
+    world.m_loop.after(wait, [&world, zone, route, perSecond, requests, until] {
+        openFlows(world, zone, route, perSecond, requests, until);
     });
 }
 
--- a/review/standins-3/World.h
+++ b/review/standins-3/World.h
@@ -462,6 +462,7 @@
         if (!vm)
             return;
         const bool isLost = isDatagramLost();
+        ++m_counts["datagrams of clients"];
         trace(flow, "client sends " + describe(packet) + " through " + vm->m_name + (isLost ? ", lost" : ""));
         if (isLost)
             return;
