review: case 14, a VM takes an opening's echo for proof after the VM that knew better lost power

Cause: TokenRouter::openBackendOf believes such an echo on the VM that saw the opening's first packet; the record of the contested flow was lost with another VM. Change: a script; the stand-ins cut power, and count resets under unplanned disruption only through machines in touch.

--- a/review/standins-3/World.h
+++ b/review/standins-3/World.h
@@ -108,6 +108,7 @@
     std::uint32_t m_acknowledged = 0; ///< next sequence number expected of the host
     std::uint32_t m_echo = 0;
     unsigned m_copies = 0;
+    const struct Vm* m_lastVm = nullptr; ///< that got the last packet
     bool m_isOpen = false; ///< got the answer to its opening
     bool m_isClosing = false; ///< its FIN is not acknowledged yet
     bool m_isClosedByHost = false; ///< its host closed first
@@ -138,6 +139,7 @@
     unsigned m_misses = 0;
     bool m_restarts = true;
     double m_startedAt = 0;
+    double m_killedAt = -1e9;
     bool m_isStopping = false;
 };
 
@@ -289,6 +291,13 @@
         kill(vm.m_process, signal);
     }
 
+    /// The machine loses power, and starts again after m_restartDelay.
+    void cutPower(Vm& vm)
+    {
+        signalVm(vm, SIGKILL);
+        vm.m_killedAt = now();
+    }
+
     /// As the platform stops a process: SIGTERM, then SIGKILL after GraceS. It starts again if m_restarts.
     void stopVm(Vm& vm)
     {
@@ -310,7 +319,7 @@
             log("%s ended, status %d", vm.m_name.c_str(), status);
             vm.m_process = -1;
             if (vm.m_restarts)
-                m_loop.after(200, [this, &vm] { startVm(vm); });
+                m_loop.after(m_restartDelay, [this, &vm] { startVm(vm); });
         }
         m_loop.after(20, [this] { collectEnded(); });
     }
@@ -469,6 +478,7 @@
         trace(flow, "client sends " + describe(packet) + " through " + vm->m_name + (isLost ? ", lost" : ""));
         if (isLost)
             return;
+        flow.m_lastVm = vm;
         const std::string bytes = encode(packet);
         const sockaddr_in address = systemAddress(vm->m_packets);
         sendto(m_clientSockets[flow.m_zone].second, bytes.data(), bytes.size(), 0,
@@ -638,7 +648,11 @@
             ++m_counts["openings refused"];
         else
             ++m_counts["flows reset"];
-        if (isOpenAtHost && !isOfOwnHost && isRouteThere(flow.m_key.m_service) && !isOld(flow))
+        const bool isForeign
+            = isOpenAtHost && !isOfOwnHost && isRouteThere(flow.m_key.m_service) && !isOld(flow);
+        if (isForeign && !mayCount(flow))
+            ++m_counts["resets through machines that were not in touch"];
+        else if (isForeign)
             breakRule("FLOW",
                 "the client got a reset of " + (sender ? sender->id() : std::string { "a VM" })
                     + ", while the flow is open at " + flow.m_host->id(),
@@ -651,6 +665,19 @@
         return flow.m_host && flow.m_host->isAlive() && flow.m_host->life() == flow.m_hostLife;
     }
 
+    /// Whether a machine ran for StableWindowMs, with no start and no kill, while the store was stable.
+    bool isInTouch(const Vm& vm) const
+    {
+        const double since = now() - 4'000;
+        return vm.m_process > 0 && vm.m_startedAt < since && vm.m_killedAt < since && m_disturbedUntil < since;
+    }
+
+    /// Planned work always counts for FLOW; a disruption that is not planned, only for machines in touch.
+    bool mayCount(const ClientFlow& flow) const
+    {
+        return !m_isUnplanned || (flow.m_lastVm && isInTouch(*flow.m_lastVm));
+    }
+
     bool isOld(const ClientFlow& flow) const { return now() - flow.m_openedAt > 60'000; }
 
     void endFlow(ClientFlow& flow)
@@ -690,7 +717,7 @@
         flow.m_strayedAt.push_back(now());
         while (now() - flow.m_strayedAt.front() > 2'000)
             flow.m_strayedAt.pop_front();
-        if (flow.m_strayedAt.size() >= 3)
+        if (flow.m_strayedAt.size() >= 3 && mayCount(flow))
             breakRule("FLOW", "three packets reached other hosts within 2 s and none " + flow.m_host->id(), &flow);
     }
 
@@ -870,6 +897,8 @@
     std::map<std::string, std::uint64_t> m_broken;
     std::map<Address, std::set<std::string>> m_everAllowed; ///< services by route
     std::map<Address, double> m_droppedAt;
+    double m_restartDelay = 200;
+    bool m_isUnplanned = false;
     double m_disturbedUntil = -1e9; ///< end of the last disruption of the store
     double m_deadline = 1'500;
     double m_minPause = 100;
