--- a/src/affinity/CarriedToken.h
+++ b/src/affinity/CarriedToken.h
@@ -31,6 +31,9 @@
     /// Resolution of an opening's time. Times within 64 s are told apart: the maximum lifetime of a flow is 60 s.
     static constexpr Duration s_timeUnit = std::chrono::milliseconds { 250 };
 
+    /// By which minAge may fall short of the age.
+    static constexpr Duration s_maxAgeError = 2 * s_timeUnit;
+
     static CarriedToken decode(std::uint32_t value);
 
     /// The token for an opening packet. timeOfDay: of this VM, which may differ from that of others.
--- a/src/affinity/ContestedFlows.cpp
+++ b/src/affinity/ContestedFlows.cpp
@@ -1,6 +1,7 @@
 #include "affinity/ContestedFlows.h"
 
 #include "affinity/BackendCatalog.h"
+#include "affinity/FlowSequence.h"
 
 #include <algorithm>
 #include <iterator>
@@ -19,6 +20,10 @@
     /// Every second of them is one of the latest: the VM that saw it may have ended before all others learned of it.
     constexpr std::size_t c_latestOthers = 16;
 
+    /// Longer than the losses of a link that is full for a moment, shorter than the 200 ms after which callers
+    /// retransmit.
+    constexpr Duration c_noticeRepeatDelay = std::chrono::milliseconds { 50 };
+
     ContestedFlowReport reportOf(const ContestedFlow& flow, Instant recordedAt, Instant now)
     {
         return { flow, std::chrono::ceil<std::chrono::milliseconds>(now - recordedAt) };
@@ -32,42 +37,47 @@
 {
 }
 
-bool ContestedFlows::add(FlowHash flow, std::uint32_t openingSequence, Instant now)
+bool ContestedFlows::add(FlowHash flow, std::uint32_t openingSequence, Instant openedAt, Instant now)
 {
-    removeIfReused(flow, openingSequence);
-    Entry* const entry = insert({ flow, openingSequence, {} }, now, now);
-    if (entry)
-        recordOwnChange(*entry);
-    return entry != nullptr;
+    Entry* const entry = insert({ flow, openingSequence, {} }, openedAt, now);
+    if (!entry)
+        return false;
+    if (entry->m_content.m_openingSequence != openingSequence)
+        *entry = { { flow, openingSequence, {} }, openedAt, entry->m_isOwn };
+    recordOwnChange(*entry, now);
+    return true;
 }
 
-void ContestedFlows::removeIfReused(FlowHash flow, std::uint32_t openingSequence)
+bool ContestedFlows::contains(FlowHash flow, std::uint32_t openingSequence) const
 {
     const auto found = m_flows.find(flow.m_value);
-    if (found != m_flows.end() && found->second.m_content.m_openingSequence != openingSequence)
-        m_flows.erase(found);
+    return found != m_flows.end() && found->second.m_content.m_openingSequence == openingSequence;
 }
 
-bool ContestedFlows::contains(FlowHash flow, std::uint32_t openingSequence) const
+const ContestedFlow* ContestedFlows::find(FlowHash flow, std::uint32_t sequence, Instant now) const
 {
     const auto found = m_flows.find(flow.m_value);
-    return found != m_flows.end() && found->second.m_content.m_openingSequence == openingSequence;
+    if (found == m_flows.end() || now - found->second.m_recordedAt >= c_retention)
+        return nullptr;
+    const ContestedFlow& content = found->second.m_content;
+    return isInFlow(content.m_openingSequence, sequence) ? &content : nullptr;
 }
 
-BackendToken ContestedFlows::resolve(
-    FlowHash flow, std::optional<std::uint32_t> openingSequence, BackendToken carried, Instant now)
+std::optional<ContestedFlowReport> ContestedFlows::report(FlowHash flow, Instant now) const
 {
     const auto found = m_flows.find(flow.m_value);
     if (found == m_flows.end() || now - found->second.m_recordedAt >= c_retention)
-        return {};
-    Entry& entry = found->second;
-    if (openingSequence && *openingSequence != entry.m_content.m_openingSequence)
-        return {};
-    if (entry.m_content.m_backend == BackendToken {} && carried != BackendToken {}) {
-        entry.m_content.m_backend = carried;
-        recordOwnChange(entry);
-    }
-    return entry.m_content.m_backend;
+        return std::nullopt;
+    return reportOf(found->second.m_content, found->second.m_recordedAt, now);
+}
+
+void ContestedFlows::resolve(FlowHash flow, BackendToken backend, Instant now)
+{
+    const auto found = m_flows.find(flow.m_value);
+    if (found == m_flows.end() || found->second.m_content.m_backend == backend)
+        return;
+    found->second.m_content.m_backend = backend;
+    recordOwnChange(found->second, now);
 }
 
 void ContestedFlows::apply(const ContestedFlowReport& found, Instant now)
@@ -129,11 +139,22 @@
     return &m_flows.emplace(flow.m_flow.m_value, Entry { flow, recordedAt, false }).first->second;
 }
 
-void ContestedFlows::recordOwnChange(Entry& entry)
+void ContestedFlows::recordOwnChange(Entry& entry, Instant now)
 {
     if (!std::exchange(entry.m_isOwn, true))
         m_own.push_back(entry.m_content.m_flow.m_value);
     recordChange(entry.m_content.m_flow);
+    addNotice(entry.m_content.m_flow.m_value, now);
+}
+
+void ContestedFlows::addNotice(std::uint64_t flow, Instant now)
+{
+    m_nextNoticeAt = now;
+    const auto found = std::ranges::find(m_notices, flow, &Notice::m_flow);
+    if (found != m_notices.end())
+        *found = { flow, now, false };
+    else
+        m_notices.push_back({ flow, now, false });
 }
 
 void ContestedFlows::recordChange(FlowHash flow)
@@ -142,6 +163,34 @@
         m_changed.push_back(flow.m_value);
 }
 
+std::vector<ContestedFlowReport> ContestedFlows::takeNotices(Instant now)
+{
+    std::vector<ContestedFlowReport> flows;
+    if (!hasNotices(now))
+        return flows;
+    m_nextNoticeAt = Instant::max();
+    std::erase_if(m_notices, [&](Notice& notice) {
+        const bool isDue = now >= notice.m_dueAt;
+        if (isDue) {
+            append(notice.m_flow, now, flows);
+            notice.m_dueAt = now + c_noticeRepeatDelay;
+        }
+        const bool isDone = isDue && std::exchange(notice.m_isRepetition, true);
+        if (!isDone)
+            m_nextNoticeAt = std::min(m_nextNoticeAt, notice.m_dueAt);
+        return isDone;
+    });
+    return flows;
+}
+
+std::vector<ContestedFlowReport> ContestedFlows::latestOwn(std::size_t count, Instant now) const
+{
+    std::vector<ContestedFlowReport> flows;
+    for (const std::uint64_t flow : std::span { m_own }.last(std::min(count, m_own.size())))
+        append(flow, now, flows);
+    return flows;
+}
+
 std::vector<ContestedFlowReport> ContestedFlows::takeForMessage(std::size_t count, Instant now)
 {
     std::vector<ContestedFlowReport> flows;
--- a/src/affinity/ContestedFlowsTest.cpp
+++ b/src/affinity/ContestedFlowsTest.cpp
@@ -15,14 +15,23 @@
     constexpr BackendToken c_first { 1 };
     constexpr BackendToken c_second { 2 };
 
-    TEST(ContestedFlowsTest, theFirstTokenDecides)
+    /// Where a flow is open according to its record; 0: unknown, or not contested.
+    BackendToken openBackend(const ContestedFlows& flows, FlowHash flow = c_flow,
+        std::uint32_t sequence = c_sequence + 1, Instant now = c_start)
+    {
+        const ContestedFlow* const found = flows.find(flow, sequence, now);
+        return found ? found->m_backend : BackendToken {};
+    }
+
+    TEST(ContestedFlowsTest, onlyAContestedFlowIsResolved)
     {
         ContestedFlows flows { 1, c_start };
-        EXPECT_EQ(flows.resolve(c_flow, {}, c_first, c_start), BackendToken {}); // not contested
+        flows.resolve(c_flow, c_first, c_start);
+        EXPECT_EQ(openBackend(flows), BackendToken {}); // not contested
         flows.add(c_flow, c_sequence, c_start);
-        EXPECT_EQ(flows.resolve(c_flow, {}, {}, c_start), BackendToken {});
-        EXPECT_EQ(flows.resolve(c_flow, {}, c_second, c_start), c_second);
-        EXPECT_EQ(flows.resolve(c_flow, {}, c_first, c_start), c_second);
+        EXPECT_EQ(openBackend(flows), BackendToken {});
+        flows.resolve(c_flow, c_second, c_start);
+        EXPECT_EQ(openBackend(flows), c_second);
     }
 
     TEST(ContestedFlowsTest, whatWasFoundHereTakesPrecedence)
@@ -30,19 +39,49 @@
         ContestedFlows flows { 1, c_start };
         flows.add(c_flow, c_sequence, c_start);
         flows.apply({ { c_flow, c_sequence, c_first }, {} }, c_start);
-        EXPECT_EQ(flows.resolve(c_flow, {}, c_second, c_start), c_first);
+        EXPECT_EQ(openBackend(flows), c_first);
         flows.apply({ { c_flow, c_sequence, c_second }, {} }, c_start);
-        EXPECT_EQ(flows.resolve(c_flow, {}, {}, c_start), c_first);
+        EXPECT_EQ(openBackend(flows), c_first);
     }
 
+    // A record outlives its flow (review/11). The next flow of the addresses and ports starts at another number.
     TEST(ContestedFlowsTest, anotherFlowOfTheSameAddressesIsNotContested)
     {
         ContestedFlows flows { 1, c_start };
         flows.apply({ { c_flow, c_sequence, c_first }, {} }, c_start);
-        flows.removeIfReused(c_flow, c_sequence);
-        EXPECT_EQ(flows.resolve(c_flow, {}, c_second, c_start), c_first);
-        flows.removeIfReused(c_flow, c_sequence + 1'000);
-        EXPECT_EQ(flows.resolve(c_flow, {}, c_second, c_start), BackendToken {});
+        EXPECT_EQ(openBackend(flows, c_flow, c_sequence + 1'000'000), c_first);
+        EXPECT_EQ(openBackend(flows, c_flow, c_sequence - 1), BackendToken {});
+        EXPECT_EQ(openBackend(flows, c_flow, c_sequence + 1'100'000), BackendToken {});
+        flows.add(c_flow, c_sequence - 1'000, c_start);
+        EXPECT_TRUE(flows.contains(c_flow, c_sequence - 1'000));
+        EXPECT_FALSE(flows.contains(c_flow, c_sequence));
+    }
+
+    TEST(ContestedFlowsTest, sequenceNumbersWrapAround)
+    {
+        ContestedFlows flows { 1, c_start };
+        flows.apply({ { c_flow, 0xfffffff0, c_first }, {} }, c_start);
+        EXPECT_EQ(openBackend(flows, c_flow, 0xfffffff1), c_first);
+        EXPECT_EQ(openBackend(flows, c_flow, 50'000), c_first);
+    }
+
+    // The datagram may be lost; callers send a packet that was dropped again after 200 ms.
+    TEST(ContestedFlowsTest, ownChangesAreReportedAtOnceAndOnceMore)
+    {
+        ContestedFlows flows { 1, c_start };
+        flows.apply({ { { 8 }, c_sequence, c_first }, {} }, c_start);
+        EXPECT_FALSE(flows.hasNotices(c_start));
+        flows.add(c_flow, c_sequence, c_start);
+        EXPECT_TRUE(flows.hasNotices(c_start));
+        const std::vector<ContestedFlowReport> added { { { c_flow, c_sequence, {} }, {} } };
+        EXPECT_EQ(flows.takeNotices(c_start), added);
+        EXPECT_TRUE(flows.takeNotices(c_start).empty());
+        flows.resolve(c_flow, c_second, c_start);
+        const std::vector<ContestedFlowReport> resolved { { { c_flow, c_sequence, c_second }, {} } };
+        EXPECT_EQ(flows.takeNotices(c_start), resolved);
+        EXPECT_EQ(flows.takeNotices(c_start + std::chrono::milliseconds { 100 }).size(), 1u);
+        EXPECT_FALSE(flows.hasNotices(c_start + std::chrono::seconds { 10 }));
+        EXPECT_EQ(flows.latestOwn(5, c_start), resolved);
     }
 
     TEST(ContestedFlowsTest, eachChangeIsPassedOnOnce)
@@ -59,7 +98,7 @@
         EXPECT_EQ(other.takeForMessage(6, c_start), changed); // as a repetition
         EXPECT_FALSE(other.hasChanges());
         EXPECT_EQ(origin.takeForMessage(6, c_start).size(), 1u);
-        origin.resolve(c_flow, {}, c_second, c_start);
+        origin.resolve(c_flow, c_second, c_start);
         EXPECT_TRUE(origin.hasChanges());
     }
 
@@ -138,8 +177,8 @@
             const ContestedFlowReport later { { c_flow, c_sequence + 1'000, c_second }, std::chrono::seconds { 3 } };
             flows.apply(isLaterFirst ? later : earlier, c_start);
             flows.apply(isLaterFirst ? earlier : later, c_start);
-            EXPECT_EQ(flows.resolve(c_flow, {}, {}, c_start), c_second);
-            EXPECT_EQ(flows.resolve(c_flow, c_sequence, {}, c_start), BackendToken {});
+            EXPECT_EQ(openBackend(flows, c_flow, c_sequence + 1'001), c_second);
+            EXPECT_EQ(openBackend(flows, c_flow, c_sequence + 1), BackendToken {});
         }
     }
 
@@ -164,7 +203,7 @@
             flows.add({ i }, c_sequence, c_start);
         EXPECT_EQ(flows.size(), ContestedFlows::s_maxFlows);
         EXPECT_EQ(flows.refused(), 1u);
-        EXPECT_EQ(flows.resolve({ ContestedFlows::s_maxFlows }, {}, c_first, c_start), BackendToken {});
+        EXPECT_FALSE(flows.contains({ ContestedFlows::s_maxFlows }, c_sequence));
     }
 
     // A record that is missing must not be taken for a flow that is not contested.
--- a/src/affinity/TokenRouter.cpp
+++ b/src/affinity/TokenRouter.cpp
@@ -49,6 +49,7 @@
     , m_observer(observer)
     , m_flows(m_backends, m_options.m_trackedFlowLimit)
     , m_contestedFlows(hashText(m_options.m_zone, c_contestedSalt), m_options.m_startedAt)
+    , m_locator(m_backends, m_contestedFlows)
     , m_isAwaitingEvacuations(m_options.m_awaitsEvacuations)
 {
     if (m_options.m_warmupBounds)
@@ -79,22 +80,20 @@
         return reject(packet, PacketActionKind::Drop, Reason::NotConfigured, nullptr, now);
     TrackedFlow* const stored = m_flows.find(hash);
     // A caller that reuses its port starts at another sequence number.
-    const bool isRetransmission = stored && stored->wasOpenedHere()
-        && (packet.m_retransmissions > 0 || packet.m_sequence == stored->m_openingSequence);
-    if (isRetransmission)
+    if (stored && stored->wasOpenedHere() && packet.m_sequence == stored->m_openingSequence)
         return decideRetransmittedOpening(packet, hash, *stored, now);
     TrackedBackend* const backend = place(*service, hash, BackendToken {}, now);
     if (!backend)
         return refuseUnplaced(*service, packet, nullptr, now);
     TrackedFlow* const flow
         = m_flows.open(hash, packet.m_flow, backend->m_token, service->m_kind == RequestKind::Idempotent, now);
-    if (flow)
+    if (flow) {
         flow->m_openingSequence = packet.m_sequence;
+        TrackedFlows::recordOpening(*flow, packet.m_retransmissions, now);
+    }
     // The copies before may have reached another VM.
     if (packet.m_retransmissions > 0)
         m_contestedFlows.add(hash, packet.m_sequence, now);
-    else
-        m_contestedFlows.removeIfReused(hash, packet.m_sequence);
     m_observer.placed(packet, *backend, PlacementCause::New, m_eligible.size(), now);
     return forwardOpeningTo(*backend, packet, hash, now);
 }
@@ -119,6 +118,7 @@
 PacketAction TokenRouter::decideRetransmittedOpening(
     const PacketSummary& packet, FlowHash hash, TrackedFlow& flow, Instant now)
 {
+    TrackedFlows::recordOpening(flow, packet.m_retransmissions, now);
     TrackedBackend* const first = m_backends.find(flow.m_backend);
     const bool isLate = now - flow.m_openedAt >= c_minRetransmissionDelay;
     const bool wasSuspected = first && isSuspected(*first);
@@ -144,72 +144,38 @@
     return forwardOpeningTo(*second, packet, hash, now);
 }
 
-/// Returns the token of the backend server where a flow is open; flow: its record, if any. 0: it is not proven, or the
-/// packet carries none. The first packet after the opening packet carries the token of the answer that opened the flow.
-/// A later opening token may be that of another backend server, which answered another copy of the opening packet.
-BackendToken TokenRouter::openBackendOf(
-    const PacketSummary& packet, FlowHash hash, const TrackedFlow* flow, Instant now)
-{
-    const CarriedToken carried = CarriedToken::decode(packet.m_carriedToken);
-    const BackendToken named = backendNamedBy(carried, flow);
-    const bool wasOpenedHere = flow && flow->wasOpenedHere();
-    const BackendToken resolved = m_contestedFlows.resolve(
-        hash, wasOpenedHere ? std::optional { flow->m_openingSequence } : std::nullopt, named, now);
-    if (resolved != BackendToken {})
-        return resolved;
-    const bool isDecided = flow && flow->m_isEstablished && (wasOpenedHere || carried.isOpening());
-    if (flow && (isDecided || carried.m_kind == CarriedToken::Kind::None))
-        return flow->m_backend;
-    if (wasOpenedHere && carried.isOpening() && named != flow->m_backend) {
-        // Another VM chose another backend server for a copy, and that one's answer opened the flow.
-        m_contestedFlows.add(hash, flow->m_openingSequence, now);
-        return m_contestedFlows.resolve(hash, flow->m_openingSequence, named, now);
-    }
-    return wasOpenedHere || isProven(carried, now) ? named : BackendToken {};
-}
-
-/// Returns the token of the backend server that a carried token names; 0: none, or it may be one of several. Cost:
-/// O(1), O(backend servers) for the opening token of a flow that is not of flow's backend server.
-BackendToken TokenRouter::backendNamedBy(const CarriedToken& carried, const TrackedFlow* flow) const
+/// Returns the record of a packet's flow; nullptr if there is none. Closes that of an earlier flow with the same
+/// addresses and ports.
+TrackedFlow* TokenRouter::recordOf(const PacketSummary& packet, FlowHash hash)
 {
-    if (!carried.isOpening())
-        return { carried.m_backendBits };
-    if (flow && carried.mayName(flow->m_backend))
-        return flow->m_backend;
-    BackendToken named;
-    bool isAmbiguous = false;
-    m_backends.forEach([&](const TrackedBackend& backend) {
-        if (!carried.mayName(backend.m_token))
-            return;
-        isAmbiguous = named != BackendToken {};
-        named = backend.m_token;
-    });
-    return isAmbiguous ? BackendToken {} : named;
+    TrackedFlow* const flow = m_flows.find(hash);
+    if (!flow || flow->contains(packet.m_sequence))
+        return flow;
+    m_flows.close(hash);
+    return nullptr;
 }
 
-/// Whether a token says where a flow without a record is open. The token of a copy does not: the flow is contested, and
-/// what this VM does not know of it was lost with the processes of other VMs. Nor does that of an opening which the
-/// records of contested flows do not reach back to.
-bool TokenRouter::isProven(const CarriedToken& carried, Instant now) const
+void TokenRouter::applyContestedFlow(const ContestedFlowReport& found, Instant now)
 {
-    if (carried.m_kind != CarriedToken::Kind::Opening)
-        return carried.m_kind == CarriedToken::Kind::Settled;
-    const Instant openedAt = now - carried.minAge(timeOfDay(now));
-    const Instant knownSince = m_contestedFlows.knownSince();
-    return knownSince <= openedAt || now - knownSince >= c_departedRetention;
+    m_locator.apply(found, m_flows.find(found.m_content.m_flow), now);
 }
 
-void TokenRouter::setTimeOfDay(Duration sinceUnixEpoch, Instant now)
+std::vector<ContestedFlowReport> TokenRouter::answerQuestions(std::span<const FlowHash> flows, Instant now)
 {
-    m_timeOfDayOffset = sinceUnixEpoch - now.time_since_epoch();
+    std::vector<ContestedFlowReport> answers;
+    for (const FlowHash flow : flows) {
+        const std::optional<ContestedFlowReport> answer = m_locator.answer(flow, m_flows.find(flow), now);
+        if (answer)
+            answers.push_back(*answer);
+    }
+    return answers;
 }
 
 PacketAction TokenRouter::forwardOpeningTo(
     const TrackedBackend& backend, const PacketSummary& packet, FlowHash hash, Instant now)
 {
     PacketAction action = forwardTo(backend);
-    action.m_token = CarriedToken::encodeOpening(
-        backend.m_token, m_contestedFlows.contains(hash, packet.m_sequence), timeOfDay(now));
+    action.m_token = m_locator.openingToken(backend.m_token, hash, packet.m_sequence, now);
     return action;
 }
 
@@ -228,7 +194,7 @@
 {
     if (m_services.version() == ConfigVersion {})
         return reject(packet, PacketActionKind::Drop, Reason::NotConfigured, nullptr, now);
-    if (m_flows.find(hash)) {
+    if (recordOf(packet, hash)) {
         m_flows.close(hash);
         m_pendingResets.permit(hash, now);
     }
@@ -242,8 +208,8 @@
     const ServiceMap::Entry* const service = m_services.find(packet.m_flow.m_service);
     if (!service)
         return decideMidstreamOfUnknownService(packet, hash, now);
-    TrackedFlow* flow = m_flows.find(hash);
-    const BackendToken token = openBackendOf(packet, hash, flow, now);
+    TrackedFlow* flow = recordOf(packet, hash);
+    const BackendToken token = m_locator.locate(packet, hash, flow, now);
     if (token == BackendToken {} && packet.m_carriedToken != 0)
         return reject(packet, PacketActionKind::Drop, Reason::OpeningUnproven, nullptr, now);
     if (flow && flow->m_backend != token)
@@ -254,7 +220,7 @@
     if (isGone(*backend, now))
         return decideMidstreamOfGoneBackend(packet, hash, *backend, now);
     if (!flow && packet.m_kind == PacketKind::Midstream)
-        flow = m_flows.adopt(hash, packet.m_flow, token, service->m_kind == RequestKind::Idempotent, now);
+        flow = m_flows.adopt(hash, packet, token, service->m_kind == RequestKind::Idempotent, now);
     if (flow) {
         const FlowObservation seen = m_flows.observe(*flow, packet, now);
         if (m_options.m_learnsPace && seen.m_answeredSentAt != Instant {})
@@ -799,9 +765,11 @@
     }
     if (now >= m_nextSweepAt) {
         m_nextSweepAt = now + c_sweepInterval;
-        m_flows.sweep(now);
+        for (const TrackedFlow& flow : m_flows.sweep(now))
+            m_locator.recordRemoved(flow, now);
         reportPaceChanges(now);
         m_contestedFlows.sweep(now);
+        m_locator.sweep(now);
         m_pendingResets.sweep(now);
     }
 }
@@ -816,7 +784,7 @@
 void TokenRouter::applyPause(Deadline staleUntil)
 {
     m_staleUntil = staleUntil;
-    m_contestedFlows.recordGap(staleUntil);
+    m_contestedFlows.recordGap(staleUntil + CarriedToken::s_maxAgeError);
     m_zoneLiveness.clear();
     m_backends.forEach([](TrackedBackend& backend) {
         backend.m_liveness.clearSuspicion();
--- a/src/affinity/TokenRouter.h
+++ b/src/affinity/TokenRouter.h
@@ -3,6 +3,7 @@
 #include "affinity/BackendCatalog.h"
 #include "affinity/CarriedToken.h"
 #include "affinity/ContestedFlows.h"
+#include "affinity/FlowLocator.h"
 #include "affinity/LivenessProbe.h"
 #include "affinity/PendingResets.h"
 #include "affinity/RouterObserver.h"
@@ -53,8 +54,8 @@
 ///
 /// FlowPlacement places an opening packet among the backend servers that the service's selectors match. A retransmitted
 /// opening packet goes to the same one, unless several packets to that one went unanswered. A flow whose opening packet
-/// may have reached several backend servers stays with the one whose answer opened it, on all VMs. A packet whose token
-/// does not prove where such a flow is open (CarriedToken) is dropped by a VM that does not know.
+/// may have reached several backend servers stays with the one whose answer opened it, on all VMs: FlowLocator decides
+/// which one that is.
 class TokenRouter final : public PacketRouter {
 public:
     struct Options {
@@ -147,7 +148,7 @@
     /// Sets the time of day, which dates the opening packets that this VM forwards: a VM that does not know all
     /// contested flows drops packets that may be of earlier ones. Call several times per second. A clock that jumps
     /// costs flows that are opened shortly after all VMs have restarted, and no others.
-    void setTimeOfDay(Duration sinceUnixEpoch, Instant now);
+    void setTimeOfDay(Duration sinceUnixEpoch, Instant now) { m_locator.setTimeOfDay(sinceUnixEpoch, now); }
 
     /// Applies a pause of this process: queued packets are old, missing answers during the pause prove nothing, and
     /// contested flows of other VMs were missed. Drops opening packets until staleUntil.
@@ -156,6 +157,15 @@
     /// Flows whose opening packet may have reached several backend servers, to exchange with the other VMs.
     ContestedFlows& contestedFlows() { return m_contestedFlows; }
     const ContestedFlows& contestedFlows() const { return m_contestedFlows; }
+
+    /// Applies what another VM found about a contested flow.
+    void applyContestedFlow(const ContestedFlowReport& found, Instant now);
+
+    /// Returns what this VM knows of the flows that another VM asks about.
+    std::vector<ContestedFlowReport> answerQuestions(std::span<const FlowHash> flows, Instant now);
+
+    /// Removes and returns the flows that this VM cannot locate, to ask the VMs of its zone about.
+    std::vector<FlowHash> takeQuestions() { return m_locator.takeQuestions(); }
     const PendingResets& pendingResets() const { return m_pendingResets; }
 
     BackendCatalog& backends() { return m_backends; }
@@ -190,12 +200,9 @@
     PacketAction decideOpening(const PacketSummary& packet, FlowHash hash, Instant now);
     PacketAction decideMidstream(const PacketSummary& packet, FlowHash hash, Instant now);
     PacketAction decideRetransmittedOpening(const PacketSummary& packet, FlowHash hash, TrackedFlow& flow, Instant now);
-    BackendToken openBackendOf(const PacketSummary& packet, FlowHash hash, const TrackedFlow* flow, Instant now);
-    BackendToken backendNamedBy(const CarriedToken& carried, const TrackedFlow* flow) const;
-    bool isProven(const CarriedToken& carried, Instant now) const;
+    TrackedFlow* recordOf(const PacketSummary& packet, FlowHash hash);
     PacketAction forwardOpeningTo(
         const TrackedBackend& backend, const PacketSummary& packet, FlowHash hash, Instant now);
-    Duration timeOfDay(Instant now) const { return now.time_since_epoch() + m_timeOfDayOffset; }
     PacketAction decideOpeningOfUnknownService(const PacketSummary& packet, Instant now);
     PacketAction decideMidstreamOfUnknownService(const PacketSummary& packet, FlowHash hash, Instant now);
     PacketAction decideMidstreamOfGoneBackend(
@@ -246,6 +253,7 @@
     std::map<std::string, LivenessTracker, std::less<>> m_zoneLiveness; ///< by name of another zone
     std::map<Endpoint, AnswerBaseline> m_baselines; ///< by address of each declared service; empty if !m_learnsPace
     ContestedFlows m_contestedFlows;
+    FlowLocator m_locator;
     PendingResets m_pendingResets;
     std::vector<ZoneHash> m_evacuatedZones;
     bool m_isAwaitingEvacuations;
@@ -257,7 +265,6 @@
     Instant m_stateConfirmedAt {};
     bool m_hasNewerDeclarations = false;
     bool m_isConfirmationRequested = false;
-    Duration m_timeOfDayOffset {}; ///< from the time base of Instant
     Deadline m_staleUntil {};
     Deadline m_nextSweepAt {};
 };
--- a/src/affinity/TokenRouterTest.cpp
+++ b/src/affinity/TokenRouterTest.cpp
@@ -45,12 +45,16 @@
         return declarations;
     }
 
+    /// The first packet after the opening packet has the next number.
+    constexpr std::uint32_t c_openingSequence = 9;
+
     PacketSummary makePacket(PacketKind kind, std::uint16_t port, Endpoint service = c_forms)
     {
         PacketSummary packet;
         packet.m_flow.m_caller = { 0x64400007, port };
         packet.m_flow.m_service = service;
         packet.m_kind = kind;
+        packet.m_sequence = c_openingSequence;
         return packet;
     }
 
@@ -561,7 +565,8 @@
         Vm vm;
         const PacketAction opened = vm.open(1, c_forms, 1);
         EXPECT_EQ(vm.data(1, opened.m_token, 10).m_target, opened.m_target);
-        const std::uint32_t other = tokenOf({ opened.m_identity % 3 + 1 }).m_value;
+        const std::uint32_t other
+            = CarriedToken::encodeOpening(tokenOf({ opened.m_identity % 3 + 1 }), false, vm.m_now.time_since_epoch());
         const PacketAction later = vm.data(1, other, 110);
         EXPECT_EQ(later.m_target, opened.m_target);
         EXPECT_EQ(later.m_token, settledToken(opened));
@@ -622,7 +627,8 @@
         Vm vm;
         const PacketAction opened = vm.open(1, c_forms, 1);
         EXPECT_EQ(vm.data(1, opened.m_token, 10).m_target, opened.m_target);
-        const std::uint32_t other = tokenOf({ opened.m_identity % 3 + 1 }).m_value;
+        const std::uint32_t other
+            = CarriedToken::encodeOpening(tokenOf({ opened.m_identity % 3 + 1 }), false, vm.m_now.time_since_epoch());
         for (int i = 0; i < 120; ++i)
             vm.wait(milliseconds { 100 });
         EXPECT_EQ(vm.data(1, other, 110).m_target, opened.m_target);
@@ -694,27 +700,81 @@
         EXPECT_EQ(other.data(1, opened.m_token, 10).m_identity, opened.m_identity);
     }
 
-    // A VM that knows all contested flows need not doubt the token of an opening that it has no record of.
-    TEST(TokenRouterTest, flowWithoutARecordContinuesOnceTheContestedFlowsAreKnown)
+    /// Sends one VM's questions to another, and applies the answers.
+    void askAbout(Vm& asking, Vm& other)
+    {
+        for (const ContestedFlowReport& answer :
+            other.m_router.answerQuestions(asking.m_router.takeQuestions(), other.m_now))
+            asking.m_router.applyContestedFlow(answer, asking.m_now);
+    }
+
+    // A backend server repeats its answer for seconds, also to the caller's next flow on the same port.
+    TEST(TokenRouterTest, theTokenOfAnOldOpeningProvesNothingToAVmWithoutARecord)
     {
         Vm opener;
         const PacketAction opened = opener.open(1);
         Vm vm { 3, opener.m_now + std::chrono::seconds { 2 } };
         EXPECT_EQ(vm.data(1, opened.m_token, 10).m_reason, Reason::OpeningUnproven);
         vm.m_router.contestedFlows().restore({}, opener.m_now, vm.m_now);
-        EXPECT_EQ(vm.data(1, opened.m_token, 10).m_identity, opened.m_identity);
+        EXPECT_EQ(vm.data(1, opened.m_token, 10).m_reason, Reason::OpeningUnproven);
         Vm old { 3, c_start };
-        old.wait(c_departedRetention); // no flow that was opened before it started is left
-        EXPECT_EQ(old.data(1, opened.m_token, 10).m_identity, opened.m_identity);
+        old.wait(c_departedRetention);
+        EXPECT_EQ(old.data(1, opened.m_token, 10).m_reason, Reason::OpeningUnproven);
+    }
+
+    TEST(TokenRouterTest, flowWithoutARecordContinuesOnceAnotherVmHasAnswered)
+    {
+        for (const bool isOpen : { true, false }) {
+            Vm opener;
+            const PacketAction opened = opener.open(1);
+            if (isOpen)
+                opener.data(1, opened.m_token, 10);
+            Vm vm { 3, opener.m_now + std::chrono::seconds { 2 } };
+            EXPECT_EQ(vm.data(1, opened.m_token, 10).m_reason, Reason::OpeningUnproven);
+            askAbout(vm, opener);
+            EXPECT_EQ(vm.data(1, opened.m_token, 10).m_identity, opened.m_identity);
+        }
+    }
+
+    // The VM that has seen the flow has forgotten its load, and remembers where it is open.
+    TEST(TokenRouterTest, aVmRemembersWhereAnIdleFlowIsOpen)
+    {
+        Vm opener;
+        const PacketAction opened = opener.open(1);
+        opener.data(1, opened.m_token, 10);
+        for (int i = 0; i < 50; ++i)
+            opener.wait(std::chrono::seconds { 1 });
+        ASSERT_EQ(opener.m_router.trackedFlows(), 0u);
+        const std::uint32_t other = CarriedToken::encodeOpening(
+            tokenOf({ opened.m_identity % 3 + 1 }), true, opener.m_now.time_since_epoch());
+        Vm vm { 3, opener.m_now };
+        EXPECT_EQ(vm.data(1, other, 110).m_reason, Reason::OpeningUnproven);
+        askAbout(vm, opener);
+        EXPECT_EQ(vm.data(1, other, 110).m_identity, opened.m_identity);
+        EXPECT_EQ(opener.data(1, other, 110).m_identity, opened.m_identity);
+    }
+
+    TEST(TokenRouterTest, aFlowIsAskedAboutAtIntervals)
+    {
+        Vm vm;
+        const std::uint32_t copy = CarriedToken::encodeOpening(tokenOf({ 1 }), true, vm.m_now.time_since_epoch());
+        vm.data(1, copy, 110);
+        vm.data(1, copy, 110);
+        EXPECT_EQ(vm.m_router.takeQuestions().size(), 1u);
+        vm.wait(milliseconds { 200 });
+        vm.data(1, copy, 110);
+        EXPECT_EQ(vm.m_router.takeQuestions().size(), 1u);
+        EXPECT_TRUE(vm.m_router.takeQuestions().empty());
     }
 
     // Messages of other VMs are lost while a VM stands still.
     TEST(TokenRouterTest, afterAPauseContestedFlowsOfBeforeAreUnknown)
     {
         Vm opener;
-        const PacketAction opened = opener.open(1);
         Vm vm;
+        opener.wait(std::chrono::seconds { 3 });
         vm.wait(std::chrono::seconds { 3 });
+        const PacketAction opened = opener.open(1);
         EXPECT_EQ(vm.data(1, opened.m_token, 10).m_identity, opened.m_identity);
         vm.m_router.applyPause(vm.m_now);
         EXPECT_EQ(vm.data(2, opened.m_token, 10).m_reason, Reason::OpeningUnproven);
@@ -916,13 +976,17 @@
     {
         Vm vm { 5 };
         std::array<std::uint32_t, 5> settled {}; // last token of each port that named a backend server
+        std::array<std::uint32_t, 5> sequences {}; // of each port, from a random start
+        for (std::uint32_t& sequence : sequences)
+            sequence = *rc::gen::arbitrary<std::uint32_t>();
         const std::vector<std::uint32_t> tokens = *rc::gen::container<std::vector<std::uint32_t>>(
             rc::gen::oneOf(rc::gen::arbitrary<std::uint32_t>(), rc::gen::map(rc::gen::inRange(1, 6), [](int identity) {
                 return tokenOf({ static_cast<std::uint64_t>(identity) }).m_value;
             })));
         for (const std::uint32_t token : tokens) {
             const std::uint16_t port = static_cast<std::uint16_t>(*rc::gen::inRange(1, 5));
-            const PacketAction action = vm.data(port, token, *rc::gen::arbitrary<std::uint32_t>());
+            sequences[port] += *rc::gen::inRange<std::uint32_t>(0, 10'000);
+            const PacketAction action = vm.data(port, token, sequences[port]);
             if (action.m_kind == PacketActionKind::ToBackend && token != 0) {
                 const bool isSettled = CarriedToken::decode(token).m_kind == CarriedToken::Kind::Settled;
                 settled[port] = isSettled ? token : settled[port];
--- a/src/affinity/TrackedFlows.cpp
+++ b/src/affinity/TrackedFlows.cpp
@@ -17,6 +17,9 @@
     /// A longer request counts as ended: the acknowledgment of a flow's last answer may be missing.
     constexpr Duration c_maxRequestDuration = std::chrono::milliseconds { 1'000 };
 
+    /// Less than the 200 ms after which callers send an opening packet again.
+    constexpr Duration c_uncopiedTime = std::chrono::milliseconds { 150 };
+
     /// Whether sequence number left follows right, modulo 2^32.
     bool isAfter(std::uint32_t left, std::uint32_t right)
     {
@@ -48,14 +51,25 @@
     return flow;
 }
 
-TrackedFlow* TrackedFlows::adopt(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now)
+TrackedFlow* TrackedFlows::adopt(
+    FlowHash hash, const PacketSummary& packet, BackendToken backend, bool isLong, Instant now)
 {
-    TrackedFlow* const flow = insert(hash, key, backend, isLong, now);
-    if (flow)
-        flow->m_isEstablished = true;
+    TrackedFlow* const flow = insert(hash, packet.m_flow, backend, isLong, now);
+    if (!flow)
+        return nullptr;
+    flow->m_isEstablished = true;
+    flow->m_openingSequence = packet.m_sequence - c_maxBytesInFlight;
     return flow;
 }
 
+void TrackedFlows::recordOpening(TrackedFlow& flow, std::uint8_t retransmission, Instant now)
+{
+    if (retransmission != flow.m_nextCopy)
+        return;
+    ++flow.m_nextCopy;
+    flow.m_uncopiedUntil = now + c_uncopiedTime;
+}
+
 TrackedFlow* TrackedFlows::insert(FlowHash hash, const FlowKey& key, BackendToken backend, bool isLong, Instant now)
 {
     const auto found = m_flows.find(hash.m_value);
@@ -67,7 +81,7 @@
     flow.m_key = key;
     flow.m_backend = backend;
     flow.m_isLong = isLong;
-    flow.m_seenAt = now;
+    flow.m_recordedAt = flow.m_seenAt = now;
     setCounted(flow, isLong);
     return &flow;
 }
@@ -148,19 +162,22 @@
     return closed;
 }
 
-void TrackedFlows::sweep(Instant now)
+std::vector<TrackedFlow> TrackedFlows::sweep(Instant now)
 {
+    std::vector<TrackedFlow> removed;
     for (auto position = m_flows.begin(); position != m_flows.end();) {
         TrackedFlow& flow = position->second;
         if (flow.m_isActive && now - flow.m_activeSince > c_maxRequestDuration)
             setActive(flow, false, now);
         if (now - flow.m_seenAt > (flow.m_isLong ? c_longFlowIdleTimeout : c_shortFlowIdleTimeout)) {
             release(flow);
+            removed.push_back(flow);
             m_flows.erase(position++);
         } else {
             ++position;
         }
     }
+    return removed;
 }
 
 void TrackedFlows::setActive(TrackedFlow& flow, bool active, Instant now)
--- a/src/exchange/ContestedFlowsFleetTest.cpp
+++ b/src/exchange/ContestedFlowsFleetTest.cpp
@@ -77,7 +77,9 @@
                 const Duration age = m_now - recorded.m_at;
                 const bool isDue = age >= c_spreadTime && age < seconds { 58 };
                 const ContestedFlow& flow = recorded.m_flow;
-                missing += isDue && m_vms[vm].m_flows->resolve(flow.m_flow, {}, {}, m_now) != flow.m_backend ? 1 : 0;
+                const ContestedFlow* const known
+                    = m_vms[vm].m_flows->find(flow.m_flow, flow.m_openingSequence + 1, m_now);
+                missing += isDue && (!known || known->m_backend != flow.m_backend) ? 1 : 0;
             }
             return missing;
         }
@@ -125,7 +127,7 @@
                 const ContestedFlow flow { { m_random() }, static_cast<std::uint32_t>(m_random()),
                     tokenOf({ 1 + m_random() % m_size.m_backends }) };
                 vm.m_flows->add(flow.m_flow, flow.m_openingSequence, m_now);
-                vm.m_flows->resolve(flow.m_flow, flow.m_openingSequence, flow.m_backend, m_now);
+                vm.m_flows->resolve(flow.m_flow, flow.m_backend, m_now);
                 m_recorded.push_back({ flow, m_now });
             }
         }
--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -20,6 +20,26 @@
     /// A peer is removed when it sends no message for this long. A VM of another zone sends to 60 VMs in turn.
     constexpr Duration c_peerExpiry = std::chrono::seconds { 15 };
 
+    /// A leaving peer is removed when it sends no message for this long: its process has ended.
+    constexpr Duration c_leavingPeerExpiry = std::chrono::seconds { 3 };
+
+    /// Without a message of any other VM for this long, this VM has no contact. Each VM sends at least every 200 ms.
+    constexpr Duration c_contactTimeout = std::chrono::seconds { 1 };
+
+    /// Former peers are contacted once a second: those of the local zone that were peers within the first time, as
+    /// processes start again within seconds, and a few others, within a time that partitions between zones may last.
+    constexpr Duration c_restartTime = std::chrono::seconds { 10 };
+    constexpr Duration c_formerPeerRetention = std::chrono::minutes { 10 };
+    constexpr std::size_t c_formerPeerFanout = 4;
+    constexpr std::size_t c_maxFormerPeers = 64;
+
+    /// A VM that knows contested flows of a time that is shorter by more than this than it said before has started
+    /// again, or stood still.
+    constexpr std::chrono::milliseconds c_restartMargin { 500 };
+
+    /// Minimum interval between introductions of one VM.
+    constexpr Duration c_introductionInterval = std::chrono::milliseconds { 500 };
+
     /// Minimum time-out of a local zone's peer, for zones where each VM gets at least two messages within it.
     constexpr Duration c_minPeerTimeout = std::chrono::milliseconds { 600 };
 
@@ -108,23 +128,30 @@
             = std::max(m_newestVersions.m_declarations, message.m_storeVersions.m_declarations);
         m_newestVersionsAt = now;
     }
-    if (message.m_leaving) {
-        m_peers.erase(peer);
-        return;
-    }
+    m_formerPeers.erase(peer);
     const auto [found, isNewPeer] = m_peers.try_emplace(peer);
-    if (isNewPeer)
-        m_newPeers.push_back({ peer, message.m_zone });
     PeerState& state = found->second;
+    const bool hasStarted
+        = isNewPeer || state.m_isLeaving || message.m_contestedKnownFor + c_restartMargin < state.m_contestedKnownFor;
+    if (hasStarted && !message.m_leaving && now - state.m_introducedAt >= c_introductionInterval) {
+        state.m_introducedAt = now;
+        // The sender of a notice was introduced by the VM that listed this one to it.
+        if (!message.m_isNotice)
+            m_newPeers.push_back({ peer, message.m_zone });
+        if (message.m_zone == m_zone)
+            m_ungreeted.push_back(peer);
+    }
     if (state.m_lastSeenAt == Instant {})
         m_nextGossipAt = now;
     state.m_zone = message.m_zone;
-    state.m_lastSeenAt = now;
-    state.m_expiresAt = now + c_peerExpiry;
-    state.m_isReading = message.m_isReading;
+    state.m_lastSeenAt = state.m_heardOfAt = now;
+    state.m_isLeaving = message.m_leaving;
+    state.m_expiresAt = now + (message.m_leaving ? c_leavingPeerExpiry : c_peerExpiry);
+    state.m_isReading = message.m_isReading && !message.m_leaving;
     state.m_versions = message.m_storeVersions;
     state.m_confirmedAt = message.m_stateAge ? now - *message.m_stateAge - c_transitTime : Instant {};
     state.m_contestedKnownSince = now - message.m_contestedKnownFor;
+    state.m_contestedKnownFor = message.m_contestedKnownFor;
     for (const ExchangePeer& gossiped : message.m_peers)
         addGossiped(gossiped, now);
 }
@@ -134,7 +161,35 @@
     if (peer.m_exchange == m_self || peer.m_exchange.m_port != m_self.m_port)
         return;
     // Only a VM's own messages extend its expiry: being listed by peers does not.
-    m_peers.try_emplace(peer.m_exchange, PeerState { peer.m_zone, Instant {}, now + c_peerExpiry });
+    const auto [found, isNewPeer] = m_peers.try_emplace(peer.m_exchange);
+    if (!isNewPeer)
+        return;
+    found->second.m_zone = peer.m_zone;
+    found->second.m_heardOfAt = now;
+    found->second.m_expiresAt = now + c_peerExpiry;
+    if (peer.m_zone == m_zone)
+        m_ungreeted.push_back(peer.m_exchange);
+}
+
+bool ExchangePeers::hasContact(Instant now) const
+{
+    return std::ranges::any_of(
+        m_peers, [now](const auto& entry) { return now - entry.second.m_lastSeenAt < c_contactTimeout; });
+}
+
+/// Removes the peers that are silent. Those that ever sent a message become former peers.
+void ExchangePeers::removeExpired(Instant now)
+{
+    std::erase_if(m_peers, [&](const auto& entry) {
+        const auto& [peer, state] = entry;
+        if (now < state.m_expiresAt)
+            return false;
+        if (state.m_lastSeenAt != Instant {} && m_formerPeers.size() < c_maxFormerPeers)
+            m_formerPeers.insert_or_assign(peer, FormerPeer { state.m_zone, state.m_lastSeenAt });
+        return true;
+    });
+    std::erase_if(
+        m_formerPeers, [now](const auto& entry) { return now - entry.second.m_lastSeenAt >= c_formerPeerRetention; });
 }
 
 std::vector<ExchangePeer> ExchangePeers::takeNewPeers()
@@ -154,7 +209,7 @@
 
 std::vector<Endpoint> ExchangePeers::nextTargets(Instant now)
 {
-    std::erase_if(m_peers, [now](const auto& entry) { return now >= entry.second.m_expiresAt; });
+    removeExpired(now);
     std::vector<Endpoint> targets;
     appendRoundRobin(targets, true, c_localZoneFanout);
     appendRoundRobin(targets, false, c_otherZoneFanout);
@@ -164,10 +219,31 @@
             if (!m_peers.contains(seed))
                 targets.push_back(seed);
         }
+        appendFormer(targets, now);
     }
     return targets;
 }
 
+void ExchangePeers::appendFormer(std::vector<Endpoint>& targets, Instant now)
+{
+    std::map<Endpoint, FormerPeer>::const_iterator position = nextInRing(m_formerPeers, m_lastFormer);
+    std::size_t others = 0;
+    for (std::size_t i = 0; i < m_formerPeers.size(); ++i) {
+        const auto& [peer, state] = *position;
+        const bool mayRestart = state.m_zone == m_zone && now - state.m_lastSeenAt < c_restartTime;
+        const bool isNext = !mayRestart && others < c_formerPeerFanout;
+        if (mayRestart || isNext)
+            targets.push_back(peer);
+        if (isNext) {
+            m_lastFormer = peer;
+            ++others;
+        }
+        ++position;
+        if (position == m_formerPeers.end())
+            position = m_formerPeers.begin();
+    }
+}
+
 void ExchangePeers::appendRoundRobin(std::vector<Endpoint>& targets, bool inLocalZone, std::size_t count)
 {
     Endpoint& last = inLocalZone ? m_lastInLocalZone : m_lastInOtherZone;
@@ -197,8 +273,14 @@
 
 std::size_t ExchangePeers::localZonePeerCount() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_peers.begin(), m_peers.end(), [this](const auto& entry) { return entry.second.m_zone == m_zone; }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_peers, [this](const auto& entry) { return entry.second.m_zone == m_zone && !entry.second.m_isLeaving; }));
+}
+
+std::size_t ExchangePeers::size() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_peers, [](const auto& entry) { return !entry.second.m_isLeaving; }));
 }
 
 void ExchangePeers::collectLocalZoneMembers(std::vector<ZoneMember>& members) const
@@ -206,13 +288,16 @@
     members.clear();
     for (const auto& [peer, state] : m_peers) {
         if (state.m_zone == m_zone)
-            members.push_back({ peer, state.m_expiresAt - c_peerExpiry });
+            members.push_back({ peer, state.m_heardOfAt });
     }
 }
 
 std::int64_t ExchangePeers::messagesPerRound() const
 {
-    return static_cast<std::int64_t>((localZonePeerCount() + c_localZoneFanout - 1) / c_localZoneFanout);
+    const std::int64_t receivers
+        = std::ranges::count(m_peers, m_zone, [](const auto& entry) { return entry.second.m_zone; });
+    return (receivers + static_cast<std::int64_t>(c_localZoneFanout) - 1)
+        / static_cast<std::int64_t>(c_localZoneFanout);
 }
 
 Duration ExchangePeers::peerTimeout() const
@@ -235,7 +320,8 @@
     unsigned higherRanked = 0;
     bool hasHigherRankedReader = false;
     for (const auto& [peer, state] : m_peers) {
-        if (state.m_zone != m_zone || now - state.m_lastSeenAt >= timeout || rankOf(peer) < ownRank)
+        if (state.m_zone != m_zone || state.m_isLeaving || now - state.m_lastSeenAt >= timeout
+            || rankOf(peer) < ownRank)
             continue;
         ++higherRanked;
         hasHigherRankedReader = hasHigherRankedReader || state.m_isReading;
@@ -300,7 +386,7 @@
     std::optional<Endpoint> inOtherZone;
     Instant inOtherZoneSeenAt {};
     for (const auto& [peer, state] : m_peers) {
-        if (!isNewer(state.m_versions, own))
+        if (state.m_isLeaving || !isNewer(state.m_versions, own))
             continue;
         // Messages of a VM of another zone come rarely, as it sends to the VMs of all other zones in turn.
         if (state.m_zone == m_zone && now - state.m_lastSeenAt < timeout)
@@ -337,14 +423,17 @@
 {
     std::vector<Endpoint> inLocalZone;
     std::vector<Endpoint> inOtherZones;
+    std::vector<Endpoint> leaving;
     for (const auto& [peer, state] : m_peers) {
         // Messages of a VM of another zone come rarely, as it sends to the VMs of all other zones in turn.
         const bool isLocal = state.m_zone == m_zone;
         const Duration age = now - state.m_lastSeenAt;
         if (state.m_lastSeenAt != Instant {} && age < (isLocal ? peerTimeout() : c_peerExpiry) && condition(state))
-            (isLocal ? inLocalZone : inOtherZones).push_back(peer);
+            (state.m_isLeaving ? leaving : isLocal ? inLocalZone : inOtherZones).push_back(peer);
     }
-    const std::vector<Endpoint>& candidates = inLocalZone.empty() ? inOtherZones : inLocalZone;
+    const std::vector<Endpoint>& candidates = !inLocalZone.empty() ? inLocalZone
+        : !inOtherZones.empty()                                    ? inOtherZones
+                                                                   : leaving;
     if (candidates.empty())
         return std::nullopt;
     return candidates[hashPair(m_self.packed(), m_requestCount++) % candidates.size()];
@@ -361,7 +450,8 @@
         return selected;
     std::map<Endpoint, PeerState>::const_iterator position = nextInRing(m_peers, m_lastGossiped);
     for (std::size_t i = 0; i < m_peers.size() && selected.size() < c_maxPeers; ++i) {
-        if (position->second.m_lastSeenAt != Instant {} && now - position->second.m_lastSeenAt < c_peerExpiry) {
+        if (position->second.m_lastSeenAt != Instant {} && !position->second.m_isLeaving
+            && now - position->second.m_lastSeenAt < c_peerExpiry) {
             selected.push_back({ position->first, position->second.m_zone });
             m_lastGossiped = position->first;
         }
--- a/src/exchange/ExchangePeers.h
+++ b/src/exchange/ExchangePeers.h
@@ -10,36 +10,52 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace cuminrelay {
 
 /// Tracks the entry VMs that exchange load messages with this VM. Selects each message's receivers, the zone's reader
 /// of the store, and the VM to request store updates from. VMs of the local zone share backend servers and get messages
-/// often; one VM of another zone gets each message, round robin. Peers are found through the seeds and by gossip. They
-/// only improve placement: a VM that is no other VM's peer still serves.
+/// often; one VM of another zone gets each message, round robin. Peers are found through the seeds and by gossip, and
+/// those that have left or timed out are contacted for a while: they may run again, or be back after a partition.
+///
+/// A peer that is leaving still forwards packets, until the fabric stops sending it any. It gets all messages, like the
+/// others, until it is silent; only its own state is no longer asked for.
 class ExchangePeers {
 public:
     ExchangePeers(Endpoint self, ZoneHash zone, std::span<const Endpoint> seeds);
 
-    /// Updates the sender and the peers that its message lists; removes a sender that is leaving.
+    /// Replaces the seeds, after a change of the settings.
+    void setSeeds(std::span<const Endpoint> seeds) { m_seeds.assign(seeds.begin(), seeds.end()); }
+
+    /// Updates the sender and the peers that its message lists.
     void recordMessage(Endpoint peer, const LoadMessage& message, Instant now);
 
-    /// Removes and returns the VMs that sent a message before any peer listed them. Send each the peers of its zone at
-    /// once: its next regular message may come late.
+    /// Removes and returns the VMs that sent a message before any peer listed them, or whose process has started again.
+    /// Send each the peers of its zone at once: its next regular message may come late.
     std::vector<ExchangePeer> takeNewPeers();
 
+    /// Removes and returns the VMs of the local zone that this VM has learned of, or whose process has started again,
+    /// since the last call. Send each a message at once, with contested flows: it may not know this VM.
+    std::vector<Endpoint> takeUngreeted() { return std::exchange(m_ungreeted, {}); }
+
+    /// Whether another VM, of any zone, has sent a message lately. Without contact, this VM is not told of anything.
+    bool hasContact(Instant now) const;
+
     /// The VMs of a zone that have sent a message.
     std::vector<ExchangePeer> peersOf(ZoneHash zone) const;
 
     /// Receivers of the next message: at most c_localZoneFanout of the local zone and one of another; once a second
-    /// also the seeds that are not peers.
+    /// also the seeds and former peers that are not peers.
     std::vector<Endpoint> nextTargets(Instant now);
 
-    /// All peers of the local zone. The reader notifies them at once of a store update.
+    /// All peers of the local zone, also those that are leaving. The reader notifies them at once of a store update.
     std::vector<Endpoint> localZonePeers() const;
 
+    /// Peers of the local zone, and all, without those that are leaving.
     std::size_t localZonePeerCount() const;
+    std::size_t size() const;
 
     /// Replaces members by the VMs of the local zone and when each was last heard of: its last message, or the first
     /// one of a peer that listed it. Allocates only if members grows.
@@ -86,20 +102,29 @@
     /// once a second.
     std::vector<ExchangePeer> peersToGossip(Instant now);
 
-    std::size_t size() const { return m_peers.size(); }
-
 private:
     struct PeerState {
         ZoneHash m_zone;
         Instant m_lastSeenAt {}; ///< last message of the VM itself; epoch: none
+        Instant m_heardOfAt {}; ///< m_lastSeenAt, or when a peer first listed the VM
         Deadline m_expiresAt {};
         bool m_isReading = false;
+        bool m_isLeaving = false;
+        Instant m_introducedAt {}; ///< when takeNewPeers last listed it; epoch: never
         StoreVersions m_versions {};
         Instant m_confirmedAt {}; ///< as of which m_versions were the store's; epoch: unknown
         Instant m_contestedKnownSince {}; ///< valid if m_lastSeenAt is set
+        std::chrono::milliseconds m_contestedKnownFor {}; ///< as of m_lastSeenAt
+    };
+
+    struct FormerPeer {
+        ZoneHash m_zone;
+        Instant m_lastSeenAt {};
     };
 
     void addGossiped(const ExchangePeer& peer, Instant now);
+    void removeExpired(Instant now);
+    void appendFormer(std::vector<Endpoint>& targets, Instant now);
 
     /// A VM that was heard of lately and meets a condition, preferably of the local zone; another one for each call.
     template <typename Condition> std::optional<Endpoint> nextLivePeer(Instant now, const Condition& condition);
@@ -118,7 +143,9 @@
     ZoneHash m_zone;
     std::vector<Endpoint> m_seeds;
     std::map<Endpoint, PeerState> m_peers;
+    std::map<Endpoint, FormerPeer> m_formerPeers; ///< up to c_maxFormerPeers
     std::vector<ExchangePeer> m_newPeers;
+    std::vector<Endpoint> m_ungreeted;
     Deadline m_nextSeedsAt {};
     Deadline m_nextGossipAt {};
     Deadline m_gossipUntil {}; ///< each message lists peers until then
@@ -134,6 +161,7 @@
     Endpoint m_lastInLocalZone;
     Endpoint m_lastInOtherZone;
     Endpoint m_lastGossiped;
+    Endpoint m_lastFormer;
 };
 
 } // namespace cuminrelay
--- a/src/exchange/ExchangePeersTest.cpp
+++ b/src/exchange/ExchangePeersTest.cpp
@@ -246,6 +246,111 @@
         EXPECT_EQ(fleet.m_vms[0]->m_peers.size(), 1u);
     }
 
+    // A VM that got SIGTERM forwards packets until the fabric has noticed. It has to learn of contested flows, and of
+    // the store's changes, like the others (review/12).
+    TEST(ExchangePeersTest, aLeavingPeerGetsMessagesUntilItIsSilent)
+    {
+        Fleet fleet { 3, 1 };
+        fleet.run(std::chrono::seconds { 2 });
+        ExchangePeers& peers = fleet.m_vms[0]->m_peers;
+        const Endpoint leaving = fleet.m_vms[1]->m_self;
+        const auto isTarget = [&](Instant now) {
+            const std::vector<Endpoint> targets = peers.nextTargets(now);
+            return std::ranges::find(targets, leaving) != targets.end();
+        };
+        LoadMessage message;
+        message.m_leaving = true;
+        Instant now = fleet.m_now;
+        peers.recordMessage(leaving, message, now);
+        for (int request = 0; request < 10; ++request)
+            EXPECT_EQ(peers.peerWithState({}, now), fleet.m_vms[2]->m_self);
+        for (int i = 0; i < 30; ++i, now += milliseconds { 200 }) {
+            peers.recordMessage(leaving, message, now);
+            EXPECT_TRUE(isTarget(now));
+            const std::vector<Endpoint> local = peers.localZonePeers();
+            EXPECT_NE(std::ranges::find(local, leaving), local.end());
+        }
+        peers.nextTargets(now + std::chrono::seconds { 5 });
+        const std::vector<Endpoint> local = peers.localZonePeers();
+        EXPECT_EQ(std::ranges::find(local, leaving), local.end());
+    }
+
+    // The VMs that its seeds name have left when a VM starts again. The others look for it (review/13).
+    TEST(ExchangePeersTest, aVmThatStartsAgainWithoutSeedsIsFoundByItsFormerPeers)
+    {
+        for (const bool isAnnounced : { true, false }) {
+            Fleet fleet { 4, 1 };
+            fleet.run(std::chrono::seconds { 2 });
+            Fleet::Vm& restarted = *fleet.m_vms[2];
+            if (isAnnounced) {
+                LoadMessage message;
+                message.m_leaving = true;
+                for (const std::size_t other : { 0, 1, 3 })
+                    fleet.m_vms[other]->m_peers.recordMessage(restarted.m_self, message, fleet.m_now);
+            }
+            for (const std::size_t gone : { 0, 1, 2 }) // the first two are the seeds
+                fleet.m_vms[gone]->m_isAlive = false;
+            fleet.run(std::chrono::seconds { 5 });
+            restarted.m_peers
+                = ExchangePeers { restarted.m_self, restarted.m_zone, std::vector<Endpoint> { { 1, c_port } } };
+            restarted.m_isAlive = true;
+            EXPECT_FALSE(restarted.m_peers.hasContact(fleet.m_now));
+            fleet.run(std::chrono::seconds { 2 });
+            EXPECT_TRUE(restarted.m_peers.hasContact(fleet.m_now));
+            const std::vector<Endpoint> found = fleet.m_vms[3]->m_peers.localZonePeers();
+            EXPECT_NE(std::ranges::find(found, restarted.m_self), found.end());
+        }
+    }
+
+    // A partition of minutes makes two groups forget each other, and no seed is left in one of them.
+    TEST(ExchangePeersTest, groupsThatForgotEachOtherMeetAgain)
+    {
+        const Endpoint other { 9, c_port };
+        ExchangePeers peers { { 1, c_port }, { 1 }, {} };
+        LoadMessage message;
+        message.m_zone = { 2 };
+        Instant now { std::chrono::seconds { 100 } };
+        peers.recordMessage(other, message, now);
+        now += std::chrono::minutes { 5 };
+        peers.nextTargets(now);
+        EXPECT_EQ(peers.size(), 0u);
+        now += std::chrono::seconds { 1 };
+        EXPECT_EQ(peers.nextTargets(now), std::vector<Endpoint> { other });
+        now += std::chrono::minutes { 6 };
+        peers.nextTargets(now);
+        EXPECT_TRUE(peers.nextTargets(now + std::chrono::seconds { 1 }).empty());
+    }
+
+    TEST(ExchangePeersTest, newSeedsAreContacted)
+    {
+        const Endpoint seed { 9, c_port };
+        ExchangePeers peers { { 1, c_port }, { 1 }, {} };
+        const Instant now { std::chrono::seconds { 100 } };
+        EXPECT_TRUE(peers.nextTargets(now).empty());
+        peers.setSeeds(std::vector<Endpoint> { seed });
+        EXPECT_EQ(peers.nextTargets(now + std::chrono::seconds { 1 }), std::vector<Endpoint> { seed });
+    }
+
+    // Peers of a VM that runs for longer than flows live say each time that they know contested flows of that time.
+    TEST(ExchangePeersTest, aPeerIsIntroducedAgainOnlyIfItKnowsLess)
+    {
+        ExchangePeers peers { { 1, c_port }, { 1 }, {} };
+        LoadMessage message;
+        message.m_zone = { 1 };
+        message.m_contestedKnownFor = c_departedRetention / milliseconds { 1 } * milliseconds { 1 };
+        Instant now { std::chrono::seconds { 100 } };
+        peers.recordMessage({ 2, c_port }, message, now);
+        EXPECT_EQ(peers.takeNewPeers().size(), 1u);
+        for (int i = 0; i < 5; ++i) {
+            now += std::chrono::seconds { 2 };
+            peers.recordMessage({ 2, c_port }, message, now);
+            EXPECT_TRUE(peers.takeNewPeers().empty());
+        }
+        message.m_contestedKnownFor = milliseconds { 20 };
+        peers.recordMessage({ 2, c_port }, message, now + std::chrono::seconds { 1 });
+        EXPECT_EQ(peers.takeNewPeers().size(), 1u);
+    }
+
     // A VM that knows of newer declarations must not refuse a service that they may have added, also after the VM that
     // announced them has left (review/5).
     TEST(ExchangePeersTest, newerDeclarationsAreKnownAfterTheirPeerHasLeft)
--- a/src/exchange/LoadExchange.capnp
+++ b/src/exchange/LoadExchange.capnp
@@ -23,6 +23,8 @@
   retainedMs @15 :UInt16; # how long they stay evacuated
   contestedAgesMs @16 :List(UInt16); # of contestedFlows, since they were recorded, rounded up
   contestedKnownMs @17 :UInt16; # the sender knows all contested flows opened within this time; 65535: or longer
+  notice @18 :Bool; # only contested flows, sent outside the schedule: the loads of the sender's last message hold
+  questions @19 :List(UInt64); # hashes of flows that the sender cannot locate; the receiver answers with a notice
 }
 
 struct BackendLoad {
--- a/src/exchange/LoadExchange.capnp.h
+++ b/src/exchange/LoadExchange.capnp.h
@@ -36,7 +36,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 6, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(9d267c1da904f496, 6, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -165,6 +165,11 @@
 
   inline  ::uint16_t getContestedKnownMs() const;
 
+  inline bool getNotice() const;
+
+  inline bool hasQuestions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuestions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -279,6 +284,17 @@
   inline  ::uint16_t getContestedKnownMs();
   inline void setContestedKnownMs( ::uint16_t value);
 
+  inline bool getNotice();
+  inline void setNotice(bool value);
+
+  inline bool hasQuestions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getQuestions();
+  inline void setQuestions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setQuestions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initQuestions(unsigned int size);
+  inline void adoptQuestions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownQuestions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1065,6 +1081,58 @@
       ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadMessage::Reader::getNotice() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadMessage::Builder::getNotice() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setNotice(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadMessage::Reader::hasQuestions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadMessage::Builder::hasQuestions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getQuestions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void LoadMessage::Builder::setQuestions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void LoadMessage::Builder::setQuestions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initQuestions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void LoadMessage::Builder::adoptQuestions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t BackendLoad::Reader::getToken() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/exchange/LoadMessage.cpp
+++ b/src/exchange/LoadMessage.cpp
@@ -85,6 +85,9 @@
                 std::chrono::milliseconds { index < ages.size() ? ages[index] : 0 } });
         }
         message.m_contestedKnownFor = std::chrono::milliseconds { reader.getContestedKnownMs() };
+        for (const std::uint64_t flow : reader.getQuestions())
+            message.m_questions.push_back({ flow });
+        message.m_isNotice = reader.getNotice();
         message.m_evacuated = readEvacuatedZones(reader);
         return message;
     }
@@ -97,12 +100,21 @@
     return c_maxLoads - (evacuated.m_zones.size() + 1) / 2 - (evacuated.m_retained.size() + 1) / 2;
 }
 
+bool fitsIntoDatagram(const LoadMessage& message)
+{
+    if (message.m_evacuated.size() > EvacuatedZones::s_maxZones)
+        return false;
+    if (message.m_isNotice)
+        return message.m_loads.empty() && message.m_dead.empty() && message.m_peers.empty()
+            && message.m_contestedFlows.size() <= c_maxNoticedFlows && message.m_questions.size() <= c_maxQuestions;
+    return message.m_loads.size() <= maxLoadsBeside(message.m_evacuated) && message.m_dead.size() <= c_maxDead
+        && message.m_peers.size() <= c_maxPeers && message.m_contestedFlows.size() <= c_maxContestedFlows
+        && message.m_questions.empty();
+}
+
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out)
 {
-    CR_ASSERT(message.m_evacuated.size() <= EvacuatedZones::s_maxZones
-            && message.m_loads.size() <= maxLoadsBeside(message.m_evacuated) && message.m_dead.size() <= c_maxDead
-            && message.m_peers.size() <= c_maxPeers && message.m_contestedFlows.size() <= c_maxContestedFlows,
-        "load message has too many entries");
+    CR_ASSERT(fitsIntoDatagram(message), "load message has too many entries");
     capnp::MallocMessageBuilder builder;
     wire::LoadMessage::Builder root = builder.initRoot<wire::LoadMessage>();
     root.setZone(message.m_zone.m_value);
@@ -140,6 +152,13 @@
         contested[i].setOpeningSequence(flow.m_openingSequence);
         ages.set(i, saturated<std::uint16_t>(message.m_contestedFlows[i].m_age.count()));
     }
+    root.setNotice(message.m_isNotice);
+    if (!message.m_questions.empty()) {
+        capnp::List<std::uint64_t>::Builder questions
+            = root.initQuestions(static_cast<unsigned>(message.m_questions.size()));
+        for (unsigned i = 0; i < questions.size(); ++i)
+            questions.set(i, message.m_questions[i].m_value);
+    }
     root.setContestedKnownMs(saturated<std::uint16_t>(message.m_contestedKnownFor.count()));
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
     const std::size_t bytes = words.size() * sizeof(capnp::word);
--- a/src/exchange/LoadMessage.h
+++ b/src/exchange/LoadMessage.h
@@ -45,6 +45,8 @@
     std::vector<BackendToken> m_dead; ///< backend servers that the sender found dead
     std::vector<ExchangePeer> m_peers; ///< some peers of the sender
     std::vector<ContestedFlowReport> m_contestedFlows; ///< some that the sender knows
+    std::vector<FlowHash> m_questions; ///< flows that the sender cannot locate
+    bool m_isNotice = false; ///< sent outside the schedule, without loads: those of the sender's last message hold
     /// The sender knows all contested flows that were opened within this time, up to their maximum lifetime.
     std::chrono::milliseconds m_contestedKnownFor {};
     EvacuatedZones m_evacuated; ///< all, as of m_storeVersions.m_evacuations
@@ -56,17 +58,25 @@
 inline constexpr std::size_t c_maxLoadMessageBytes = 1'400;
 
 /// Maximum numbers of entries in one message.
-inline constexpr std::size_t c_maxLoads = 115;
+inline constexpr std::size_t c_maxLoads = 114;
 inline constexpr std::size_t c_maxDead = 24;
 inline constexpr std::size_t c_maxPeers = 8;
 inline constexpr std::size_t c_maxContestedFlows = 6;
 
+/// In a notice.
+inline constexpr std::size_t c_maxNoticedFlows = 36;
+inline constexpr std::size_t c_maxQuestions = 16;
+
 /// The number of loads that fit into a message that names these evacuated zones.
 std::size_t maxLoadsBeside(const EvacuatedZones& evacuated);
 
-/// Encodes a message to the front of out and returns the written part. Precondition: at most maxLoadsBeside, c_maxDead,
-/// c_maxPeers and c_maxContestedFlows entries; at most s_maxZones evacuated zones; out has c_maxLoadMessageBytes and is
-/// aligned to 8 bytes.
+/// Whether a message fits into c_maxLoadMessageBytes: at most maxLoadsBeside, c_maxDead, c_maxPeers and
+/// c_maxContestedFlows entries, or in a notice no loads, dead or peers, and at most c_maxNoticedFlows and
+/// c_maxQuestions; at most s_maxZones evacuated zones.
+bool fitsIntoDatagram(const LoadMessage& message);
+
+/// Encodes a message to the front of out and returns the written part. Precondition: the message fits into a datagram;
+/// out has c_maxLoadMessageBytes and is aligned to 8 bytes.
 std::span<const std::byte> encodeLoadMessage(const LoadMessage& message, std::span<std::byte> out);
 
 /// Decodes a datagram, which must be aligned to 8 bytes. Errors: InvalidInput.
--- a/src/exchange/LoadMessageTest.cpp
+++ b/src/exchange/LoadMessageTest.cpp
@@ -38,6 +38,28 @@
         EXPECT_EQ(decoded.value(), message);
     }
 
+    TEST_P(LongestLoadMessageTest, aNoticeFitsIntoADatagramToo)
+    {
+        LoadMessage message;
+        message.m_isNotice = true;
+        message.m_storeVersions = { { 1, 2 }, { 3 }, { 4, 5 } };
+        for (std::uint32_t i = 0; i < GetParam(); ++i)
+            (i % 3 == 0 ? message.m_evacuated.m_retained : message.m_evacuated.m_zones).push_back({ i });
+        if (!message.m_evacuated.m_retained.empty())
+            message.m_evacuated.m_retainedFor = std::chrono::seconds { 10 };
+        for (std::uint32_t i = 0; i < c_maxNoticedFlows; ++i)
+            message.m_contestedFlows.push_back({ { { i }, i, { i } }, std::chrono::milliseconds { 1'000 * i } });
+        for (std::uint32_t i = 0; i < c_maxQuestions; ++i)
+            message.m_questions.push_back({ i });
+        ASSERT_TRUE(fitsIntoDatagram(message));
+        Buffer buffer;
+        const Outcome<LoadMessage> decoded = decodeLoadMessage(encodeLoadMessage(message, buffer.m_bytes));
+        ASSERT_TRUE(decoded.has_value());
+        EXPECT_EQ(decoded.value(), message);
+        message.m_loads.push_back({});
+        EXPECT_FALSE(fitsIntoDatagram(message));
+    }
+
     INSTANTIATE_TEST_SUITE_P(
         EvacuatedZones, LongestLoadMessageTest, testing::Values(0, 1, 7, EvacuatedZones::s_maxZones));
 
--- a/src/relay/RelayProcess.cpp
+++ b/src/relay/RelayProcess.cpp
@@ -35,6 +35,9 @@
     /// Requests to other VMs for a backend server whose entry cannot be read.
     constexpr unsigned c_maxContentRequests = 3;
 
+    /// Interval between loads of the settings by a VM without contact to others. Their seeds may have been replaced.
+    constexpr Duration c_seedReloadInterval = std::chrono::seconds { 1 };
+
     /// Minimum interval between calls to the store that confirm the state of a VM that does not follow the store.
     constexpr Duration c_confirmationInterval = std::chrono::milliseconds { 500 };
 
@@ -83,6 +86,7 @@
               m_settings.m_warmupBounds, m_settings.m_exchange, environment.m_clock.now(), m_settings.m_learnsPace },
           placement, m_flowLog)
     , m_peers(m_settings.m_exchange, hashZone(m_settings.m_zone), m_settings.m_seeds)
+    , m_contestedFlowsExchange(m_router, m_peers)
     , m_evacuations(m_settings.m_zones)
     , m_storeUpdateClient(environment.m_context.get_executor(), environment.m_clock)
     , m_storeUpdateServer(environment.m_context.get_executor(), m_storeCache, m_router.contestedFlows(),
@@ -102,7 +106,8 @@
     , m_gauges(environment.m_metrics)
 {
     m_flowLog.setRouter(m_router);
-    m_message.m_zone = hashZone(m_settings.m_zone);
+    m_message.m_zone = m_notice.m_zone = hashZone(m_settings.m_zone);
+    m_notice.m_isNotice = true;
 }
 
 Outcome<void> RelayProcess::open()
@@ -129,7 +134,10 @@
 {
     // By default, a write to a closed connection ends the process.
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler): SIG_IGN is no handler
-    m_router.setTimeOfDay(timeOfDay(), m_environment.m_clock.now());
+    const Instant startedAt = m_environment.m_clock.now();
+    m_router.setTimeOfDay(timeOfDay(), startedAt);
+    m_contestedFlowsExchange.tick(startedAt);
+    m_nextSeedsAt = startedAt + c_seedReloadInterval;
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
     m_signals.add(SIGHUP);
@@ -164,6 +172,8 @@
             m_shutdown->recordPacket(now);
         const std::span<PacketAction> decided = std::span { actions }.first(packets.size());
         m_router.decide(packets, decided, now);
+        // Other VMs get the next packets of a contested flow: they are told before any answer can cause one.
+        sendNotices(now);
         m_environment.m_packets.send(decided);
     }
 }
@@ -202,9 +212,10 @@
         applyEvacuations();
     }
     introduceNewPeers(now);
-    m_router.applyPeerLoad(peer, message.value().m_loads, now, m_peers.peerTimeout());
-    for (const ContestedFlowReport& flow : message.value().m_contestedFlows)
-        m_router.contestedFlows().apply(flow, now);
+    if (!message.value().m_isNotice)
+        m_router.applyPeerLoad(peer, message.value().m_loads, now, m_peers.peerTimeout());
+    m_contestedFlowsExchange.apply(message.value(), peer, now);
+    sendNotices(now);
     m_router.applyDeadHints(message.value().m_dead, message.value().m_zone, now);
     if (m_peers.localZonePeerCount() != countBefore)
         m_environment.m_log.info("exchange", "peers_changed",
@@ -226,11 +237,14 @@
         endRetention(now);
         updateReadiness();
         startProbes(now);
+        m_contestedFlowsExchange.tick(now);
+        reloadSeeds(now);
         chooseReader(now);
         fetchFromPeers(now);
         confirmState(now);
         announceStoreUpdate(now);
         sendLoadMessages(now);
+        sendNotices(now);
         updateGauges(now);
         flushLog();
         if (m_shutdown && m_shutdown->canExit(m_readiness.notReadyAnswers(), now))
@@ -412,36 +426,54 @@
     m_loadMessageSchedule.recordLoadMessage(m_message.m_loads, m_message.m_dead, bytes, now, m_peers.repeatAt(now));
 }
 
-/// Sends each new peer the list of the peers in its zone.
+/// Sends each new peer the list of the peers in its zone; a message without any tells it of this VM.
 void RelayProcess::introduceNewPeers(Instant now)
 {
     for (const ExchangePeer& newPeer : m_peers.takeNewPeers()) {
         const std::vector<ExchangePeer> peers = m_peers.peersOf(newPeer.m_zone);
-        for (std::size_t first = 0; first < peers.size(); first += c_maxPeers) {
+        std::size_t first = 0;
+        do {
             const std::size_t count = std::min(c_maxPeers, peers.size() - first);
             const std::size_t bytes
                 = sendTo(std::span { &newPeer.m_exchange, 1 }, std::span { peers }.subspan(first, count));
             m_loadMessageSchedule.recordOtherMessage(bytes, now);
-        }
+            first += count;
+        } while (first < peers.size());
+    }
+}
+
+/// Sends what other VMs have to know at once about contested flows, and questions about flows that cannot be located.
+void RelayProcess::sendNotices(Instant now)
+{
+    for (ContestedFlowsNotice& notice : m_contestedFlowsExchange.takeNotices(now)) {
+        m_notice.m_contestedFlows = std::move(notice.m_flows);
+        m_notice.m_questions = std::move(notice.m_questions);
+        m_loadMessageSchedule.recordOtherMessage(send(m_notice, notice.m_targets), now);
     }
 }
 
 /// Sends m_message to the targets. Returns the bytes sent, including datagram headers.
 std::size_t RelayProcess::sendTo(std::span<const Endpoint> targets, std::span<const ExchangePeer> gossiped)
 {
-    m_message.m_leaving = m_shutdown.has_value();
+    m_message.m_peers.assign(gossiped.begin(), gossiped.end());
+    return send(m_message, targets);
+}
+
+/// Sends a message to the targets, with the state of this VM. Returns the bytes sent, including datagram headers.
+std::size_t RelayProcess::send(LoadMessage& message, std::span<const Endpoint> targets)
+{
+    const Instant now = m_environment.m_clock.now();
+    message.m_leaving = m_shutdown.has_value();
     const bool isFollowingEvacuations = !m_settings.m_followsEvacuations || m_evacuationsWatch.isFollowing();
-    m_message.m_isReading
+    message.m_isReading
         = !m_shutdown && m_backendsWatch.isFollowing() && m_declarationsWatch.isFollowing() && isFollowingEvacuations;
-    m_message.m_storeVersions = storeVersions();
-    m_message.m_evacuated = m_evacuations.report(m_environment.m_clock.now());
-    m_message.m_loads.resize(std::min(m_message.m_loads.size(), maxLoadsBeside(m_message.m_evacuated)));
+    message.m_storeVersions = storeVersions();
+    message.m_evacuated = m_evacuations.report(now);
+    message.m_loads.resize(std::min(message.m_loads.size(), maxLoadsBeside(message.m_evacuated)));
     const Instant confirmedAt = stateConfirmedAt();
-    m_message.m_stateAge
-        = confirmedAt != Instant {} ? std::optional { m_environment.m_clock.now() - confirmedAt } : std::nullopt;
-    m_message.m_contestedKnownFor = m_router.contestedFlows().knownFor(m_environment.m_clock.now());
-    m_message.m_peers.assign(gossiped.begin(), gossiped.end());
-    const std::span<const std::byte> encoded = encodeLoadMessage(m_message, m_sendBuffer);
+    message.m_stateAge = confirmedAt != Instant {} ? std::optional { now - confirmedAt } : std::nullopt;
+    message.m_contestedKnownFor = m_router.contestedFlows().knownFor(now);
+    const std::span<const std::byte> encoded = encodeLoadMessage(message, m_sendBuffer);
     for (const Endpoint target : targets) {
         boost::system::error_code failure;
         m_exchange->send_to(asio::buffer(encoded.data(), encoded.size()), toUdp(target), 0, failure);
@@ -543,11 +575,27 @@
     reportIgnoredSettings(settings);
     m_settings.m_stopWithin = settings.m_stopWithin;
     m_settings.m_ignored = settings.m_ignored;
+    m_settings.m_seeds = settings.m_seeds;
+    m_peers.setSeeds(m_settings.m_seeds);
     m_environment.m_log.info("relay", "reloaded",
-        { { "stop_within_ms", m_settings.m_stopWithin.count() },
+        { { "stop_within_ms", m_settings.m_stopWithin.count() }, { "seeds", m_settings.m_seeds.size() },
             { "others", settings == m_settings ? "unchanged" : "changed, in force after a restart" } });
 }
 
+/// Applies the seeds of changed settings while no other VM is in contact: the settings may change without a signal.
+void RelayProcess::reloadSeeds(Instant now)
+{
+    if (now < m_nextSeedsAt || m_peers.hasContact(now))
+        return;
+    m_nextSeedsAt = now + c_seedReloadInterval;
+    const Outcome<RelaySettings> loaded = m_environment.m_settings.load();
+    if (!loaded || loaded.value().m_seeds == m_settings.m_seeds)
+        return;
+    m_settings.m_seeds = loaded.value().m_seeds;
+    m_peers.setSeeds(m_settings.m_seeds);
+    m_environment.m_log.info("exchange", "seeds_replaced", { { "seeds", m_settings.m_seeds.size() } });
+}
+
 /// Logs the values of the settings that cannot be used, and what is in force instead.
 void RelayProcess::reportIgnoredSettings(const RelaySettings& settings)
 {
--- a/src/relay/RelayProcess.h
+++ b/src/relay/RelayProcess.h
@@ -3,6 +3,7 @@
 #include "affinity/TokenRouter.h"
 #include "discovery/Watches.h"
 #include "evacuation/Evacuations.h"
+#include "exchange/ContestedFlowsExchange.h"
 #include "exchange/ExchangePeers.h"
 #include "exchange/LoadMessageSchedule.h"
 #include "exchange/StateEra.h"
@@ -108,11 +109,14 @@
     void sendLoadMessages(Instant now);
     void announceStoreUpdate(Instant now);
     void introduceNewPeers(Instant now);
+    void sendNotices(Instant now);
     std::size_t sendTo(std::span<const Endpoint> targets, std::span<const ExchangePeer> gossiped);
+    std::size_t send(LoadMessage& message, std::span<const Endpoint> targets);
     void startProbes(Instant now);
     void startProbe(LivenessProbe probe);
     void beginShutdown();
     void reload();
+    void reloadSeeds(Instant now);
     void reportIgnoredSettings(const RelaySettings& settings);
     void detectPause(Instant now);
     void updateReadiness();
@@ -128,6 +132,7 @@
     FlowLog m_flowLog;
     TokenRouter m_router;
     ExchangePeers m_peers;
+    ContestedFlowsExchange m_contestedFlowsExchange;
     StoreCache m_storeCache;
     StateEra m_stateEra;
     Evacuations m_evacuations;
@@ -145,11 +150,13 @@
     bool m_hasBackends = false; ///< the list was applied at least once
     std::vector<ZoneMember> m_zoneMembers; // reused for each update
     LoadMessage m_message; // reused for each message
+    LoadMessage m_notice; // reused for each notice
     LoadMessageSchedule m_loadMessageSchedule { c_exchangeBytesPerSecond };
     bool m_hasStoreUpdate = false; ///< to announce to the local zone
     bool m_isFetching = false;
     Deadline m_nextConfirmationAt {}; ///< earliest time of the next call to confirm the state
     Deadline m_nextFetchAt {}; ///< earliest time of the next request to another VM
+    Deadline m_nextSeedsAt {}; ///< earliest time to load the settings for their seeds
     std::map<BackendIdentity, unsigned>
         m_contentRequests; ///< to other VMs, for backend servers with unreadable entries
     Instant m_resumedAt {}; ///< messages received before may be older than the last pause
