--- a/src/exchange/FlowFleetTest.cpp
+++ b/src/exchange/FlowFleetTest.cpp
@@ -630,6 +630,13 @@
         fmt::print("{}: {} seeds, {} flows opened\n", GetParam().m_name, count, opened);
     }
 
+    // A VM that got SIGTERM was no longer told of contested flows, and took an opening's token for proof (review/12).
+    TEST(FlowFleetRegressionTest, aVmThatIsToldToStopSendsNoFlowElsewhere)
+    {
+        for (const std::uint64_t seed : { 1, 13 })
+            expectFlowsStay(stops(), seed);
+    }
+
     std::string nameOf(const testing::TestParamInfo<Scenario>& parameter)
     {
         return parameter.param.m_name;
