--- a/src/exchange/FlowFleetTest.cpp
+++ b/src/exchange/FlowFleetTest.cpp
@@ -637,6 +637,13 @@
             expectFlowsStay(stops(), seed);
     }
 
+    // A VM that no other VM knows took an opening's token for proof (review/13).
+    TEST(FlowFleetRegressionTest, aVmWhoseSeedsAreGoneSendsNoFlowElsewhere)
+    {
+        for (const std::uint64_t seed : { 2, 3 })
+            expectFlowsStay(lostSeeds(), seed);
+    }
+
     std::string nameOf(const testing::TestParamInfo<Scenario>& parameter)
     {
         return parameter.param.m_name;
