--- a/src/exchange/FlowFleetTest.cpp
+++ b/src/exchange/FlowFleetTest.cpp
@@ -644,6 +644,12 @@
             expectFlowsStay(lostSeeds(), seed);
     }
 
+    // A VM lost power before it had told the others of a contested flow (review/14).
+    TEST(FlowFleetRegressionTest, aVmThatLosesPowerHasToldOfContestedFlows)
+    {
+        expectFlowsStay(powerCuts(), 6);
+    }
+
     std::string nameOf(const testing::TestParamInfo<Scenario>& parameter)
     {
         return parameter.param.m_name;
