--- a/src/exchange/FlowFleetTest.cpp
+++ b/src/exchange/FlowFleetTest.cpp
@@ -650,6 +650,12 @@
         expectFlowsStay(powerCuts(), 6);
     }
 
+    // The record of a contested flow was applied to the next flow of the same port (review/11).
+    TEST(FlowFleetRegressionTest, theNextFlowOfAPortGoesToItsOwnBackendServer)
+    {
+        expectFlowsStay(reusedPorts(), 1);
+    }
+
     std::string nameOf(const testing::TestParamInfo<Scenario>& parameter)
     {
         return parameter.param.m_name;
