exchange: former peers of other zones are contacted only while their zone is unknown

Cause: four former peers a second, for 10 min after each VM that left, would take up to 5 KB/s of the 16 KB/s for load messages, most of it between zones. Change: one a second, and only of zones of which no VM is known; those that may just start again in the own zone as before. Measured: ExchangePeersTest and the regression tests of FlowFleetTest pass.

--- a/src/exchange/ExchangePeers.cpp
+++ b/src/exchange/ExchangePeers.cpp
@@ -27,10 +27,9 @@
     constexpr Duration c_contactTimeout = std::chrono::seconds { 1 };
 
     /// Former peers are contacted once a second: those of the local zone that were peers within the first time, as
-    /// processes start again within seconds, and a few others, within a time that partitions between zones may last.
+    /// processes start again within seconds, and one of the others, within a time that partitions may last.
     constexpr Duration c_restartTime = std::chrono::seconds { 10 };
     constexpr Duration c_formerPeerRetention = std::chrono::minutes { 10 };
-    constexpr std::size_t c_formerPeerFanout = 4;
     constexpr std::size_t c_maxFormerPeers = 64;
 
     /// A VM that knows contested flows of a time that is shorter by more than this than it said before has started
@@ -224,19 +223,23 @@
     return targets;
 }
 
+/// Appends the former peers of the local zone that may just start again, and the next one of a zone without any peer:
+/// the peers of the other zones list those that are back.
 void ExchangePeers::appendFormer(std::vector<Endpoint>& targets, Instant now)
 {
     std::map<Endpoint, FormerPeer>::const_iterator position = nextInRing(m_formerPeers, m_lastFormer);
-    std::size_t others = 0;
+    bool hasNext = false;
     for (std::size_t i = 0; i < m_formerPeers.size(); ++i) {
-        const auto& [peer, state] = *position;
-        const bool mayRestart = state.m_zone == m_zone && now - state.m_lastSeenAt < c_restartTime;
-        const bool isNext = !mayRestart && others < c_formerPeerFanout;
+        const auto& [peer, former] = *position;
+        const bool mayRestart = former.m_zone == m_zone && now - former.m_lastSeenAt < c_restartTime;
+        const bool isNext = !mayRestart && !hasNext
+            && std::ranges::none_of(
+                m_peers, [zone = former.m_zone](const auto& entry) { return entry.second.m_zone == zone; });
         if (mayRestart || isNext)
             targets.push_back(peer);
         if (isNext) {
             m_lastFormer = peer;
-            ++others;
+            hasNext = true;
         }
         ++position;
         if (position == m_formerPeers.end())
