bench: peers to greet are taken where nothing is sent to them

Cause: ExchangePeers lists the VMs that it learns of until they are taken, and TokenDesign never took them. Change: TokenDesign takes them, as it does new peers. It still exchanges no notices.

--- a/src/bench/TokenDesign.cpp
+++ b/src/bench/TokenDesign.cpp
@@ -164,6 +164,7 @@
 {
     vm.m_peers->recordMessage(sender, message, now);
     (void)vm.m_peers->takeNewPeers(); // not needed: all VMs are seeds
+    (void)vm.m_peers->takeUngreeted();
     vm.m_router->applyPeerLoad(sender, message.m_loads, now, vm.m_peers->peerTimeout());
     for (const ContestedFlowReport& flow : message.m_contestedFlows)
         vm.m_router->contestedFlows().apply(flow, now);
