--- a/src/affinity/FlowLocator.cpp
+++ b/src/affinity/FlowLocator.cpp
@@ -19,8 +19,7 @@
 {
 }
 
-BackendToken FlowLocator::locate(
-    const PacketSummary& packet, FlowHash hash, const TrackedFlow* record, Instant now)
+BackendToken FlowLocator::locate(const PacketSummary& packet, FlowHash hash, const TrackedFlow* record, Instant now)
 {
     const CarriedToken carried = CarriedToken::decode(packet.m_carriedToken);
     const LocatedFlow* const remembered = record ? nullptr : m_locatedFlows.find(hash, packet.m_sequence);
@@ -95,9 +94,9 @@
 }
 
 /// Whether the token of a flow without a record says where it is open. The token of a copy does not: the flow is
-/// contested, and what this VM does not know of it was lost with the processes of other VMs. Nor does that of an opening
-/// which the records of contested flows do not reach back to, or that may be of an earlier flow: backend servers repeat
-/// their answers for seconds, while callers send the first packet after the opening at once.
+/// contested, and what this VM does not know of it was lost with the processes of other VMs. Nor does that of an
+/// opening which the records of contested flows do not reach back to, or that may be of an earlier flow: backend
+/// servers repeat their answers for seconds, while callers send the first packet after the opening at once.
 bool FlowLocator::isTrusted(const CarriedToken& carried, FlowHash hash, Instant now) const
 {
     if (carried.m_kind != CarriedToken::Kind::Opening || carried.minAge(timeOfDay(now)) > Duration::zero())
--- a/src/affinity/FlowLocator.h
+++ b/src/affinity/FlowLocator.h
@@ -26,7 +26,8 @@
 /// - The first packet after the opening, or a retransmission of it: its opening token is that of the answer that opened
 ///   the flow, unless the flow was open before, and then the VM that sent the first packet on has reported it.
 /// - An opening token, as long as no copy of the opening packet can have reached another VM.
-/// - The token of a first opening packet that was sent just now, at a VM that has no record of the flow, if the VM would
+/// - The token of a first opening packet that was sent just now, at a VM that has no record of the flow, if the VM
+/// would
 ///   have been told of copies. An older token may be of an earlier flow with the same addresses and ports.
 ///
 /// For a flow that it cannot locate, the VM asks the others of its zone. The caller retransmits meanwhile.
@@ -55,8 +56,7 @@
     std::vector<FlowHash> takeQuestions();
 
     /// The token for an opening packet to a backend server.
-    std::uint32_t openingToken(
-        BackendToken backend, FlowHash hash, std::uint32_t openingSequence, Instant now) const;
+    std::uint32_t openingToken(BackendToken backend, FlowHash hash, std::uint32_t openingSequence, Instant now) const;
 
     /// Sets the time of day, which dates opening tokens.
     void setTimeOfDay(Duration sinceUnixEpoch, Instant now);
--- a/src/exchange/ContestedFlowsExchange.cpp
+++ b/src/exchange/ContestedFlowsExchange.cpp
@@ -31,8 +31,8 @@
 {
     for (const ContestedFlowReport& flow : message.m_contestedFlows)
         m_router.applyContestedFlow(flow, now);
-    std::vector<ContestedFlowReport> answers
-        = m_router.answerQuestions(std::span { message.m_questions }.first(std::min(message.m_questions.size(), c_maxQuestions)), now);
+    std::vector<ContestedFlowReport> answers = m_router.answerQuestions(
+        std::span { message.m_questions }.first(std::min(message.m_questions.size(), c_maxQuestions)), now);
     if (!answers.empty())
         m_answers.push_back({ { sender }, std::move(answers), {} });
 }
--- a/src/exchange/FlowFleetTest.cpp
+++ b/src/exchange/FlowFleetTest.cpp
@@ -464,7 +464,8 @@
     HostFlow& flow = host.m_flows[key];
     const bool isAnswerLost = isLost(m_options.m_packetLoss) || (isOpening && isLost(m_options.m_openingAnswerLoss));
     if (!isAnswerLost)
-        after(milliseconds { 1 }, [this, &host, key, copy = flow, isOpening] { receiveAtCaller(host, key, copy, isOpening); });
+        after(milliseconds { 1 },
+            [this, &host, key, copy = flow, isOpening] { receiveAtCaller(host, key, copy, isOpening); });
     const std::uint64_t timer = ++flow.m_timer;
     after(retransmissionDelay(flow.m_repeats), [this, &host, key, timer, isOpening] {
         HostFlow& later = host.m_flows[key];
@@ -486,8 +487,9 @@
     if (!caller)
         return;
     caller->m_token = flow.m_token;
-    trace(*caller, fmt::format("gets {} token {:08x} of {}", isOpening ? "an opening's answer" : "an answer", flow.m_token,
-        host.m_backend.m_server.m_name));
+    trace(*caller,
+        fmt::format("gets {} token {:08x} of {}", isOpening ? "an opening's answer" : "an answer", flow.m_token,
+            host.m_backend.m_server.m_name));
     if (isOpening) {
         if (caller->m_isOpen || flow.m_openingSequence != caller->m_openingSequence)
             return;
--- a/src/exchange/FlowFleetTest.h
+++ b/src/exchange/FlowFleetTest.h
@@ -51,8 +51,8 @@
     /// power cuts and cut links only those whose packet went through a VM that had run undisturbed for 4 s.
     const std::vector<std::string>& misrouted() const { return m_misrouted; }
 
-    /// Requests of which no copy reached the flow's backend server, though all went through VMs that had run undisturbed
-    /// for 4 s, and a VM still runs that sent earlier packets of the flow there.
+    /// Requests of which no copy reached the flow's backend server, though all went through VMs that had run
+    /// undisturbed for 4 s, and a VM still runs that sent earlier packets of the flow there.
     const std::vector<std::string>& stalled() const { return m_stalled; }
 
     std::size_t answered() const { return m_answered; }
