--- a/src/affinity/FlowLocator.h
+++ b/src/affinity/FlowLocator.h
@@ -61,8 +61,6 @@
     /// Sets the time of day, which dates opening tokens.
     void setTimeOfDay(Duration sinceUnixEpoch, Instant now);
 
-    std::size_t locatedFlows() const { return m_locatedFlows.size(); }
-
     /// Forgets old questions and flows; call about once a second. Cost: O(questions and flows).
     void sweep(Instant now);
 
--- a/src/affinity/LocatedFlows.h
+++ b/src/affinity/LocatedFlows.h
@@ -28,7 +28,7 @@
 };
 
 /// Remembers where flows are open that passed this VM, for their lifetime. TrackedFlows forgets a flow within seconds
-/// of its last packet, as another VM may count its load by then. Memory: some 30 bytes a flow, up to s_maxFlows.
+/// of its last packet, as another VM may count its load by then. Memory: up to s_maxFlows entries.
 class LocatedFlows {
 public:
     /// Four times the flows that a VM sees within their lifetime at 45,000 new ones a second over 700 VMs.
--- a/src/exchange/FlowFleetTest.cpp
+++ b/src/exchange/FlowFleetTest.cpp
@@ -533,15 +533,10 @@
         friend std::ostream& operator<<(std::ostream& out, const Scenario& scenario) { return out << scenario.m_name; }
     };
 
-    FlowFleetOptions base()
-    {
-        return {};
-    }
-
     /// Answers to openings are lost while the VMs are stopped and started in turn (review/12).
     FlowFleetOptions stops()
     {
-        FlowFleetOptions options = base();
+        FlowFleetOptions options;
         options.m_vmsPerZone = { 5, 2, 1 };
         options.m_openingAnswerLoss = 0.15;
         options.m_stopInterval = milliseconds { 700 };
@@ -552,7 +547,7 @@
     /// A VM starts while all VMs that its seeds name are gone (review/13).
     FlowFleetOptions lostSeeds()
     {
-        FlowFleetOptions options = base();
+        FlowFleetOptions options;
         options.m_vmsPerZone = { 4, 2, 2 };
         options.m_packetLoss = 0.03;
         options.m_losesSeeds = true;
@@ -564,7 +559,7 @@
     /// Two VMs lose power shortly one after the other (review/14).
     FlowFleetOptions powerCuts()
     {
-        FlowFleetOptions options = base();
+        FlowFleetOptions options;
         options.m_openingAnswerLoss = 0.1;
         options.m_cutInterval = seconds { 3 };
         options.m_maxPause = milliseconds { 300 };
@@ -574,7 +569,7 @@
     /// Callers use their ports again (review/11).
     FlowFleetOptions reusedPorts()
     {
-        FlowFleetOptions options = base();
+        FlowFleetOptions options;
         options.m_packetLoss = 0.01;
         options.m_openingAnswerLoss = 0.05;
         options.m_reusesPorts = true;
